--- /dev/null
+++ b/worksmux/drill/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire: codec, translation into worksmux's words, instances, main loop.  No decision."""
--- /dev/null
+++ b/worksmux/drill/instance.py
@@ -0,0 +1,180 @@
+"""One front: turns the wire's records into worksmux's events and its actions back.  No decision."""
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from .. import interface as i
+from ..rules import Front
+from .codec import ENTRY, Record, WireError
+
+OUTCOMES = {1: i.Outcome.DELIVERED, 0: i.Outcome.ERROR, 2: i.Outcome.FULL, 3: i.Outcome.TIMED_OUT,
+            4: i.Outcome.UNREACHABLE, 5: i.Outcome.RESET, 6: i.Outcome.CANCELLED, 7: i.Outcome.MOOT,
+            102: i.Outcome.READ}
+SCOPES = {0: "delta", 1: "full", 2: "cached", 3: "failed"}
+STATES = {2: "ready", 0: "draining", 1: "gone"}
+EFFECTS = {"free": "redoable", "guarded": "labelled", "single_shot": "irreversible"}
+HINTED, REPEAT, RESUMED = 1, 2, 16
+TO_ALL = 0xFFFF
+MISSING: dict[str, Any] = {}
+
+
+def settings_from(text: bytes) -> i.Settings:
+    """The wire's settings as a plain map in worksmux's words; keys not known here are left out."""
+    try:
+        told = json.loads(text)
+        limits, extra, rules = told["limits"], told["extra"], told["rules"]
+        per_k = extra.get("aim_us_per_1000_prompt_tokens", [])
+        paces = extra.get("token_aim", [])
+        prices = told.get("prices", MISSING)
+        return {
+            "me": told["me"], "fronts": told["balancers"], "zone": told.get("zone", 0), "tick": told["tick"],
+            "offerings": [{
+                "promised_time": kind["aim"], "outer_limit": kind["deadline"], "credit": kind["worth"],
+                "late_credit": kind.get("late_worth", 0.0), "effect": EFFECTS[kind["repeat"]],
+                "group": kind.get("group", "all"), "remembered": kind.get("window", 0.0),
+                "promised_per_k": per_k[at] / 1000 if at < len(per_k) else 0.0,
+                "token_time": paces[at] if at < len(paces) else 0.0,
+            } for at, kind in enumerate(told["services"])],
+            "parties": told.get("parties", []), "roles": extra["duty_by_kind"],
+            "kind_memory": extra.get("kind_memory_tokens", []),
+            "may_hold": extra.get("holds_allowed", False), "writers_read": extra.get("read_in_place", False),
+            "resume": extra.get("resume", False), "release_within": extra.get("release_within", 0.0),
+            "far_price": extra.get("move_fee", 0.0), "may_cancel": limits.get("cancel", False),
+            "may_probe": limits.get("probes", False), "second_copies": limits.get("second_copies", False),
+            "stay_away": limits.get("max_retry_after", 0.0) if limits.get("retry_after") else 0.0,
+            "most_trips": limits["try_limit"], "connect_time_out": limits.get("connect_timeout", 0.0),
+            "ask_for_list": told.get("membership_mode") == "subscribe",
+            "reports": told.get("stats", MISSING).get("via", "off"),
+            "report_fields": told.get("stats", MISSING).get("fields", []),
+            "price_late": prices.get("late_fail", 0.0), "price_cross": prices.get("cross_zone", 0.0),
+            "price_waste": prices.get("waste", 0.0), "price_probe": prices.get("probe", 0.0),
+            "answer_slack": rules.get("answer_slack", 0.0), "drain_grace": rules.get("drain_grace", 0.0),
+            "cold_share": rules["cold_share"], "warm_up": rules["warm_up"],
+            "fall_multiple": rules["tip_multiple"], "fall_time": rules["fall"],
+        }
+    except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+        raise WireError(f"settings: {type(error).__name__}: {error}") from error
+
+
+class Instance:
+    """The door of one front: ids outside, objects inside."""
+
+    def __init__(self, number: int, seed: int, settings: bytes) -> None:
+        self.number = number
+        self.settings = settings_from(settings)
+        self.front = Front(self.settings, seed)
+        self.engines: dict[bytes, i.Engine] = {}
+        self.jobs: dict[int, i.Job] = {}
+        self.touched: list[i.Job] = []
+
+    def decide(self, now: float, records: list[Record]) -> list[Record]:
+        events = [event for record in records if (event := self._event(now, record)) is not None]
+        actions = [self._record(action) for action in self.front.decide(now, events)]
+        for job in self.touched:     # nothing more can be told of these
+            if job.ended and all(trip.outcome for trip in job.trips):
+                self.jobs.pop(job.id, None)
+        self.touched.clear()
+        return actions
+
+    def _event(self, now: float, record: Record) -> i.Event | None:
+        values = record.values[1:]
+        match record.name:
+            case "sync":
+                scope, _, entries = values
+                return i.Listed(SCOPES[scope], [self._entry(*line) for line in ENTRY.iter_unpack(entries)])
+            case "req":
+                call, offering, party, session, left, guess, prefix, prompt, shared, most, options = values
+                if offering >= len(self.settings["offerings"]):
+                    raise WireError(f"request {call}: unknown class {offering}")
+                pace = self.settings["offerings"][offering]["token_time"]
+                hint = guess / pace if options & HINTED and pace else 0.0
+                job = i.Job(call, offering, session, prefix, prompt, shared, most, now, now + left, hint, party,
+                            bool(options & REPEAT), bool(options & RESUMED))
+                self.jobs[call] = job
+                return i.Arrived(job)
+            case "flowing":
+                call, _, number, elapsed = values
+                trip = self._trip(call, number)
+                return trip and i.Began(trip, elapsed)
+            case "answer":
+                call, number, _, how, elapsed, done, note, *load = values
+                trip = self._trip(call, number)
+                return trip and i.Ended(trip, OUTCOMES[how], elapsed, bool(done), note, self._report(load))
+            case "withdrawn":
+                job = self.jobs.get(values[0])
+                if job:
+                    self.touched.append(job)
+                return job and i.Left(job)
+            case "bell":
+                return i.Rang(values[0])
+            case "pong":
+                address, how, elapsed, *load = values
+                engine = self._engine(address)
+                return i.Probed(engine, OUTCOMES[how], elapsed, self._report(load))
+            case "note_from":
+                return i.Heard(*values)
+            case "answer_ahead":
+                call, number, address, what, _ = values
+                trip = self._trip(call, number)
+                return trip and i.Placed(trip, self._engine(address), what == 1)
+        raise WireError(f"{record.name} is not for a running instance")
+
+    def _trip(self, call: int, number: int) -> i.Trip | None:
+        job = self.jobs.get(call)
+        if job is None or number >= len(job.trips):
+            return None
+        self.touched.append(job)
+        return job.trips[number]
+
+    def _engine(self, address: bytes) -> i.Engine:
+        if address not in self.engines:
+            self.engines[address] = i.Engine(address, int.from_bytes(address, "big"))
+        return self.engines[address]
+
+    def _entry(self, size: float, zone: int, kind: int, state: int, started: float, cell: int,
+               address: bytes) -> i.Entry:
+        return i.Entry(self._engine(address), STATES[state], started, zone, cell, kind, size)
+
+    def _report(self, load: list[float]) -> dict[str, float] | None:
+        count, *figures = load
+        return dict(zip(self.settings["report_fields"], figures[:int(count)])) if count else None
+
+    def _record(self, action: i.Action) -> Record:
+        name, values = self._words(action)
+        if hasattr(action, "job"):
+            self.touched.append(action.job)
+        return Record(name, (self.number, *values))
+
+    @staticmethod
+    def _words(action: i.Action) -> tuple[str, tuple[Any, ...]]:
+        match action:
+            case i.Send(trip, time_out):
+                return "route", (trip.job.id, trip.engine.id, time_out)
+            case i.Defer(job, stay_away):
+                return "say_no", (job.id, stay_away)
+            case i.BreakOff(job):
+                return "finish_error", (job.id,)
+            case i.Cancel(trip):
+                return "undo_send", (trip.job.id, trip.number)
+            case i.Alarm(after, token):
+                return "set_alarm", (after, token)
+            case i.Probe(engine):
+                return "touch", (engine.id,)
+            case i.Hold(job, engine):
+                return "hold_place", (job.id, engine.id)
+            case i.Release(job):
+                return "drop_state", (job.id,)
+            case i.Watch(on):
+                return "keep_informed", (int(on),)
+            case i.Fetch():
+                return "lookup", ()
+            case i.Close(engine):
+                return "drop_conns", (engine.id,)
+            case i.Tell(peer, data):
+                return "tell", (TO_ALL if peer is None else peer, data)
+            case i.Move(job):
+                return "go_away", (job.id,)
+            case i.Log(text):
+                return "journal_line", (text.encode(),)
+        raise TypeError(f"not an action: {action!r}")
--- /dev/null
+++ b/worksmux/interface.py
@@ -0,0 +1,252 @@
+"""What the decision module is told, what it answers, and the things both speak of.
+
+No decision is taken here.  Times are milliseconds with fractions; objects point to each other, and the ids
+they carry are for the door (the adapter) alone.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+Settings = dict[str, Any]
+
+
+class Outcome(Enum):
+    """How a trip ended."""
+    DELIVERED = "delivered"
+    READ = "read"                    # the prompt is read and its state waits; nothing has been answered
+    ERROR = "error"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    UNREACHABLE = "unreachable"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+
+
+NEVER_RAN = frozenset({Outcome.READ, Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT})
+
+
+@dataclass(eq=False, slots=True)
+class Engine:
+    """A machine that reads, writes or does both, and what this front has seen of it."""
+    id: bytes
+    key: int                         # a number for hashing
+    zone: int = 0
+    cell: int = 0
+    kind: int = 0
+    size: float = 1.0
+    state: str = "gone"              # ready, draining or gone
+    started: float = 0.0             # 0: long ago
+    role: str = ""                   # read, write or both
+    trips: dict[Trip, None] = field(default_factory=dict)     # out at this engine
+    paired: dict[Job, None] = field(default_factory=dict)     # being read for this writer
+    window: float = 0.0              # how many of our jobs may be at this writer; 0: not yet set
+    skip_until: float = 0.0          # answered full lately
+    turn: int = 0                    # when it last had its turn
+    quiet_since: float = 0.0         # the first send since its last sign of life; 0: none is awaited
+    unwell_until: float = 0.0
+    strikes: int = 0                 # failures in a row, doubling how long it is left alone
+    probing: bool = False
+    faults: Any = None               # rings of time buckets, made by the module
+    sent: Any = None
+    pace: Any = None
+    report: dict[str, float] = field(default_factory=dict)
+    reported: float = 0.0
+
+
+@dataclass(eq=False, slots=True)
+class Job:
+    """One client's question, to be given exactly one final answer."""
+    id: int
+    offering: int
+    session: int
+    prefix: int                      # the beginning it shares with other sessions; 0: none
+    prompt: float
+    prefix_tokens: float
+    max_answer: float
+    arrived: float
+    give_up_at: float                # when this try's client leaves
+    hint: float = 0.0                # a guess at the answer's tokens; 0: none
+    party: int = 0
+    repeat: bool = False
+    resumed: bool = False
+    promised_at: float = 0.0         # set by the module
+    trips: list[Trip] = field(default_factory=list)
+    writer: Engine | None = None     # the writer it is paired with
+    holder: Engine | None = None     # the reader that holds its state
+    held_since: float = 0.0
+    ended: bool = False
+    began: bool = False
+    plan: Any = None
+
+
+@dataclass(eq=False, slots=True)
+class Trip:
+    """One attempt at one engine."""
+    job: Job
+    engine: Engine
+    number: int
+    sent: float
+    reading: bool = False            # a trip to a reader: it has no effect, however it ends
+    outcome: Outcome | None = None
+    began: float = 0.0
+    called_off: bool = False
+    work: float = 0.0
+
+
+@dataclass(slots=True)
+class Entry:
+    """A line of the list of engines."""
+    engine: Engine
+    state: str
+    started: float
+    zone: int
+    cell: int
+    kind: int
+    size: float
+
+
+# What happened.
+
+@dataclass(slots=True)
+class Listed:
+    scope: str                       # delta, full, cached or failed
+    entries: list[Entry]
+
+
+@dataclass(slots=True)
+class Arrived:
+    job: Job
+
+
+@dataclass(slots=True)
+class Began:
+    trip: Trip
+    elapsed: float
+
+
+@dataclass(slots=True)
+class Ended:
+    trip: Trip
+    outcome: Outcome
+    elapsed: float
+    closed: bool
+    note: int = 0
+    report: dict[str, float] | None = None
+
+
+@dataclass(slots=True)
+class Left:
+    job: Job
+
+
+@dataclass(slots=True)
+class Rang:
+    token: int
+
+
+@dataclass(slots=True)
+class Probed:
+    engine: Engine
+    outcome: Outcome
+    elapsed: float
+    report: dict[str, float] | None = None
+
+
+@dataclass(slots=True)
+class Placed:
+    trip: Trip
+    engine: Engine
+    held: bool
+
+
+@dataclass(slots=True)
+class Heard:
+    peer: int
+    data: bytes
+
+
+Event = Listed | Arrived | Began | Ended | Left | Rang | Probed | Placed | Heard
+
+
+# What is to be done.
+
+@dataclass(slots=True)
+class Send:
+    trip: Trip
+    time_out: float = 0.0            # 0: until the client leaves
+
+
+@dataclass(slots=True)
+class Defer:
+    job: Job
+    stay_away: float = 0.0
+
+
+@dataclass(slots=True)
+class BreakOff:
+    job: Job
+
+
+@dataclass(slots=True)
+class Cancel:
+    trip: Trip
+
+
+@dataclass(slots=True)
+class Alarm:
+    after: float
+    token: int
+
+
+@dataclass(slots=True)
+class Probe:
+    engine: Engine
+
+
+@dataclass(slots=True)
+class Hold:
+    job: Job
+    engine: Engine
+
+
+@dataclass(slots=True)
+class Release:
+    job: Job
+
+
+@dataclass(slots=True)
+class Watch:
+    on: bool
+
+
+@dataclass(slots=True)
+class Fetch:
+    pass
+
+
+@dataclass(slots=True)
+class Close:
+    engine: Engine
+
+
+@dataclass(slots=True)
+class Tell:
+    peer: int | None                 # None: all
+    data: bytes
+
+
+@dataclass(slots=True)
+class Move:
+    job: Job
+
+
+@dataclass(slots=True)
+class Log:
+    text: str
+
+
+Action = (Send | Defer | BreakOff | Cancel | Alarm | Probe | Hold | Release | Watch | Fetch | Close | Tell
+          | Move | Log)
