Tighten writer windows and narrow them with the wait for a first token

Cause: windows of 3.5 even shares let states pile up at the cell whose prefixes are popular (73 to 93 reads waiting at one writer), while others idled.

--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -14,8 +14,10 @@
     NEVER_RAN, Action, Alarm, Arrived, Began, BreakOff, Cancel, Defer, Ended, Engine, Entry, Event, Hold, Job,
     Left, Listed, Outcome, Placed, Probe, Probed, Rang, Release, Send, Settings, Trip, Watch)
 
-MARGIN = 0.75            # of a writer's even share of recent streams, added to make its first window
-SPARE = 3.0              # jobs that a window starts with beyond share and margin
+MARGIN = 0.25            # of an engine's even share, added to make its first window or its room
+SPARE = 2.0              # jobs that a window starts with beyond share and margin
+GROWTH = 1.5             # times its first size: the widest that serving makes a window
+BACKLOG = 0.15           # of the shortest promised time: a wait for the first token that narrows no window
 MARK = 1_000.0           # how long a full answer sets a writer aside (the design's "about a second")
 BEATS = 30               # looks at the clock within the time that held state must be let go in
 UNHEARD = 0.5            # of the shortest promised time: an engine silent for less is never suspected
@@ -134,6 +136,7 @@
                 trip.began, trip.job.began = self.now, True
                 if trip.job.holder or trip.reading is False:
                     self.first.add(self.now, elapsed)
+                    trip.engine.pace.add(self.now, elapsed)
                 trip.job.holder = None
                 self._alive(trip.engine)
             case Ended():
@@ -170,7 +173,8 @@
         engine = entry.engine
         if engine not in self.engines:
             self.engines[engine] = None
-            engine.faults, engine.sent = Ring(FAULT_MEMORY * MARK), Ring(1.2 * self.settings["fall_time"])
+            engine.faults, engine.pace = Ring(FAULT_MEMORY * MARK), Ring(MARK)
+            engine.sent = Ring(1.2 * self.settings["fall_time"])
             engine.turn = int(self.chance.share() * 1000) - 1000     # fronts' rounds start at different engines
         if entry.state == "ready" and (entry.started != engine.started or engine.state == "gone"):
             engine.window, engine.skip_until, engine.unwell_until, engine.quiet_since = 0.0, 0.0, 0.0, 0.0
@@ -323,8 +327,7 @@
                 else:
                     self.holding[job] = None
             else:
-                self.actions.append(Release(job))    # a place held ahead outlives a failed read
-                self._unpair(job)
+                self._unpair(job)                    # a place held ahead outlives a failed read
                 self._again(job)
         elif job.holder and not (outcome is Outcome.FULL and event.note == 1) and not self._spent(job):
             self._unpair(job)                        # the state still waits: the next writer gets it
@@ -357,6 +360,7 @@
 
     def _again(self, job: Job) -> None:
         """Back to the wait before the read, where another trip is allowed and can help."""
+        self.actions.append(Release(job))            # lost state may still lie where a place was held ahead
         if self._spent(job) or not (self._may_defer(job) or self._may_repeat(job)):
             self._end(job)
         else:
@@ -382,17 +386,26 @@
         loads = {engine: sum(trip.work for trip in engine.trips) for engine in readers}
         room = (1 + MARGIN) * sum(loads.values()) / len(readers) + SPARE * job.prompt
         able = [engine for engine in readers if engine.skip_until <= self.now and loads[engine] <= room]
+        open_cells = {engine.cell for engine in self._ready("write", "both")
+                      if self._well(engine) and self._has_window(engine)}
+        able = [engine for engine in able if engine.cell in open_cells] or able
         key = job.prefix or job.session
         return max(able, key=lambda engine: mix(key, engine.key), default=None)
 
     def _has_window(self, engine: Engine) -> bool:
+        """Room at a writer for one more of our own jobs.
+
+        The window narrows with the ratio of a harmless first-token time to the present one, so that a writer
+        where states queue (short of memory, slow, hung) gets no more before it answers full.
+        """
         if engine.skip_until > self.now:
             return False
         start = self._share() * (1 + MARGIN) + SPARE
-        if not engine.window:
-            engine.window = start
-        engine.window = min(engine.window, 2 * start)
-        return len(engine.trips) + len(engine.paired) < engine.window
+        engine.window = min(engine.window or start, GROWTH * start)
+        oldest = min((trip.sent for trip in engine.trips if not trip.began), default=self.now)
+        present = max(engine.pace.mean(self.now), self.now - oldest)
+        harmless = max(BACKLOG * self.quickest, self.first.mean(self.now) / 2)
+        return len(engine.trips) + len(engine.paired) < engine.window * min(1.0, harmless / max(present, 1.0))
 
     def _share(self) -> float:
         return self.streams.mean(self.now) / max(1, len(self._ready("write", "both")))
@@ -468,8 +481,7 @@
         for job in list(self.holding):
             if self._spent(job) or self.now > job.held_since + self.settings["release_within"] / 2:
                 self.holding.pop(job)
-                job.holder = None
-                self.actions.append(Release(job))    # guards against pinned state: it is read anew if time is left
+                job.holder = None                    # guards against pinned state: it is read anew if time is left
                 self._again(job)
         soonest = self.first.mean(self.now)
         for job in list(self.waiting):
