Keep windows from sticking at the size they were first seen with

Cause: a window was set once and only lowered with the share, so a restarted front stayed at one job a writer. It is now share, margin and one, less what full answers took off and serves gave back.

--- a/worksmux/interface.py
+++ b/worksmux/interface.py
@@ -42,7 +42,7 @@
     role: str = ""                   # read, write or both
     trips: dict[Trip, None] = field(default_factory=dict)     # out at this engine
     paired: dict[Job, None] = field(default_factory=dict)     # being read for this writer
-    window: float = 0.0              # how many of our jobs may be at this writer; 0: not yet set
+    narrowed: float = 0.0            # by how many jobs its window is under the even share and margin
     skip_until: float = 0.0          # answered full lately
     turn: int = 0                    # when it last had its turn
     quiet_since: float = 0.0         # the first send since its last sign of life; 0: none is awaited
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -15,8 +15,7 @@
     Left, Listed, Outcome, Placed, Probe, Probed, Rang, Release, Send, Settings, Trip, Watch)
 
 MARGIN = 0.25            # of an engine's even share, added to make its first window or its room
-SPARE = 2.0              # jobs that a window starts with beyond share and margin
-GROWTH = 1.5             # times its first size: the widest that serving makes a window
+SPARE = 1.0              # jobs that a window starts with beyond share and margin
 BACKLOG = 0.15           # of the shortest promised time: a wait for the first token that narrows no window
 MARK = 1_000.0           # how long a full answer sets a writer aside (the design's "about a second")
 BEATS = 30               # looks at the clock within the time that held state must be let go in
@@ -134,9 +133,9 @@
                 self.waiting[job] = None
             case Began(trip, elapsed):
                 trip.began, trip.job.began = self.now, True
-                if trip.job.holder or trip.reading is False:
-                    self.first.add(self.now, elapsed)
-                    trip.engine.pace.add(self.now, elapsed)
+                wait = max(0.0, elapsed - self._reads(trip))
+                self.first.add(self.now, wait)
+                trip.engine.pace.add(self.now, wait)
                 trip.job.holder = None
                 self._alive(trip.engine)
             case Ended():
@@ -177,7 +176,7 @@
             engine.sent = Ring(1.2 * self.settings["fall_time"])
             engine.turn = int(self.chance.share() * 1000) - 1000     # fronts' rounds start at different engines
         if entry.state == "ready" and (entry.started != engine.started or engine.state == "gone"):
-            engine.window, engine.skip_until, engine.unwell_until, engine.quiet_since = 0.0, 0.0, 0.0, 0.0
+            engine.narrowed, engine.skip_until, engine.unwell_until, engine.quiet_since = 0.0, 0.0, 0.0, 0.0
         engine.state, engine.started, engine.size = entry.state, entry.started, entry.size
         engine.zone, engine.cell, engine.kind = entry.zone, entry.cell, entry.kind
         engine.role = self.settings["roles"][entry.kind]
@@ -210,14 +209,15 @@
         doublings = min(engine.faults.count(self.now) - 1, LONGEST_ASIDE)
         engine.unwell_until = self.now + MARK * 2 ** doublings * (0.75 + 0.5 * self.chance.share())
 
+    def _reads(self, trip: Trip) -> float:
+        """What a trip's own reading may take; a mixed engine reads between the steps of its answers."""
+        return SLOWNESS * self.per_token.mean(self.now) * trip.work
+
     def _patience(self, engine: Engine) -> float:
         """How long an engine may give no sign of life: a slowness shared by the fleet lengthens it for all."""
-        if engine.role == "read":
-            tokens = sum(trip.work for trip in engine.trips)
-            usual = self.per_token.mean(self.now) * tokens
-        else:
-            usual = self.first.mean(self.now)
-        return max(UNHEARD * self.quickest, SLOWNESS * usual)
+        reads = sum(self._reads(trip) for trip in engine.trips if not trip.began)
+        waits = 0.0 if engine.role == "read" else SLOWNESS * self.first.mean(self.now)
+        return UNHEARD * self.quickest + reads + waits
 
     def _probed(self, engine: Engine, outcome: Outcome) -> None:
         engine.probing = False
@@ -273,7 +273,8 @@
         return all(trip.reading or trip.outcome in NEVER_RAN for trip in job.trips)
 
     def _send(self, job: Job, engine: Engine, reading: bool, time_out: float = 0.0) -> None:
-        trip = Trip(job, engine, len(job.trips), self.now, reading, work=job.prompt)
+        trip = Trip(job, engine, len(job.trips), self.now, reading,
+                    work=0.0 if job.holder else job.prompt)
         job.trips.append(trip)
         engine.trips[trip] = None
         engine.sent.add(self.now)
@@ -344,12 +345,12 @@
         if outcome in (Outcome.READ, Outcome.DELIVERED):
             if outcome is Outcome.READ:
                 self.per_token.add(self.now, event.elapsed / max(1.0, trip.work))
-            elif engine.window:
-                engine.window += 1.0
+            else:
+                engine.narrowed = max(0.0, engine.narrowed - 1.0)
             self._alive(engine)
         elif outcome is Outcome.FULL:
             if event.note != 1:                      # lost state is no fault of the writer
-                engine.window = max(1.0, engine.window / 2)
+                engine.narrowed += self._window(engine) / 2
                 engine.skip_until = self.now + MARK
             self._alive(engine)
         elif outcome in (Outcome.ERROR, Outcome.UNREACHABLE, Outcome.RESET):
@@ -400,15 +401,19 @@
         """
         if engine.skip_until > self.now:
             return False
-        start = self._share() * (1 + MARGIN) + SPARE
-        engine.window = min(engine.window or start, GROWTH * start)
-        oldest = min((trip.sent for trip in engine.trips if not trip.began), default=self.now)
-        present = max(engine.pace.mean(self.now), self.now - oldest)
-        harmless = max(BACKLOG * self.quickest, self.first.mean(self.now) / 2)
-        return len(engine.trips) + len(engine.paired) < engine.window * min(1.0, harmless / max(present, 1.0))
+        oldest = max((self.now - trip.sent - self._reads(trip) for trip in engine.trips if not trip.began), default=0.0)
+        present = max(engine.pace.mean(self.now), oldest)
+        harmless = max(BACKLOG * self.quickest, min(self.first.mean(self.now), UNHEARD * self.quickest))
+        return len(engine.trips) + len(engine.paired) < self._window(engine) * min(1.0, harmless / max(present, 1.0))
+
+    def _window(self, engine: Engine) -> float:
+        return max(1.0, self._share() * (1 + MARGIN) + SPARE - engine.narrowed)
 
     def _share(self) -> float:
-        return self.streams.mean(self.now) / max(1, len(self._ready("write", "both")))
+        """A writer's even share of recent streams; a rise counts at once, so that a burst is spread, not stopped."""
+        writers = self._ready("write", "both")
+        present = sum(len(engine.trips) + len(engine.paired) for engine in writers)
+        return max(present, self.streams.mean(self.now)) / max(1, len(writers))
 
     def _rounds(self, near: Engine | None) -> Iterator[list[Engine]]:
         """Those that answer, nearest first: the reader's cell, its zone, the rest."""
