--- a/worksmux/interface.py
+++ b/worksmux/interface.py
@@ -52,6 +52,7 @@
     faults: Any = None               # rings of time buckets, made by the module
     sent: Any = None
     pace: Any = None
+    stay: Any = None
     report: dict[str, float] = field(default_factory=dict)
     reported: float = 0.0
 
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -104,6 +104,7 @@
         self.streams = Ring(4 * MARK)                # our own jobs at writers, seen at each beat
         self.per_token = Ring(4 * MARK)              # reading time for a token of the prompt
         self.first = Ring(4 * MARK)                  # time to a first token
+        self.stays = [Ring(FAULT_MEMORY * MARK) for _ in settings["offerings"]]     # first token to last
 
     def decide(self, now: float, events: list[Event]) -> list[Action]:
         """The one entry point: what happened comes in, what is to be done goes out."""
@@ -172,7 +173,7 @@
         engine = entry.engine
         if engine not in self.engines:
             self.engines[engine] = None
-            engine.faults, engine.pace = Ring(FAULT_MEMORY * MARK), Ring(MARK)
+            engine.faults, engine.pace, engine.stay = Ring(FAULT_MEMORY * MARK), Ring(MARK), Ring(4 * MARK)
             engine.sent = Ring(1.2 * self.settings["fall_time"])
             engine.turn = int(self.chance.share() * 1000) - 1000     # fronts' rounds start at different engines
         if entry.state == "ready" and (entry.started != engine.started or engine.state == "gone"):
@@ -346,6 +347,9 @@
             if outcome is Outcome.READ:
                 self.per_token.add(self.now, event.elapsed / max(1.0, trip.work))
             else:
+                stays = self.stays[trip.job.offering]
+                stays.add(self.now, self.now - trip.began)
+                engine.stay.add(self.now, (self.now - trip.began) / stays.mean(self.now))
                 engine.narrowed = max(0.0, engine.narrowed - 1.0)
             self._alive(engine)
         elif outcome is Outcome.FULL:
@@ -390,7 +394,7 @@
         open_cells = {engine.cell for engine in self._ready("write", "both")
                       if self._well(engine) and self._has_window(engine)}
         able = [engine for engine in able if engine.cell in open_cells] or able
-        key = job.prefix or job.session
+        key = job.session or job.prefix
         return max(able, key=lambda engine: mix(key, engine.key), default=None)
 
     def _has_window(self, engine: Engine) -> bool:
@@ -407,7 +411,8 @@
         return len(engine.trips) + len(engine.paired) < self._window(engine) * min(1.0, harmless / max(present, 1.0))
 
     def _window(self, engine: Engine) -> float:
-        return max(1.0, self._share() * (1 + MARGIN) + SPARE - engine.narrowed)
+        slower = max(1.0, engine.stay.mean(self.now, 1.0))
+        return max(1.0, self._share() * (1 + MARGIN) / slower + SPARE - engine.narrowed)
 
     def _share(self) -> float:
         """A writer's even share of recent streams; a rise counts at once, so that a burst is spread, not stopped."""
