--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -72,6 +72,10 @@
     def count(self, now: float) -> int:
         return sum(self.counts[at] for at in self._live(now))
 
+    def least(self, now: float) -> float:
+        """The smallest mean of a bucket: the shortest time seen, without a single lucky one deciding it."""
+        return min((self.sums[at] / self.counts[at] for at in self._live(now)), default=0.0)
+
     def mean(self, now: float, otherwise: float = 0.0) -> float:
         count = self.count(now)
         return self.total(now) / count if count else otherwise
@@ -102,7 +106,7 @@
         self.started = False
         self.quickest = min(kind["promised_time"] for kind in settings["offerings"])
         self.streams = Ring(4 * MARK)                # our own jobs at writers, seen at each beat
-        self.per_token = Ring(4 * MARK)              # reading time for a token of the prompt
+        self.per_token = Ring(16 * MARK)             # reading time for a token of the prompt
         self.first = Ring(4 * MARK)                  # time to a first token
         self.stays = [Ring(FAULT_MEMORY * MARK) for _ in settings["offerings"]]     # first token to last
 
@@ -212,7 +216,11 @@
 
     def _reads(self, trip: Trip) -> float:
         """What a trip's own reading may take; a mixed engine reads between the steps of its answers."""
-        return SLOWNESS * self.per_token.mean(self.now) * trip.work
+        return SLOWNESS * self.per_token.least(self.now) * trip.work
+
+    def _oldest(self, engine: Engine) -> float:
+        """How long the first in line there has waited, beyond its own reading."""
+        return max((self.now - trip.sent - self._reads(trip) for trip in engine.trips if not trip.began), default=0.0)
 
     def _patience(self, engine: Engine) -> float:
         """How long an engine may give no sign of life: a slowness shared by the fleet lengthens it for all."""
@@ -389,8 +397,9 @@
         if not readers:
             return None
         loads = {engine: sum(trip.work for trip in engine.trips) for engine in readers}
-        room = (1 + MARGIN) * sum(loads.values()) / len(readers) + SPARE * job.prompt
-        able = [engine for engine in readers if engine.skip_until <= self.now and loads[engine] <= room]
+        room = (1 + MARGIN) * sum(loads.values()) / len(readers)
+        able = [engine for engine in readers if engine.skip_until <= self.now and loads[engine] <= room
+                and self._oldest(engine) <= BACKLOG * self.quickest]
         open_cells = {engine.cell for engine in self._ready("write", "both")
                       if self._well(engine) and self._has_window(engine)}
         able = [engine for engine in able if engine.cell in open_cells] or able
@@ -405,8 +414,7 @@
         """
         if engine.skip_until > self.now:
             return False
-        oldest = max((self.now - trip.sent - self._reads(trip) for trip in engine.trips if not trip.began), default=0.0)
-        present = max(engine.pace.mean(self.now), oldest)
+        present = max(engine.pace.mean(self.now), self._oldest(engine))
         harmless = max(BACKLOG * self.quickest, min(self.first.mean(self.now), UNHEARD * self.quickest))
         return len(engine.trips) + len(engine.paired) < self._window(engine) * min(1.0, harmless / max(present, 1.0))
 
