--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,41 @@
+"""Builds the small states that the tests start from."""
+from worksmux import interface as i
+from worksmux.rules import Front
+
+NOW = 100_000.0
+
+
+def settings(**changes):
+    plain = {
+        "me": 0, "fronts": 2, "zone": 0, "tick": 2.0, "roles": ["read", "write", "both"], "kind_memory": [],
+        "offerings": [
+            {"promised_time": 1000.0, "outer_limit": 4000.0, "credit": 1.0, "late_credit": 0.1, "effect": effect,
+             "group": "cell", "remembered": 5000.0, "promised_per_k": 0.0, "token_time": 50.0}
+            for effect in ("redoable", "irreversible", "labelled")],
+        "parties": [], "may_hold": False, "writers_read": False, "resume": False, "release_within": 300.0,
+        "may_cancel": True, "may_probe": True, "second_copies": False, "stay_away": 0.0, "most_trips": 5,
+        "connect_time_out": 250.0, "ask_for_list": False, "reports": "off", "report_fields": [],
+        "answer_slack": 8.0, "drain_grace": 250.0, "cold_share": 0.3, "warm_up": 14000.0, "fall_multiple": 3.0,
+        "fall_time": 3000.0}
+    return {**plain, **changes}
+
+
+def fleet(*places, **changes):
+    """A front that knows an engine for each (kind, zone, cell), and those engines."""
+    front = Front(settings(**changes), 1)
+    engines = [i.Engine(bytes([at]), at + 1) for at in range(len(places))]
+    front.decide(NOW, [i.Listed("full", [i.Entry(engine, "ready", 0.0, zone, cell, kind, 1.0)
+                                         for engine, (kind, zone, cell) in zip(engines, places)])])
+    return front, engines
+
+
+def job(number=1, offering=0, now=NOW, left=4000.0, session=0):
+    return i.Job(number, offering, session or number, 0, 1000.0, 0.0, 300.0, now, now + left)
+
+
+def ended(front, trip, outcome, after=50.0, closed=False, note=0):
+    return front.decide(trip.sent + after, [i.Ended(trip, outcome, after, closed, note)])
+
+
+def kinds(actions):
+    return [type(action).__name__ for action in actions if not isinstance(action, i.Alarm)]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,179 @@
+"""The five rules and the mechanism, each on a state built by hand."""
+from helpers import NOW, ended, fleet, job, kinds
+
+from worksmux import interface as i
+
+PAIR = ((0, 0, 0), (1, 0, 0))
+TWO_WRITERS = (*PAIR, (1, 0, 0))
+
+
+def read(front, one, now=NOW):
+    front.decide(now, [i.Arrived(one)])
+    return ended(front, one.trips[0], i.Outcome.READ)
+
+
+def test_ordinary_path_reads_then_writes_at_the_paired_writer():
+    front, (reader, near, far) = fleet((0, 0, 0), (1, 0, 0), (1, 1, 1))
+    one = job()
+    actions = read(front, one)
+    assert [trip.engine for trip in one.trips] == [reader, near] and kinds(actions) == ["Send"]
+
+
+def test_writers_take_turns_in_the_readers_cell():
+    front, (_, first, second) = fleet(*TWO_WRITERS)
+    jobs = [job(number) for number in (1, 2)]
+    front.decide(NOW, [i.Arrived(one) for one in jobs])
+    assert {one.writer for one in jobs} == {first, second}
+
+
+def test_full_window_makes_the_job_wait_before_its_read():
+    front, (_, writer) = fleet(*PAIR)
+    writer.narrowed = 100.0
+    jobs = [job(number) for number in (1, 2)]
+    front.decide(NOW, [i.Arrived(one) for one in jobs])
+    assert [len(one.trips) for one in jobs] == [1, 0]
+
+
+def test_full_answer_marks_the_writer_and_the_next_one_gets_the_state():
+    front, _ = fleet(*TWO_WRITERS)
+    one = job()
+    read(front, one)
+    first = one.trips[1].engine
+    ended(front, one.trips[1], i.Outcome.FULL)
+    assert first.skip_until > NOW + 900 and first.narrowed > 0
+    assert one.trips[2].engine not in (first, one.trips[0].engine)
+
+
+def test_lost_state_is_read_afresh_and_marks_nobody():
+    front, (reader, writer) = fleet(*PAIR)
+    one = job()
+    read(front, one)
+    actions = ended(front, one.trips[1], i.Outcome.FULL, note=1)
+    assert writer.skip_until == 0.0 and one.trips[2].engine is reader
+    assert kinds(actions) == ["Release", "Send"]     # what a place held ahead took is let go too
+
+
+def test_mixed_engine_takes_a_whole_job():
+    front, (mixed,) = fleet((2, 0, 0))
+    one = job()
+    front.decide(NOW, [i.Arrived(one)])
+    assert one.trips[0].engine is mixed and not one.trips[0].reading
+
+
+def test_restarted_front_is_not_stuck_at_one_job_a_writer():
+    front, (_, writer) = fleet(*PAIR)
+    writer.trips = {i.Trip(job(9), writer, 0, NOW, began=NOW): None for _ in range(8)}
+    assert front._window(writer) > 8
+
+
+def test_reader_with_a_waiting_line_has_no_room():
+    front, (slow, quick, _) = fleet((0, 0, 0), (0, 0, 0), (1, 0, 0))
+    front.now = NOW + 600
+    front.per_token.add(front.now, 0.01)
+    slow.trips = {i.Trip(job(9), slow, 0, NOW, True, work=1.0): None}
+    assert all(front._reader(job(number)) is quick for number in range(1, 9))
+
+
+def test_time_out_at_the_clients_own_limit_is_answered_at_once():
+    front, _ = fleet(*PAIR)
+    one = job(left=500.0)
+    read(front, one)
+    assert kinds(ended(front, one.trips[1], i.Outcome.TIMED_OUT, after=449.0))[-2:] == ["Defer", "Release"]
+
+
+def test_waiting_job_is_deferred_once_its_promised_time_is_lost():
+    front, _ = fleet((0, 0, 0))
+    one = job()
+    front.decide(NOW, [i.Arrived(one)])
+    assert kinds(front.decide(NOW + 990, [i.Rang(0)])) == ["Defer"] and one.ended
+
+
+def test_irreversible_job_that_may_have_run_is_broken_off():
+    front, _ = fleet(*TWO_WRITERS)
+    one = job(offering=1)
+    read(front, one)
+    assert "BreakOff" in kinds(ended(front, one.trips[1], i.Outcome.RESET)) and len(one.trips) == 2
+
+
+def test_answer_of_one_token_is_counted():
+    front, (_, writer) = fleet(*PAIR)
+    one = job()
+    read(front, one)
+    front.decide(NOW + 60, [i.Began(one.trips[1], 10.0), i.Ended(one.trips[1], i.Outcome.DELIVERED, 10.0, True)])
+    assert one.ended and writer.stay.count(NOW + 60) == 1
+
+
+def test_readers_of_the_fronts_own_zone_come_first():
+    front, (_, own, _) = fleet((0, 0, 0), (0, 1, 1), (1, 1, 1), zone=1)
+    assert all(front._reader(job(number)) is own for number in range(1, 9))
+
+
+def test_labelled_job_is_repeated_only_in_its_group_and_time():
+    front, (reader, same, other) = fleet((0, 0, 0), (1, 0, 0), (1, 0, 1))
+    one = job(offering=2)
+    read(front, one)
+    one.trips[1].outcome = i.Outcome.RESET
+    assert front._may_send(one, same) and not front._may_send(one, other)
+    front.now += 4500
+    assert not front._may_send(one, same)
+
+
+def test_nothing_new_to_an_engine_told_draining():
+    front, (_, writer) = fleet(*PAIR)
+    one = job()
+    front.decide(NOW, [i.Arrived(one)])
+    front.decide(NOW, [i.Listed("delta", [i.Entry(writer, "draining", 0.0, 0, 0, 1, 1.0)])])
+    assert kinds(ended(front, one.trips[0], i.Outcome.READ)) == []
+
+
+def test_engine_missing_from_a_full_list_is_gone():
+    front, (reader, writer) = fleet(*PAIR)
+    front.decide(NOW, [i.Listed("full", [i.Entry(reader, "ready", 0.0, 0, 0, 0, 1.0)])])
+    assert writer.state == "gone" and reader.state == "ready"
+
+
+def test_cold_engine_without_history_gets_one_job_a_window():
+    front, (reader, writer) = fleet(*PAIR)
+    front.decide(NOW, [i.Listed("delta", [i.Entry(writer, "ready", NOW - 1, 0, 0, 1, 1.0)])])
+    one, two = job(1), job(2)
+    read(front, one)
+    front.decide(NOW + 60, [i.Arrived(two)])
+    assert len(one.trips) == 2 and not two.trips
+
+
+def test_unplaced_state_is_released_inside_the_limit():
+    front, (_, writer) = fleet(*PAIR)
+    one = job()
+    front.decide(NOW, [i.Arrived(one)])
+    writer.unwell_until = NOW + 9000
+    ended(front, one.trips[0], i.Outcome.READ)
+    assert "Release" in kinds(front.decide(NOW + 250, [i.Rang(0)]))
+
+
+def test_state_read_for_a_client_that_left_is_released():
+    front, _ = fleet(*PAIR)
+    one = job()
+    front.decide(NOW, [i.Arrived(one)])
+    front.decide(NOW + 10, [i.Left(one)])
+    assert kinds(ended(front, one.trips[0], i.Outcome.READ)) == ["Release"]
+
+
+def test_failing_writer_loses_its_turns_for_longer_each_time():
+    front, (_, writer) = fleet(*PAIR)
+    asides = []
+    for at in range(3):
+        front.now = NOW + at
+        front._strike(writer)
+        asides.append(writer.unwell_until - front.now)
+    assert asides[0] < 1300 < 1400 < asides[1] and asides[2] > 2900
+
+
+def test_silent_engine_is_probed_and_its_waiting_jobs_are_rescued():
+    front, (_, first, second) = fleet(*TWO_WRITERS)
+    one = job()
+    read(front, one)
+    hung = one.trips[1].engine
+    assert i.Probe(hung) in front.decide(NOW + 700, [i.Rang(0)])
+    assert kinds(front.decide(NOW + 950, [i.Probed(hung, i.Outcome.TIMED_OUT, 250.0)])) == ["Cancel"]
+    ended(front, one.trips[1], i.Outcome.CANCELLED, after=905.0)
+    assert one.trips[2].engine in {first, second} - {hung}
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -339,7 +339,8 @@
             else:
                 self._unpair(job)                    # a place held ahead outlives a failed read
                 self._again(job)
-        elif job.holder and not (outcome is Outcome.FULL and event.note == 1) and not self._spent(job):
+        elif job.holder and not (outcome is Outcome.FULL and event.note == 1) and not self._spent(job) \
+                and self._may_repeat(job):
             self._unpair(job)                        # the state still waits: the next writer gets it
             job.held_since = self.now
             self.holding[job] = None
@@ -356,8 +357,9 @@
                 self.per_token.add(self.now, event.elapsed / max(1.0, trip.work))
             else:
                 stays = self.stays[trip.job.offering]
-                stays.add(self.now, self.now - trip.began)
-                engine.stay.add(self.now, (self.now - trip.began) / stays.mean(self.now))
+                stay = max(self.settings["tick"], self.now - (trip.began or trip.sent))
+                stays.add(self.now, stay)            # an answer of one token stays no time at all
+                engine.stay.add(self.now, stay / stays.mean(self.now))
                 engine.narrowed = max(0.0, engine.narrowed - 1.0)
             self._alive(engine)
         elif outcome is Outcome.FULL:
@@ -403,6 +405,7 @@
         open_cells = {engine.cell for engine in self._ready("write", "both")
                       if self._well(engine) and self._has_window(engine)}
         able = [engine for engine in able if engine.cell in open_cells] or able
+        able = [engine for engine in able if engine.zone == self.settings["zone"]] or able
         key = job.session or job.prefix
         return max(able, key=lambda engine: mix(key, engine.key), default=None)
 
