--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -405,7 +405,6 @@
         open_cells = {engine.cell for engine in self._ready("write", "both")
                       if self._well(engine) and self._has_window(engine)}
         able = [engine for engine in able if engine.cell in open_cells] or able
-        able = [engine for engine in able if engine.zone == self.settings["zone"]] or able
         key = job.session or job.prefix
         return max(able, key=lambda engine: mix(key, engine.key), default=None)
 
