--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -163,6 +163,30 @@
     assert asides[0] < 1300 < 1400 < asides[1] and asides[2] > 2900
 
 
+def test_last_reader_is_kept_after_an_error_but_not_when_unreachable():
+    front, (reader, _) = fleet(*PAIR)
+    front._strike(reader)
+    assert front._reader(job()) is reader
+    reader.reachable = False
+    assert front._reader(job()) is None
+
+
+def test_writer_reads_in_place_only_when_no_reader_is_listed():
+    front, (reader, writer) = fleet(*PAIR, writers_read=True)
+    assert front._writer(job(), None, whole=True) is None
+    reader.state = "gone"
+    assert front._writer(job(), None, whole=True) is writer
+
+
+def test_read_that_came_too_late_is_given_up_while_others_wait():
+    front, (_, writer) = fleet(*PAIR)
+    late, other = job(1), job(2)
+    front.decide(NOW, [i.Arrived(late)])
+    writer.narrowed = 100.0
+    front.decide(NOW + 900, [i.Arrived(other)])
+    assert "Defer" in kinds(ended(front, late.trips[0], i.Outcome.READ, after=1001.0)) and not other.ended
+
+
 def test_silent_engine_is_probed_and_its_waiting_jobs_are_rescued():
     front, (_, first, second) = fleet(*TWO_WRITERS)
     one = job()
--- a/worksmux/interface.py
+++ b/worksmux/interface.py
@@ -47,7 +47,7 @@
     turn: int = 0                    # when it last had its turn
     quiet_since: float = 0.0         # the first send since its last sign of life; 0: none is awaited
     unwell_until: float = 0.0
-    strikes: int = 0                 # failures in a row, doubling how long it is left alone
+    reachable: bool = True           # its last sign was not a failed connection, reset or probe
     probing: bool = False
     faults: Any = None               # rings of time buckets, made by the module
     sent: Any = None
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -24,7 +24,7 @@
 PRUDENCE = 0.5           # of this front's even share of a cold engine's budget is used
 BUCKETS = 10             # in a ring
 FAULT_MEMORY = 16.0      # times MARK: how long a fault lengthens the next time aside
-LONGEST_ASIDE = 4        # doublings of MARK at most
+LONGEST_ASIDE = 2        # doublings of MARK at most
 
 
 class Chance:
@@ -107,7 +107,7 @@
         self.quickest = min(kind["promised_time"] for kind in settings["offerings"])
         self.streams = Ring(4 * MARK)                # our own jobs at writers, seen at each beat
         self.per_token = Ring(16 * MARK)             # reading time for a token of the prompt
-        self.first = Ring(4 * MARK)                  # time to a first token
+        self.first = Ring(16 * MARK)                 # time to a first token
         self.stays = [Ring(FAULT_MEMORY * MARK) for _ in settings["offerings"]]     # first token to last
 
     def decide(self, now: float, events: list[Event]) -> list[Action]:
@@ -230,7 +230,8 @@
 
     def _probed(self, engine: Engine, outcome: Outcome) -> None:
         engine.probing = False
-        if outcome in (Outcome.DELIVERED, Outcome.FULL):
+        engine.reachable = outcome in (Outcome.DELIVERED, Outcome.FULL)
+        if engine.reachable:
             self._alive(engine)
         else:
             self._strike(engine)
@@ -361,6 +362,7 @@
                 stays.add(self.now, stay)            # an answer of one token stays no time at all
                 engine.stay.add(self.now, stay / stays.mean(self.now))
                 engine.narrowed = max(0.0, engine.narrowed - 1.0)
+            engine.reachable = True
             self._alive(engine)
         elif outcome is Outcome.FULL:
             if event.note != 1:                      # lost state is no fault of the writer
@@ -368,8 +370,9 @@
                 engine.skip_until = self.now + MARK
             self._alive(engine)
         elif outcome in (Outcome.ERROR, Outcome.UNREACHABLE, Outcome.RESET):
+            engine.reachable = outcome is Outcome.ERROR
             self._strike(engine)
-            self._alive(engine)
+            self._alive(engine)                      # a silence is over too: what is left is judged anew
         elif outcome is Outcome.TIMED_OUT and engine.quiet_since and engine.quiet_since <= trip.sent:
             self._strike(engine)
 
@@ -396,6 +399,9 @@
     def _reader(self, job: Job) -> Engine | None:
         """By hash of the session's prefix, among those with room."""
         readers = [engine for engine in self._ready("read") if self._well(engine)]
+        if not readers:                              # guards against one fault too many leaving no reader at all
+            readers = [engine for engine in self._ready("read") if engine.reachable
+                       and not (engine.trips or engine.quiet_since) and self._budget_left(engine)]
         if not readers:
             return None
         loads = {engine: sum(trip.work for trip in engine.trips) for engine in readers}
@@ -417,7 +423,7 @@
         if engine.skip_until > self.now:
             return False
         present = max(engine.pace.mean(self.now), self._oldest(engine))
-        harmless = max(BACKLOG * self.quickest, min(self.first.mean(self.now), UNHEARD * self.quickest))
+        harmless = max(BACKLOG * self.quickest, SLOWNESS * self.first.least(self.now))
         return len(engine.trips) + len(engine.paired) < self._window(engine) * min(1.0, harmless / max(present, 1.0))
 
     def _window(self, engine: Engine) -> float:
@@ -440,10 +446,11 @@
 
     def _writer(self, job: Job, near: Engine | None, whole: bool = False) -> Engine | None:
         """The next in turn whose window is open; `whole`: it has to read the prompt as well."""
+        alone = self.settings["writers_read"] and not self._ready("read")
         for engines in self._rounds(near):
             able = [engine for engine in engines if self._well(engine) and self._has_window(engine)
                     and self._may_send(job, engine)
-                    and not (whole and engine.role == "write" and not self.settings["writers_read"])]
+                    and not (whole and engine.role == "write" and not alone)]
             if able:
                 return min(able, key=lambda engine: engine.turn)
         return None
@@ -481,6 +488,9 @@
     def _send_held(self) -> None:
         """After the read the state joins its writer's queue; the next writer gets it where that one can't."""
         for job in list(self.holding):
+            if self.waiting and self.now > job.promised_at:
+                self._end(job)                       # guards against late answers that make others late too
+                continue
             writer = job.writer
             if writer and not (self._may_send(job, writer) and self._well(writer)):
                 self._unpair(job)
