--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -423,7 +423,8 @@
         if engine.skip_until > self.now:
             return False
         present = max(engine.pace.mean(self.now), self._oldest(engine))
-        harmless = max(BACKLOG * self.quickest, SLOWNESS * self.first.least(self.now))
+        calm = min(SLOWNESS * self.first.least(self.now), UNHEARD * self.quickest / 2)
+        harmless = max(BACKLOG * self.quickest, calm)
         return len(engine.trips) + len(engine.paired) < self._window(engine) * min(1.0, harmless / max(present, 1.0))
 
     def _window(self, engine: Engine) -> float:
