--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,14 +9,14 @@
     plain = {
         "me": 0, "fronts": 2, "zone": 0, "tick": 2.0, "roles": ["read", "write", "both"], "kind_memory": [],
         "offerings": [
-            {"promised_time": 1000.0, "outer_limit": 4000.0, "credit": 1.0, "late_credit": 0.1, "effect": effect,
-             "group": "cell", "remembered": 5000.0, "promised_per_k": 0.0, "token_time": 50.0}
+            {"promised_time": 1000.0, "outer_limit": 4000.0, "credit": 1.0, "late_credit": 0.1,
+             "effect": effect, "group": "cell", "remembered": 5000.0, "promised_per_k": 0.0, "token_time": 50.0}
             for effect in ("redoable", "irreversible", "labelled")],
         "parties": [], "may_hold": False, "writers_read": False, "resume": False, "release_within": 300.0,
         "may_cancel": True, "may_probe": True, "second_copies": False, "stay_away": 0.0, "most_trips": 5,
         "connect_time_out": 250.0, "ask_for_list": False, "reports": "off", "report_fields": [],
-        "answer_slack": 8.0, "drain_grace": 250.0, "cold_share": 0.3, "warm_up": 14000.0, "fall_multiple": 3.0,
-        "fall_time": 3000.0}
+        "answer_slack": 8.0, "drain_grace": 250.0, "cold_share": 0.3, "warm_up": 14000.0,
+        "fall_multiple": 3.0, "fall_time": 3000.0}
     return {**plain, **changes}
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -99,7 +99,8 @@
     front, (_, writer) = fleet(*PAIR)
     one = job()
     read(front, one)
-    front.decide(NOW + 60, [i.Began(one.trips[1], 10.0), i.Ended(one.trips[1], i.Outcome.DELIVERED, 10.0, True)])
+    trip = one.trips[1]
+    front.decide(NOW + 60, [i.Began(trip, 10.0), i.Ended(trip, i.Outcome.DELIVERED, 10.0, True)])
     assert one.ended and writer.stay.count(NOW + 60) == 1
 
 
--- a/worksmux/drill/instance.py
+++ b/worksmux/drill/instance.py
@@ -89,23 +89,23 @@
                     raise WireError(f"request {call}: unknown class {offering}")
                 pace = self.settings["offerings"][offering]["token_time"]
                 hint = guess / pace if options & HINTED and pace else 0.0
-                job = i.Job(call, offering, session, prefix, prompt, shared, most, now, now + left, hint, party,
-                            bool(options & REPEAT), bool(options & RESUMED))
-                self.jobs[call] = job
-                return i.Arrived(job)
+                self.jobs[call] = i.Job(
+                    call, offering, session, prefix, prompt, shared, most, now, now + left, hint, party,
+                    bool(options & REPEAT), bool(options & RESUMED))
+                return i.Arrived(self.jobs[call])
             case "flowing":
                 call, _, number, elapsed = values
                 trip = self._trip(call, number)
-                return trip and i.Began(trip, elapsed)
+                return i.Began(trip, elapsed) if trip else None
             case "answer":
                 call, number, _, how, elapsed, done, note, *load = values
                 trip = self._trip(call, number)
-                return trip and i.Ended(trip, OUTCOMES[how], elapsed, bool(done), note, self._report(load))
+                return i.Ended(trip, OUTCOMES[how], elapsed, bool(done), note, self._report(load)) if trip else None
             case "withdrawn":
                 job = self.jobs.get(values[0])
                 if job:
                     self.touched.append(job)
-                return job and i.Left(job)
+                return i.Left(job) if job else None
             case "bell":
                 return i.Rang(values[0])
             case "pong":
@@ -117,7 +117,7 @@
             case "answer_ahead":
                 call, number, address, what, _ = values
                 trip = self._trip(call, number)
-                return trip and i.Placed(trip, self._engine(address), what == 1)
+                return i.Placed(trip, self._engine(address), what == 1) if trip else None
         raise WireError(f"{record.name} is not for a running instance")
 
     def _trip(self, call: int, number: int) -> i.Trip | None:
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -1,10 +1,10 @@
 """All decisions of worksmux.
 
-    front = Front(settings, seed)            # settings: a plain map, as the adapter's `settings_from` names it
+    front = Front(settings, seed)            # a plain map, named as in the adapter's `settings_from`
     actions = front.decide(now, events)      # once for each batch of events, in the order they came
 
-The types of events, actions, jobs, trips and engines are in `worksmux/interface.py`; `docs/design.md` says which
-part of the design each piece serves.  Times are milliseconds.  A front knows what its own events told it.
+The types of events, actions, jobs, trips and engines are in `worksmux/interface.py`; `docs/design.md` says
+which part of the design each piece serves.  Times are milliseconds.  A front knows only its own events.
 """
 from __future__ import annotations
 
@@ -134,7 +134,8 @@
                 self._list(event)
             case Arrived(job):
                 offering = self.settings["offerings"][job.offering]
-                job.promised_at = self.now + offering["promised_time"] + offering["promised_per_k"] * job.prompt / 1e3
+                job.promised_at = (self.now + offering["promised_time"]
+                                   + offering["promised_per_k"] * job.prompt / 1000)
                 self.waiting[job] = None
             case Began(trip, elapsed):
                 trip.began, trip.job.began = self.now, True
@@ -179,7 +180,7 @@
             self.engines[engine] = None
             engine.faults, engine.pace, engine.stay = Ring(FAULT_MEMORY * MARK), Ring(MARK), Ring(4 * MARK)
             engine.sent = Ring(1.2 * self.settings["fall_time"])
-            engine.turn = int(self.chance.share() * 1000) - 1000     # fronts' rounds start at different engines
+            engine.turn = int(self.chance.share() * 1000) - 1000     # fronts' rounds start differently
         if entry.state == "ready" and (entry.started != engine.started or engine.state == "gone"):
             engine.narrowed, engine.skip_until, engine.unwell_until, engine.quiet_since = 0.0, 0.0, 0.0, 0.0
         engine.state, engine.started, engine.size = entry.state, entry.started, entry.size
@@ -209,7 +210,7 @@
         engine.quiet_since = self.now if any(not trip.began for trip in engine.trips) else 0.0
 
     def _strike(self, engine: Engine) -> None:
-        """Sets an engine aside, longer with each fault in memory, so that one that fails fast loses its turns."""
+        """Sets an engine aside, longer with each fault in memory: one that fails fast loses its turns."""
         engine.faults.add(self.now)
         doublings = min(engine.faults.count(self.now) - 1, LONGEST_ASIDE)
         engine.unwell_until = self.now + MARK * 2 ** doublings * (0.75 + 0.5 * self.chance.share())
@@ -220,10 +221,11 @@
 
     def _oldest(self, engine: Engine) -> float:
         """How long the first in line there has waited, beyond its own reading."""
-        return max((self.now - trip.sent - self._reads(trip) for trip in engine.trips if not trip.began), default=0.0)
+        return max((self.now - trip.sent - self._reads(trip) for trip in engine.trips if not trip.began),
+                   default=0.0)
 
     def _patience(self, engine: Engine) -> float:
-        """How long an engine may give no sign of life: a slowness shared by the fleet lengthens it for all."""
+        """How long an engine may give no sign of life: a slowness shared by all lengthens it for all."""
         reads = sum(self._reads(trip) for trip in engine.trips if not trip.began)
         waits = 0.0 if engine.role == "read" else SLOWNESS * self.first.mean(self.now)
         return UNHEARD * self.quickest + reads + waits
@@ -273,12 +275,12 @@
             return False
         group = offering["group"]
         return (self.now - ran[0].sent < offering["remembered"] - self.quickest and all(
-            group == "all" or trip.engine.zone == engine.zone and (group == "zone" or trip.engine.cell == engine.cell)
-            for trip in ran))
+            group == "all" or trip.engine.zone == engine.zone
+            and (group == "zone" or trip.engine.cell == engine.cell) for trip in ran))
 
     def _may_defer(self, job: Job) -> bool:
         offering = self.settings["offerings"][job.offering]
-        if offering["effect"] == "redoable" or offering["effect"] == "labelled" and offering["group"] == "all":
+        if offering["effect"] == "redoable" or (offering["effect"], offering["group"]) == ("labelled", "all"):
             return True
         return all(trip.reading or trip.outcome in NEVER_RAN for trip in job.trips)
 
@@ -323,10 +325,9 @@
         trip.outcome = outcome
         engine.trips.pop(trip, None)
         self._judge(event)
-        if event.closed:
-            if not job.ended:
-                job.ended = True
-                self._unpair(job)
+        if event.closed and not job.ended:
+            job.ended = True
+            self._unpair(job)
         if job.ended:
             if outcome is not Outcome.DELIVERED:
                 self.actions.append(Release(job))    # guards against state pinned for a job already answered
@@ -385,7 +386,7 @@
             self.waiting[job] = None
 
     def _spent(self, job: Job) -> bool:
-        """Guards against a lost job: at a time-out that was cut to the client's own, the answer is due at once."""
+        """Guards against a lost job: at a time-out cut to the client's own, the answer is due at once."""
         return self._trips_left(job) < 1 or self.now > job.give_up_at - 2 * self._beat()
 
     def _may_repeat(self, job: Job) -> bool:
@@ -399,7 +400,7 @@
     def _reader(self, job: Job) -> Engine | None:
         """By hash of the session's prefix, among those with room."""
         readers = [engine for engine in self._ready("read") if self._well(engine)]
-        if not readers:                              # guards against one fault too many leaving no reader at all
+        if not readers:                              # guards against one fault too many leaving no reader
             readers = [engine for engine in self._ready("read") if engine.reachable
                        and not (engine.trips or engine.quiet_since) and self._budget_left(engine)]
         if not readers:
@@ -425,14 +426,15 @@
         present = max(engine.pace.mean(self.now), self._oldest(engine))
         calm = min(SLOWNESS * self.first.least(self.now), UNHEARD * self.quickest / 2)
         harmless = max(BACKLOG * self.quickest, calm)
-        return len(engine.trips) + len(engine.paired) < self._window(engine) * min(1.0, harmless / max(present, 1.0))
+        narrow = min(1.0, harmless / max(present, 1.0))
+        return len(engine.trips) + len(engine.paired) < self._window(engine) * narrow
 
     def _window(self, engine: Engine) -> float:
         slower = max(1.0, engine.stay.mean(self.now, 1.0))
         return max(1.0, self._share() * (1 + MARGIN) / slower + SPARE - engine.narrowed)
 
     def _share(self) -> float:
-        """A writer's even share of recent streams; a rise counts at once, so that a burst is spread, not stopped."""
+        """A writer's even share of recent streams; a rise counts at once: a burst is spread, not stopped."""
         writers = self._ready("write", "both")
         present = sum(len(engine.trips) + len(engine.paired) for engine in writers)
         return max(present, self.streams.mean(self.now)) / max(1, len(writers))
@@ -512,7 +514,7 @@
         for job in list(self.holding):
             if self._spent(job) or self.now > job.held_since + self.settings["release_within"] / 2:
                 self.holding.pop(job)
-                job.holder = None                    # guards against pinned state: it is read anew if time is left
+                job.holder = None                    # guards against pinned state: it is read anew if in time
                 self._again(job)
         soonest = self.first.mean(self.now)
         for job in list(self.waiting):
