Keep each front to its part of a writer's memory

Cause of jams that outlived their burst: own tokens at writers summed over fronts beyond their memory, so newest answers were thrown back and read anew. Should also guard against very long prompts at one writer; could harm where one front takes nearly all traffic.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -66,6 +66,13 @@
     assert front._window(writer) > 8
 
 
+def test_writer_whose_memory_share_is_used_up_is_skipped():
+    front, (_, writer) = fleet(*PAIR, kind_memory=[200_000, 10_000])
+    assert front._has_window(writer)
+    writer.trips = {i.Trip(job(number), writer, 0, NOW, began=NOW): None for number in range(7)}
+    assert front._window(writer) > 8 and not front._has_window(writer)
+
+
 def test_reader_with_a_waiting_line_has_no_room():
     front, (slow, quick, _) = fleet((0, 0, 0), (0, 0, 0), (1, 0, 0))
     front.now = NOW + 600
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -423,6 +423,8 @@
         """
         if engine.skip_until > self.now:
             return False
+        if self._crowded(engine):
+            return False
         present = max(engine.pace.mean(self.now), self._oldest(engine))
         calm = min(SLOWNESS * self.first.least(self.now), UNHEARD * self.quickest / 2)
         harmless = max(BACKLOG * self.quickest, calm)
@@ -433,6 +435,18 @@
         slower = max(1.0, engine.stay.mean(self.now, 1.0))
         return max(1.0, self._share() * (1 + MARGIN) / slower + SPARE - engine.narrowed)
 
+    def _crowded(self, engine: Engine) -> bool:
+        """Guards against a writer's memory running out, where its newest answers are thrown back and read anew.
+
+        Each front keeps to its even part and margin, counted in prompt tokens, the answers' growth left out; it
+        could harm where nearly all traffic comes in at one front.
+        """
+        memory = self.settings["kind_memory"]
+        if engine.kind >= len(memory):
+            return False
+        held = sum(trip.job.prompt for trip in engine.trips) + sum(job.prompt for job in engine.paired)
+        return held > (1 + MARGIN) * memory[engine.kind] / self.settings["fronts"]
+
     def _share(self) -> float:
         """A writer's even share of recent streams; a rise counts at once: a burst is spread, not stopped."""
         writers = self._ready("write", "both")
