--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -436,10 +436,10 @@
         return max(1.0, self._share() * (1 + MARGIN) / slower + SPARE - engine.narrowed)
 
     def _crowded(self, engine: Engine) -> bool:
-        """Guards against a writer's memory running out, where its newest answers are thrown back and read anew.
+        """Guards against a writer's memory running out: its newest answers go back and are read anew.
 
-        Each front keeps to its even part and margin, counted in prompt tokens, the answers' growth left out; it
-        could harm where nearly all traffic comes in at one front.
+        Each front keeps to its even part and margin, counted in prompt tokens, the answers' growth left out;
+        it could harm where nearly all traffic comes in at one front.
         """
         memory = self.settings["kind_memory"]
         if engine.kind >= len(memory):
@@ -463,11 +463,10 @@
 
     def _writer(self, job: Job, near: Engine | None, whole: bool = False) -> Engine | None:
         """The next in turn whose window is open; `whole`: it has to read the prompt as well."""
-        alone = self.settings["writers_read"] and not self._ready("read")
         for engines in self._rounds(near):
             able = [engine for engine in engines if self._well(engine) and self._has_window(engine)
                     and self._may_send(job, engine)
-                    and not (whole and engine.role == "write" and not alone)]
+                    and not (whole and engine.role == "write" and not self.settings["writers_read"])]
             if able:
                 return min(able, key=lambda engine: engine.turn)
         return None
