--- a/worksmux/drill/instance.py
+++ b/worksmux/drill/instance.py
@@ -100,7 +100,8 @@
             case "answer":
                 call, number, _, how, elapsed, done, note, *load = values
                 trip = self._trip(call, number)
-                return i.Ended(trip, OUTCOMES[how], elapsed, bool(done), note, self._report(load)) if trip else None
+                report = self._report(load)
+                return i.Ended(trip, OUTCOMES[how], elapsed, bool(done), note, report) if trip else None
             case "withdrawn":
                 job = self.jobs.get(values[0])
                 if job:
