--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -223,8 +223,8 @@
 
     def _oldest(self, engine: Engine) -> float:
         """How long the first in line there has waited, beyond its own reading."""
-        return max((self.now - trip.sent - self._reads(trip) for trip in engine.trips if not trip.began),
-                   default=0.0)
+        first = next((trip for trip in engine.trips if not trip.began), None)
+        return max(0.0, self.now - first.sent - self._reads(first)) if first else 0.0
 
     def _patience(self, engine: Engine) -> float:
         """How long an engine may give no sign of life: a slowness shared by all lengthens it for all."""
@@ -451,7 +451,7 @@
 
     def _share(self) -> float:
         """A writer's even share of recent streams; a rise counts at once: a burst is spread, not stopped."""
-        if self.share_at != (self.now, self.turns):  # reckoned once a placement: thousands may come in a batch
+        if self.share_at != (self.now, self.turns):  # once a placement: thousands may come in a batch
             writers = self._ready("write", "both")
             present = sum(len(engine.trips) + len(engine.paired) for engine in writers)
             self.share_at = (self.now, self.turns)
