--- a/worksmux/interface.py
+++ b/worksmux/interface.py
@@ -44,13 +44,17 @@
     paired: dict[Job, None] = field(default_factory=dict)     # being read for this writer
     narrowed: float = 0.0            # by how many jobs its window is under the even share and margin
     skip_until: float = 0.0          # answered full lately
-    turn: int = 0                    # when it last had its turn
+    turn: float = 0.0                # when it last had its turn
+    salt: int = 0                    # the key, hashed
+    weight: float = 1.0              # among those that read
+    load: float = 0.0                # tokens of our own being read there
+    credit: float = 0.0              # while it is cold: jobs that it may be sent
     quiet_since: float = 0.0         # the first send since its last sign of life; 0: none is awaited
-    unwell_until: float = 0.0
+    unwell: dict[int, float] = field(default_factory=dict)    # by offering: set aside until then
+    good: dict[int, float] = field(default_factory=dict)      # by offering: when it last served one
     reachable: bool = True           # its last sign was not a failed connection, reset or probe
-    probing: bool = False
+    suspected: bool = False          # silent, and a probe is out
     faults: Any = None               # rings of time buckets, made by the module
-    sent: Any = None
     pace: Any = None
     stay: Any = None
     report: dict[str, float] = field(default_factory=dict)
@@ -78,6 +82,7 @@
     writer: Engine | None = None     # the writer it is paired with
     holder: Engine | None = None     # the reader that holds its state
     held_since: float = 0.0
+    luck: float = 0.0                # its draw by chance
     ended: bool = False
     began: bool = False
     plan: Any = None
--- /dev/null
+++ b/worksmux/measure.py
@@ -0,0 +1,81 @@
+"""Chance, hashing and sums over time for the decision module.  No decision is taken here."""
+from __future__ import annotations
+
+WHOLE = 2**64
+
+
+class Chance:
+    """A linear congruential generator; only its high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = seed
+
+    def share(self) -> float:
+        """
+        >>> 0 <= Chance(7).share() < 1 and Chance(7).share() != Chance(8).share()
+        True
+        """
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) % WHOLE
+        return (self.state >> 32) / 2**32
+
+
+class Ring:
+    """Sums and counts over the last `span` milliseconds, in fixed buckets that are used again.
+
+    >>> ring = Ring(100.0, 10)
+    >>> ring.add(5.0, 2.0); ring.add(95.0, 4.0); ring.total(99.0), ring.count(99.0), ring.total(104.0)
+    (6.0, 2, 4.0)
+    """
+    __slots__ = ("width", "size", "marks", "sums", "counts", "newest")
+
+    def __init__(self, span: float, buckets: int) -> None:
+        self.width, self.size, self.newest = span / buckets, buckets, -buckets
+        self.marks: list[int] = []               # made with the first figure: most rings stay empty
+        self.sums: list[float] = []
+        self.counts: list[int] = []
+
+    def add(self, now: float, value: float = 1.0) -> None:
+        if not self.marks:
+            self.marks, self.sums = [-self.size] * self.size, [0.0] * self.size
+            self.counts = [0] * self.size
+        mark = int(now / self.width)
+        at = mark % self.size
+        if self.marks[at] != mark:
+            self.marks[at], self.sums[at], self.counts[at], self.newest = mark, 0.0, 0, mark
+        self.sums[at] += value
+        self.counts[at] += 1
+
+    def _live(self, now: float) -> list[int]:
+        oldest = int(now / self.width) - self.size
+        return [at for at, mark in enumerate(self.marks) if mark > oldest] if self.newest > oldest else []
+
+    def total(self, now: float) -> float:
+        return sum(self.sums[at] for at in self._live(now))
+
+    def count(self, now: float) -> int:
+        return sum(self.counts[at] for at in self._live(now))
+
+    def least(self, now: float) -> float:
+        """The smallest mean of a bucket: the shortest time seen, without a single lucky one deciding it."""
+        return min((self.sums[at] / self.counts[at] for at in self._live(now)), default=0.0)
+
+    def mean(self, now: float, otherwise: float = 0.0) -> float:
+        live = self._live(now)
+        return sum(self.sums[at] for at in live) / sum(self.counts[at] for at in live) if live else otherwise
+
+
+def mix(a: int, b: int) -> int:
+    """Two numbers hashed into one, the same at every front.
+
+    >>> mix(1, 2) == mix(1, 2) != mix(2, 1) and len({mix(number, 0) for number in range(100)}) == 100
+    True
+    """
+    a = (a + b * 0x9E3779B97F4A7C15) % WHOLE
+    for factor in (0xBF58476D1CE4E5B9, 0x94D049BB133111EB):
+        a = (a ^ a >> 30) * factor % WHOLE
+    return a ^ a >> 31
+
+
+def straw(key: int, salt: int) -> float:
+    """A share above 0 and under 1 from two hashed numbers: the cheap last step of a hash over many engines."""
+    return (((key ^ salt) * 0xD6E8FEB86659FD93 % WHOLE >> 11) + 0.5) / 2**53
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -3,159 +3,108 @@
     front = Front(settings, seed)            # a plain map, named as in the adapter's `settings_from`
     actions = front.decide(now, events)      # once for each batch of events, in the order they came
 
-The types of events, actions, jobs, trips and engines are in `worksmux/interface.py`; `docs/design.md` says
-which part of the design each piece serves.  Times are milliseconds.  A front knows only its own events.
+The types of events, actions, jobs, trips and engines are in `worksmux/interface.py`; `docs/design.md` says which
+part of the design each piece serves.  Times are milliseconds.  A front knows only its own events; in a large
+fleet it meets an engine less than once in the time that a trouble lasts.
 """
 from __future__ import annotations
 
 from collections.abc import Iterator
+from math import ceil, inf, log
 
 from .interface import (
     NEVER_RAN, Action, Alarm, Arrived, Began, BreakOff, Cancel, Defer, Ended, Engine, Entry, Event, Hold, Job,
     Left, Listed, Outcome, Placed, Probe, Probed, Rang, Release, Send, Settings, Trip, Watch)
+from .measure import Chance, Ring, mix, straw
 
 MARGIN = 0.25            # of an engine's even share, added to make its first window or its room
 SPARE = 1.0              # jobs that a window starts with beyond share and margin
 BACKLOG = 0.15           # of the shortest promised time: a wait for the first token that narrows no window
 MARK = 1_000.0           # how long a full answer sets a writer aside (the design's "about a second")
-BEATS = 30               # looks at the clock within the time that held state must be let go in
+BEATS = 6                # looks at the clock, while a job waits, within the time to let go of held state
 UNHEARD = 0.5            # of the shortest promised time: an engine silent for less is never suspected
 SLOWNESS = 4.0           # times the fleet's usual answer: an engine silent for longer is suspected
 PRUDENCE = 0.5           # of this front's even share of a cold engine's budget is used
-BUCKETS = 10             # in a ring
-FAULT_MEMORY = 16.0      # times MARK: how long a fault lengthens the next time aside
+MEMORY = 16 * MARK       # how long faults, good turns and usual times are remembered
 LONGEST_ASIDE = 2        # doublings of MARK at most
-
-
-class Chance:
-    """A linear congruential generator; only its high bits are used."""
-
-    def __init__(self, seed: int) -> None:
-        self.state = seed
-
-    def share(self) -> float:
-        """
-        >>> 0 <= Chance(7).share() < 1 and Chance(7).share() != Chance(8).share()
-        True
-        """
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) % 2**64
-        return (self.state >> 32) / 2**32
-
-
-class Ring:
-    """Sums and counts over the last `span` milliseconds, in fixed buckets that are used again.
-
-    >>> ring = Ring(100.0)
-    >>> ring.add(5.0, 2.0); ring.add(95.0, 4.0); ring.total(99.0), ring.count(99.0), ring.total(104.0)
-    (6.0, 2, 4.0)
-    """
-
-    def __init__(self, span: float) -> None:
-        self.width = span / BUCKETS
-        self.marks, self.sums, self.counts = [-BUCKETS] * BUCKETS, [0.0] * BUCKETS, [0] * BUCKETS
-
-    def add(self, now: float, value: float = 1.0) -> None:
-        mark = int(now / self.width)
-        at = mark % BUCKETS
-        if self.marks[at] != mark:
-            self.marks[at], self.sums[at], self.counts[at] = mark, 0.0, 0
-        self.sums[at] += value
-        self.counts[at] += 1
-
-    def _live(self, now: float) -> list[int]:
-        oldest = int(now / self.width) - BUCKETS
-        return [at for at in range(BUCKETS) if self.marks[at] > oldest]
-
-    def total(self, now: float) -> float:
-        return sum(self.sums[at] for at in self._live(now))
-
-    def count(self, now: float) -> int:
-        return sum(self.counts[at] for at in self._live(now))
-
-    def least(self, now: float) -> float:
-        """The smallest mean of a bucket: the shortest time seen, without a single lucky one deciding it."""
-        return min((self.sums[at] / self.counts[at] for at in self._live(now)), default=0.0)
-
-    def mean(self, now: float, otherwise: float = 0.0) -> float:
-        count = self.count(now)
-        return self.total(now) / count if count else otherwise
-
-
-def mix(a: int, b: int) -> int:
-    """Two numbers hashed into one, the same at every front.
-
-    >>> mix(1, 2) == mix(1, 2) != mix(2, 1)
-    True
-    """
-    for part in (a, b, a >> 32):
-        a = (a ^ part ^ (a >> 29)) * 0xBF58476D1CE4E5B9 % 2**64
-        a = (a ^ b ^ (a >> 32)) * 0x94D049BB133111EB % 2**64
-    return a ^ (a >> 31)
+FAILING = 0.25           # of an offering's trips: above it, engines known to serve the offering come first
+LEAN = 0.5               # beyond their even share that readers take for the writers of their own cell
+SPREAD = 2.0             # engines for a shared beginning, as a multiple of what its part of the jobs fills
+BUCKETS = 10             # in a ring
+ALL = -1                 # stands for every offering
 
 
 class Front:
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings = settings
-        self.chance = Chance(seed)
-        self.now = 0.0
-        self.actions: list[Action] = []
+        self.settings, self.chance = settings, Chance(seed)
+        self.offerings = settings["offerings"]
+        self.quickest: float = min(offering["promised_time"] for offering in self.offerings)
+        self.beat: float = max(settings["tick"], (settings["release_within"] or MARK) / BEATS)
+        self.now, self.alarm_at = 0.0, -inf
+        self.actions: list[Action] = [Watch(True)] if settings["ask_for_list"] else []
         self.engines: dict[Engine, None] = {}
+        self.awaited: dict[Engine, None] = {}        # no sign of life since a send
         self.waiting: dict[Job, None] = {}           # before their read
         self.holding: dict[Job, None] = {}           # read, and no trip out
-        self.turns = 0
-        self.even, self.share_at = 0.0, (-1.0, 0)    # a writer's even share, and when it was reckoned
-        self.started = False
-        self.quickest = min(kind["promised_time"] for kind in settings["offerings"])
-        self.streams = Ring(4 * MARK)                # our own jobs at writers, seen at each beat
-        self.shortest = 0.0
-        self.per_token = Ring(16 * MARK)             # reading time for a token of the prompt
-        self.first = Ring(16 * MARK)                 # time to a first token
-        self.stays = [Ring(FAULT_MEMORY * MARK) for _ in settings["offerings"]]     # first token to last
+        self.turns, self.out, self.reading = 0, 0, 0.0
+        self.streams = Ring(4 * MARK, BUCKETS)       # our own jobs at writers, seen at each placement
+        self.per_token = Ring(MEMORY, BUCKETS)       # reading time for a token of the prompt
+        self.first = Ring(MEMORY, BUCKETS)           # time to a first token
+        self.stays = [Ring(MEMORY, BUCKETS) for _ in self.offerings]     # first token to last
+        self.fates = [Ring(MEMORY, BUCKETS) for _ in self.offerings]     # 1 for each fault, else 0
+        self.beginnings: dict[int, int] = {}         # how many jobs came with each shared beginning
+        self.arrived = 0
+        self._index()
 
     def decide(self, now: float, events: list[Event]) -> list[Action]:
         """The one entry point: what happened comes in, what is to be done goes out."""
-        self.now, self.actions, self.shortest = now, [], self.per_token.least(now)
-        if not self.started:
-            self.started = True
-            if self.settings["ask_for_list"]:
-                self.actions.append(Watch(True))
-            # Beats of several fronts must not move in step: the first comes after a random part of one.
-            self.actions.append(Alarm(self._beat() * self.chance.share(), 0))
+        self.now = now
+        self.shortest = self.per_token.least(now)
+        self.calm = max(BACKLOG * self.quickest,
+                        min(SLOWNESS * self.first.least(now), UNHEARD * self.quickest / 2))
         for event in events:
             self._take(event)
-        self._send_held()
-        self._place_waiting()
-        return self.actions
-
-    def _beat(self) -> float:
-        return max(self.settings["tick"], (self.settings["release_within"] or MARK) / BEATS)
+        if self.holding:
+            self._send_held()
+        if self.waiting:
+            self._place_waiting()
+        pause = UNHEARD * self.quickest / 4 if self.awaited else inf
+        pause = self.beat if self.waiting or self.holding else pause
+        if pause < inf and not now < self.alarm_at <= now + pause:
+            self.alarm_at = now + pause
+            self.actions.append(Alarm(pause, 0))     # a front with nothing to watch sleeps
+        actions, self.actions = self.actions, []
+        return actions
 
     def _take(self, event: Event) -> None:
         match event:
-            case Listed():
-                self._list(event)
+            case Ended():
+                self._ended(event)
             case Arrived(job):
-                offering = self.settings["offerings"][job.offering]
+                offering = self.offerings[job.offering]
                 job.promised_at = (self.now + offering["promised_time"]
                                    + offering["promised_per_k"] * job.prompt / 1000)
+                job.luck = self.chance.share()
                 self.waiting[job] = None
+                self.arrived += 1
+                self.beginnings[job.prefix] = self.beginnings.get(job.prefix, 0) + 1
+                self._earn(self.cold, 0.25)          # a little, so that a fleet all cold is not left alone
             case Began(trip, elapsed):
-                trip.began, trip.job.began = self.now, True
+                trip.began, trip.job.began, trip.job.holder = self.now, True, None
                 wait = max(0.0, elapsed - self._reads(trip))
                 self.first.add(self.now, wait)
                 trip.engine.pace.add(self.now, wait)
-                trip.job.holder = None
-                self._alive(trip.engine)
-            case Ended():
-                self._ended(event)
+                self._praise(trip)
+            case Rang(0):
+                if self.alarm_at <= self.now + self.settings["tick"]:
+                    self.alarm_at = -inf
+                    self._look_round()
+            case Rang():
+                self.actions.append(Watch(True))
             case Left(job):
                 self._drop(job)
-            case Rang(token):
-                if token == 0:
-                    self.actions.append(Alarm(self._beat(), 0))
-                    self._look_round()
-                else:
-                    self.actions.append(Watch(True))
+            case Listed():
+                self._list(event)
             case Probed(engine, outcome):
                 self._probed(engine, outcome)
             case Placed(trip, _, held):
@@ -168,54 +117,111 @@
             if self.settings["ask_for_list"]:
                 self.actions.append(Alarm(MARK * (0.5 + self.chance.share()), 1))
             return
-        if event.scope != "delta":
-            named = {entry.engine for entry in event.entries}
-            for engine in self.engines:
-                if engine not in named:
-                    engine.state = "gone"
+        named = {entry.engine for entry in event.entries}
+        for engine in self.engines:
+            if event.scope != "delta" and engine not in named:
+                engine.state = "gone"
         for entry in event.entries:
             self._enter(entry)
+        self._index()
 
     def _enter(self, entry: Entry) -> None:
         engine = entry.engine
         if engine not in self.engines:
             self.engines[engine] = None
-            engine.faults, engine.pace, engine.stay = Ring(FAULT_MEMORY * MARK), Ring(MARK), Ring(4 * MARK)
-            engine.sent = Ring(1.2 * self.settings["fall_time"])
-            engine.turn = int(self.chance.share() * 1000) - 1000     # fronts' rounds start differently
+            engine.salt = mix(engine.key, 0)
+            engine.faults, engine.pace = Ring(MEMORY, BUCKETS), Ring(MARK, BUCKETS)
+            engine.stay = Ring(4 * MARK, BUCKETS)
+            engine.turn = self.chance.share() - 1.0  # fronts' rounds start differently
         if entry.state == "ready" and (entry.started != engine.started or engine.state == "gone"):
-            engine.narrowed, engine.skip_until, engine.unwell_until, engine.quiet_since = 0.0, 0.0, 0.0, 0.0
+            engine.narrowed, engine.skip_until, engine.unwell = 0.0, 0.0, {}
+            engine.credit = self.chance.share()
+            self._alive(engine)
+            for job in list(engine.paired):          # paired with what ran there before
+                self._unpair(job)
         engine.state, engine.started, engine.size = entry.state, entry.started, entry.size
         engine.zone, engine.cell, engine.kind = entry.zone, entry.cell, entry.kind
         engine.role = self.settings["roles"][entry.kind]
 
+    def _index(self) -> None:
+        """Reckons, once a list, who reads and answers what part.
+
+        Readers are weighted so that each cell reads about what its own writers can answer: where racks hold
+        readers and writers unevenly, a plain hash would push the few writers of a rack over, and a front that
+        meets an engine once a minute never sees its window fill.
+        """
+        ready = [engine for engine in self.engines if engine.state == "ready"]
+        self.readers = [engine for engine in ready if engine.role == "read"]
+        self.writers = [engine for engine in ready if engine.role == "write"]
+        mixed = [engine for engine in ready if engine.role == "both"]
+        self.hosts, self.answering = self.readers + mixed, self.writers + mixed
+        self.cold = [engine for engine in ready if self._cold(engine)]
+        self.like = {role: sum(engine.role == role for engine in ready) for role in self.settings["roles"]}
+        self.nearest: dict[int, list[Engine]] = {}   # writers of each cell
+        self.around: dict[int, list[Engine]] = {}    # writers of each zone
+        self.lacking: dict[int, list[Engine]] = {}   # of each zone, in cells that answer more than they read
+        self.keeps: dict[int, float] = {}            # the part of a cell's reads that its own writers are due
+        reads: dict[int, float] = {}
+        answers: dict[int, float] = {}
+        for engines, parts in ((self.readers, reads), (self.writers, answers)):
+            whole = sum(engine.size for engine in engines)
+            for engine in engines:
+                parts[engine.cell] = parts.get(engine.cell, 0.0) + engine.size / whole
+        flow = {cell: min(answers.get(cell, 0.0), (1 + LEAN) * part) for cell, part in reads.items()}
+        room = {cell: (1 + LEAN) * part - flow[cell] for cell, part in reads.items()}
+        rest = (1 - sum(flow.values())) / (sum(room.values()) or 1.0)
+        for cell in reads:
+            flow[cell] += rest * room[cell] + 1e-6
+            self.keeps[cell] = min(1.0, answers.get(cell, 0.0) / flow[cell])
+        for engine in self.writers:
+            self.nearest.setdefault(engine.cell, []).append(engine)
+            self.around.setdefault(engine.zone, []).append(engine)
+            if self.keeps.get(engine.cell, 1.0) == 1.0:
+                self.lacking.setdefault(engine.zone, []).append(engine)
+        for engine in self.readers:
+            engine.weight = flow[engine.cell] / reads[engine.cell] * engine.size / sum(
+                other.size for other in self.readers) * max(1, len(self.writers))
+        for engine in mixed:                         # each takes as many jobs as a writer answers
+            engine.weight = engine.size * len(mixed) / sum(other.size for other in mixed)
+
     def _cold(self, engine: Engine) -> bool:
         return engine.started > 0 and self.now < engine.started + self.settings["warm_up"]
 
-    def _budget_left(self, engine: Engine) -> bool:
+    def _earn(self, engines: list[Engine], part: float) -> None:
         """Guards against pushing a cold engine over: this front's part of its budget, in any window.
 
-        A front cannot see capacity; what it sends to the warm engines of that role stands for its part of it.
-        Without history it sends one job a window.
+        A front cannot see capacity; what the engines of its role serve is a measure that no storm of retries
+        can raise. Each serve earns a cold engine its even share, made smaller; a job costs one. Fronts start
+        at different parts of one, so that hundreds of them do not all send their first job at once.
         """
-        if not self._cold(engine):
-            return True
-        warm = [other for other in self.engines if other.role == engine.role and other.state == "ready"
-                and not self._cold(other)]
-        usual = sum(other.sent.total(self.now) / other.size for other in warm) / len(warm) if warm else 0.0
-        share = self.settings["cold_share"] * self.settings["fall_multiple"] * PRUDENCE
-        return engine.sent.total(self.now) + 1 <= max(1.0, usual * engine.size * share)
+        budget = self.settings["cold_share"] * self.settings["fall_multiple"] * PRUDENCE * part
+        for engine in engines:
+            engine.credit = min(1.0, engine.credit + budget / self.like[engine.role])
 
     # How engines fare, judged from this front's own trips.
 
     def _alive(self, engine: Engine) -> None:
         engine.quiet_since = self.now if any(not trip.began for trip in engine.trips) else 0.0
+        if not engine.quiet_since:
+            self.awaited.pop(engine, None)
+
+    def _praise(self, trip: Trip) -> None:
+        trip.engine.good[trip.job.offering] = self.now
+        self.fates[trip.job.offering].add(self.now, 0.0)
+        self._earn([other for other in self.cold if other.role == trip.engine.role], 1.0)
+        self._alive(trip.engine)
+
+    def _strike(self, engine: Engine, offering: int = ALL) -> None:
+        """Sets an engine aside, longer with each fault in memory: one that fails fast loses its turns.
 
-    def _strike(self, engine: Engine) -> None:
-        """Sets an engine aside, longer with each fault in memory: one that fails fast loses its turns."""
+        One offering alone is set aside after an error or an unanswered job of its own: an engine may fail it and
+        serve the others. A front that meets its engines seldom keeps the mark until about the next meeting.
+        """
         engine.faults.add(self.now)
-        doublings = min(engine.faults.count(self.now) - 1, LONGEST_ASIDE)
-        engine.unwell_until = self.now + MARK * 2 ** doublings * (0.75 + 0.5 * self.chance.share())
+        meetings = sum(fate.count(self.now) for fate in self.fates)
+        aside = max(MARK * 2 ** min(engine.faults.count(self.now) - 1, LONGEST_ASIDE),
+                    min(MEMORY, MEMORY * len(self.engines) / max(1, 2 * meetings)))
+        engine.unwell[offering] = self.now + aside * (0.75 + 0.5 * self.chance.share())
 
     def _reads(self, trip: Trip) -> float:
         """What a trip's own reading may take; a mixed engine reads between the steps of its answers."""
@@ -223,7 +229,7 @@
 
     def _oldest(self, engine: Engine) -> float:
         """How long the first in line there has waited, beyond its own reading."""
-        first = next((trip for trip in engine.trips if not trip.began), None)
+        first = next((trip for trip in engine.trips if not trip.began), None) if engine.quiet_since else None
         return max(0.0, self.now - first.sent - self._reads(first)) if first else 0.0
 
     def _patience(self, engine: Engine) -> float:
@@ -233,32 +239,53 @@
         return UNHEARD * self.quickest + reads + waits
 
     def _probed(self, engine: Engine, outcome: Outcome) -> None:
-        engine.probing = False
+        engine.suspected = False
         engine.reachable = outcome in (Outcome.DELIVERED, Outcome.FULL)
-        if engine.reachable:
-            self._alive(engine)
-        else:
+        if not engine.reachable:
             self._strike(engine)
-            self._rescue(engine)
-
-    def _rescue(self, engine: Engine) -> None:
-        """Guards against hung engines: calls off what waits there and may run elsewhere."""
-        if not self.settings["may_cancel"]:
+            self._rescue(list(engine.trips))
             return
-        for trip in list(engine.trips):
-            job = trip.job
-            free = trip.reading or self.settings["offerings"][job.offering]["effect"] == "redoable"
-            if free and not (trip.began or trip.called_off or job.ended) and self._trips_left(job):
-                trip.called_off = True
-                self.actions.append(Cancel(trip))
-
-    def _well(self, engine: Engine) -> bool:
-        if engine.state != "ready" or not self._budget_left(engine):
+        # Guards against an engine that lives and leaves one offering's jobs unanswered; a state that comes over
+        # a slow link looks alike, so only what lies near is called off.
+        patience = self._patience(engine)
+        late = [trip for trip in engine.trips if not trip.began and self.now - trip.sent > patience
+                and (trip.job.holder is None or trip.job.holder.cell == engine.cell)]
+        for offering in sorted({trip.job.offering for trip in late}):
+            self.fates[offering].add(self.now)
+            self._strike(engine, offering)
+        self._rescue(late)
+        self._alive(engine)
+
+    def _rescue(self, trips: list[Trip]) -> None:
+        """Guards against hung engines: calls off what waits there and may run elsewhere."""
+        for trip in trips:
+            free = trip.reading or self.offerings[trip.job.offering]["effect"] == "redoable"
+            if free and not trip.job.ended and self._trips_left(trip.job):
+                self._call_off(trip)
+
+    def _call_off(self, trip: Trip) -> None:
+        if self.settings["may_cancel"] and not (trip.began or trip.called_off):
+            trip.called_off = True
+            self.actions.append(Cancel(trip))
+
+    def _well(self, engine: Engine, offering: int) -> bool:
+        if engine.state != "ready" or engine.suspected:
             return False
-        if engine.unwell_until > self.now or engine.probing:
+        if max(engine.unwell.get(ALL, 0.0), engine.unwell.get(offering, 0.0)) > self.now:
             return False
-        on_trial = engine.faults.count(self.now) > 0 and engine.unwell_until > 0
-        return not (on_trial and engine.quiet_since and len(engine.trips) > 0)
+        on_trial = engine.unwell and engine.trips and engine.quiet_since and engine.faults.count(self.now)
+        return not on_trial
+
+    def _usable(self, engine: Engine, job: Job) -> bool:
+        """Well, not marked full, and with credit left while it is cold."""
+        return (engine.skip_until <= self.now and self._well(engine, job.offering)
+                and (engine.credit >= 1.0 or engine not in self.cold or not self._cold(engine)))
+
+    def _vouched(self, engine: Engine, offering: int) -> bool:
+        return self.now - engine.good.get(offering, -inf) < MEMORY
+
+    def _failing(self, offering: int) -> bool:
+        return self.fates[offering].mean(self.now) > FAILING
 
     # Jobs and trips.
 
@@ -267,13 +294,13 @@
 
     def _may_send(self, job: Job, engine: Engine) -> bool:
         """Guards against a second effect; reading has none."""
-        if engine.state != "ready" or self._trips_left(job) < 1:
+        if engine.state != "ready" or self._trips_left(job) < 1 or any(not trip.outcome for trip in job.trips):
             return False
         ran = [trip for trip in job.trips if not trip.reading and trip.outcome not in NEVER_RAN]
-        offering = self.settings["offerings"][job.offering]
+        offering = self.offerings[job.offering]
         if not ran or offering["effect"] == "redoable":
-            return not any(trip.outcome is None for trip in job.trips)
-        if offering["effect"] == "irreversible" or any(trip.outcome is None for trip in job.trips):
+            return True
+        if offering["effect"] == "irreversible":
             return False
         group = offering["group"]
         return (self.now - ran[0].sent < offering["remembered"] - self.quickest and all(
@@ -281,32 +308,45 @@
             and (group == "zone" or trip.engine.cell == engine.cell) for trip in ran))
 
     def _may_defer(self, job: Job) -> bool:
-        offering = self.settings["offerings"][job.offering]
+        offering = self.offerings[job.offering]
         if offering["effect"] == "redoable" or (offering["effect"], offering["group"]) == ("labelled", "all"):
             return True
         return all(trip.reading or trip.outcome in NEVER_RAN for trip in job.trips)
 
     def _send(self, job: Job, engine: Engine, reading: bool, time_out: float = 0.0) -> None:
-        trip = Trip(job, engine, len(job.trips), self.now, reading,
-                    work=0.0 if job.holder else job.prompt)
+        trip = Trip(job, engine, len(job.trips), self.now, reading, work=0.0 if job.holder else job.prompt)
+        self._count(trip, 1)
         job.trips.append(trip)
         engine.trips[trip] = None
-        engine.sent.add(self.now)
         engine.quiet_since = engine.quiet_since or self.now
+        self.awaited[engine] = None
         self.holding.pop(job, None)
         self.actions.append(Send(trip, time_out))
 
+    def _count(self, trip: Trip, by: int) -> None:
+        if trip.reading:
+            trip.engine.load += by * trip.work
+            self.reading += by * trip.work
+        else:
+            self.out += by
+
+    def _turn(self, engine: Engine) -> None:
+        """Takes the engine's turn, and one off its credit while it is cold."""
+        self.turns += 1
+        engine.turn = self.turns
+        engine.credit -= 1.0
+
     def _unpair(self, job: Job) -> None:
         if job.writer:
             job.writer.paired.pop(job, None)
             job.writer = None
+            self.out -= 1
 
     def _end(self, job: Job) -> None:
         """The one final answer: a deferral where that is true, else a break-off; nothing stays held."""
-        if job.ended:
-            return
-        self.actions.append(Defer(job) if self._may_defer(job) else BreakOff(job))
-        self._drop(job)
+        if not job.ended:
+            self.actions.append(Defer(job) if self._may_defer(job) else BreakOff(job))
+            self._drop(job)
 
     def _drop(self, job: Job) -> None:
         job.ended = True
@@ -315,9 +355,7 @@
         self.waiting.pop(job, None)
         out = [trip for trip in job.trips if trip.outcome is None]
         for trip in out:
-            if self.settings["may_cancel"] and not (trip.began or trip.called_off):
-                trip.called_off = True
-                self.actions.append(Cancel(trip))
+            self._call_off(trip)
         if job.trips and not out:
             self.actions.append(Release(job))
 
@@ -326,6 +364,7 @@
         job, engine = trip.job, trip.engine
         trip.outcome = outcome
         engine.trips.pop(trip, None)
+        self._count(trip, -1)
         self._judge(event)
         if event.closed and not job.ended:
             job.ended = True
@@ -333,89 +372,82 @@
         if job.ended:
             if outcome is not Outcome.DELIVERED:
                 self.actions.append(Release(job))    # guards against state pinned for a job already answered
-        elif trip.reading:
-            if outcome is Outcome.READ:
-                job.holder, job.held_since = engine, self.now
-                if self._spent(job):
-                    self._end(job)
-                else:
-                    self.holding[job] = None
-            else:
-                self._unpair(job)                    # a place held ahead outlives a failed read
-                self._again(job)
+        elif outcome is Outcome.READ and not self._spent(job):
+            job.holder, job.held_since = engine, self.now
+            self.holding[job] = None
         elif job.holder and not (outcome is Outcome.FULL and event.note == 1) and not self._spent(job) \
-                and self._may_repeat(job):
+                and any(self._may_send(job, other) for other in self.answering):
             self._unpair(job)                        # the state still waits: the next writer gets it
             job.held_since = self.now
             self.holding[job] = None
         else:
-            job.holder = None
-            self._unpair(job)
             self._again(job)
 
     def _judge(self, event: Ended) -> None:
         """What an outcome says about its engine."""
         trip, engine, outcome = event.trip, event.trip.engine, event.outcome
+        offering = trip.job.offering
         if outcome in (Outcome.READ, Outcome.DELIVERED):
-            if outcome is Outcome.READ:
-                self.per_token.add(self.now, event.elapsed / max(1.0, trip.work))
-            else:
-                stays = self.stays[trip.job.offering]
-                stay = max(self.settings["tick"], self.now - (trip.began or trip.sent))
-                stays.add(self.now, stay)            # an answer of one token stays no time at all
-                engine.stay.add(self.now, stay / stays.mean(self.now))
-                engine.narrowed = max(0.0, engine.narrowed - 1.0)
             engine.reachable = True
-            self._alive(engine)
-        elif outcome is Outcome.FULL:
-            if event.note != 1:                      # lost state is no fault of the writer
-                engine.narrowed += self._window(engine) / 2
-                engine.skip_until = self.now + MARK
-            self._alive(engine)
+        if outcome is Outcome.READ:
+            self.per_token.add(self.now, event.elapsed / max(1.0, trip.work))
+            self._praise(trip)
+        elif outcome is Outcome.DELIVERED:
+            stay = max(self.settings["tick"], self.now - (trip.began or trip.sent))
+            self.stays[offering].add(self.now, stay)     # an answer of one token stays no time at all
+            engine.stay.add(self.now, stay / self.stays[offering].mean(self.now))
+            engine.narrowed = max(0.0, engine.narrowed - 1.0)
+        elif outcome is Outcome.FULL and event.note != 1:    # lost state is no fault of the writer
+            engine.narrowed += self._window(engine) / 2
+            engine.skip_until = self.now + MARK
         elif outcome in (Outcome.ERROR, Outcome.UNREACHABLE, Outcome.RESET):
             engine.reachable = outcome is Outcome.ERROR
-            self._strike(engine)
-            self._alive(engine)                      # a silence is over too: what is left is judged anew
+            self.fates[offering].add(self.now)
+            self._strike(engine, offering if engine.reachable else ALL)
         elif outcome is Outcome.TIMED_OUT and engine.quiet_since and engine.quiet_since <= trip.sent:
+            self.fates[offering].add(self.now)
             self._strike(engine)
+        if engine.trips and outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.MOOT):
+            return                                   # no sign of life
+        self._alive(engine)                          # a silence is over: what is left is judged anew
 
     def _again(self, job: Job) -> None:
         """Back to the wait before the read, where another trip is allowed and can help."""
+        job.holder = None
+        self._unpair(job)                            # a place held ahead outlives a failed read
         self.actions.append(Release(job))            # lost state may still lie where a place was held ahead
-        if self._spent(job) or not (self._may_defer(job) or self._may_repeat(job)):
+        if self._spent(job) or not (self._may_defer(job)
+                                    or any(self._may_send(job, engine) for engine in self.answering)):
             self._end(job)
         else:
             self.waiting[job] = None
 
     def _spent(self, job: Job) -> bool:
         """Guards against a lost job: at a time-out cut to the client's own, the answer is due at once."""
-        return self._trips_left(job) < 1 or self.now > job.give_up_at - 2 * self._beat()
-
-    def _may_repeat(self, job: Job) -> bool:
-        return any(self._may_send(job, engine) for engine in self.engines)
+        return self._trips_left(job) < 1 or self.now > job.give_up_at - self.beat
 
     # The ordinary path.
 
-    def _ready(self, *roles: str) -> list[Engine]:
-        return [engine for engine in self.engines if engine.state == "ready" and engine.role in roles]
-
-    def _reader(self, job: Job) -> Engine | None:
-        """By hash of the session's prefix, among those with room."""
-        readers = [engine for engine in self._ready("read") if self._well(engine)]
-        if not readers:                              # guards against one fault too many leaving no reader
-            readers = [engine for engine in self._ready("read") if engine.reachable
-                       and not (engine.trips or engine.quiet_since) and self._budget_left(engine)]
-        if not readers:
-            return None
-        loads = {engine: sum(trip.work for trip in engine.trips) for engine in readers}
-        room = (1 + MARGIN) * sum(loads.values()) / len(readers)
-        able = [engine for engine in readers if engine.skip_until <= self.now and loads[engine] <= room
-                and self._oldest(engine) <= BACKLOG * self.quickest]
-        open_cells = {engine.cell for engine in self._ready("write", "both")
-                      if self._well(engine) and self._has_window(engine)}
-        able = [engine for engine in able if engine.cell in open_cells] or able
-        key = job.session or job.prefix
-        return max(able, key=lambda engine: mix(key, engine.key), default=None)
+    def _order(self, job: Job) -> list[Engine]:
+        """Who may read, by hash: the shared beginning picks a few, the session one of them.
+
+        The more of this front's jobs share the beginning, the more engines keep it. Mixed engines stand among the
+        readers and keep what they read, for they answer it too.
+        """
+        session = mix(job.session or job.id, 1)
+        key = mix(job.prefix, 0) if job.prefix else session
+        order = sorted(self.hosts, key=lambda engine: log(straw(key, engine.salt)) / engine.weight, reverse=True)
+        if job.prefix:
+            part = self.beginnings[job.prefix] / (self.arrived + len(order))
+            few = 1 + ceil(SPREAD * part * len(order))
+            order[:few] = sorted(order[:few], key=lambda engine: straw(session, engine.salt))
+        if self._failing(job.offering):
+            order.sort(key=lambda engine: not self._vouched(engine, job.offering))
+        return order
+
+    def _has_room(self, reader: Engine, job: Job) -> bool:
+        return (reader.load <= (1 + MARGIN) * self.reading / len(self.readers) and self._usable(reader, job)
+                and self._oldest(reader) <= BACKLOG * self.quickest)
 
     def _has_window(self, engine: Engine) -> bool:
         """Room at a writer for one more of our own jobs.
@@ -423,19 +455,17 @@
         The window narrows with the ratio of a harmless first-token time to the present one, so that a writer
         where states queue (short of memory, slow, hung) gets no more before it answers full.
         """
-        if engine.skip_until > self.now:
-            return False
-        if self._crowded(engine):
-            return False
+        ours = len(engine.trips) + len(engine.paired)
+        if not ours or self._crowded(engine):
+            return not ours
         present = max(engine.pace.mean(self.now), self._oldest(engine))
-        calm = min(SLOWNESS * self.first.least(self.now), UNHEARD * self.quickest / 2)
-        harmless = max(BACKLOG * self.quickest, calm)
-        narrow = min(1.0, harmless / max(present, 1.0))
-        return len(engine.trips) + len(engine.paired) < self._window(engine) * narrow
+        return ours < self._window(engine) * min(1.0, self.calm / max(present, 1.0))
 
     def _window(self, engine: Engine) -> float:
+        """The even share of recent streams and a margin; a rise counts at once: a burst is spread, not stopped."""
+        share = max(self.out, self.streams.mean(self.now)) / max(1, len(self.answering))
         slower = max(1.0, engine.stay.mean(self.now, 1.0))
-        return max(1.0, self._share() * (1 + MARGIN) / slower + SPARE - engine.narrowed)
+        return max(1.0, share * (1 + MARGIN) / slower + SPARE - engine.narrowed)
 
     def _crowded(self, engine: Engine) -> bool:
         """Guards against a writer's memory running out: its newest answers go back and are read anew.
@@ -449,61 +479,74 @@
         held = sum(trip.job.prompt for trip in engine.trips) + sum(job.prompt for job in engine.paired)
         return held > (1 + MARGIN) * memory[engine.kind] / self.settings["fronts"]
 
-    def _share(self) -> float:
-        """A writer's even share of recent streams; a rise counts at once: a burst is spread, not stopped."""
-        if self.share_at != (self.now, self.turns):  # once a placement: thousands may come in a batch
-            writers = self._ready("write", "both")
-            present = sum(len(engine.trips) + len(engine.paired) for engine in writers)
-            self.share_at = (self.now, self.turns)
-            self.even = max(present, self.streams.mean(self.now)) / max(1, len(writers))
-        return self.even
-
-    def _rounds(self, near: Engine | None) -> Iterator[list[Engine]]:
-        """Those that answer, nearest first: the reader's cell, its zone, the rest."""
-        left = self._ready("write", "both")
+    def _open(self, engine: Engine, job: Job) -> bool:
+        return (self._has_window(engine) and self._usable(engine, job)
+                and (not job.trips or self._may_send(job, engine)))
+
+    def _rounds(self, job: Job, near: Engine | None) -> Iterator[list[Engine]]:
+        """Writers, nearest first: the reader's cell up to what its writers are due, its zone, the rest."""
         if near:
-            yield [engine for engine in left if engine.cell == near.cell and engine.zone == near.zone]
-            yield [engine for engine in left if engine.zone == near.zone]
-        yield left
-
-    def _writer(self, job: Job, near: Engine | None, whole: bool = False) -> Engine | None:
-        """The next in turn whose window is open; `whole`: it has to read the prompt as well."""
-        for engines in self._rounds(near):
-            able = [engine for engine in engines if self._well(engine) and self._has_window(engine)
-                    and self._may_send(job, engine)
-                    and not (whole and engine.role == "write" and not self.settings["writers_read"])]
-            if able:
-                return min(able, key=lambda engine: engine.turn)
+            if job.luck < self.keeps.get(near.cell, 0.0):
+                yield self.nearest.get(near.cell, [])
+            yield self.lacking.get(near.zone, [])
+            yield self.around.get(near.zone, [])
+        yield self.writers
+
+    def _writer(self, job: Job, near: Engine | None) -> Engine | None:
+        """The next in turn whose window is open; while the offering fails, first among those known to serve it."""
+        for known in (True, False) if self._failing(job.offering) else (False,):
+            for engines in self._rounds(job, near):
+                able = [engine for engine in engines if self._open(engine, job)
+                        and (not known or self._vouched(engine, job.offering))]
+                if able:
+                    return min(able, key=lambda engine: engine.turn)
         return None
 
-    def _take_turn(self, engine: Engine) -> None:
-        self.turns += 1
-        engine.turn = self.turns
-
     def _place_waiting(self) -> None:
-        closed = False                               # where one new job finds no writer, none does
+        self.streams.add(self.now, self.out)
+        closed = False                               # where one new job finds no place, none does
         for job in sorted(self.waiting, key=lambda job: job.promised_at):
             if job.trips or not closed:
                 if self._place(job):
                     del self.waiting[job]
-                elif not job.trips:
-                    closed = True
+                    continue
+                closed = closed or not job.trips
+            if self.now + 2 * self.beat > job.give_up_at:
+                self._end(job)                       # guards against a client that leaves before the next beat
 
     def _place(self, job: Job) -> bool:
-        """Starts a job: paired with a writer before its read, or whole at a mixed engine."""
-        reader = self._reader(job) if self._trips_left(job) > 1 else None
-        writer = self._writer(job, reader, whole=reader is None)
-        if writer is None:
-            return False
-        self._take_turn(writer)
-        if reader is None or writer.role == "both":
-            self._send(job, writer, reading=False)
-            return True
-        job.writer = writer
-        writer.paired[job] = None
+        """Starts a job: whole at a mixed engine, or paired with a writer before its read."""
+        found: tuple[Engine, Engine] | None = None
+        shut = self._trips_left(job) < 2
+        # Guards against our own marks emptying the whole stage.
+        last = not any(self._well(engine, job.offering) for engine in self.readers)
+        for engine in self._order(job):
+            if engine.role == "both":
+                if not found and self._open(engine, job):
+                    return self._start(job, engine)
+            elif not shut and (self._has_room(engine, job) or last and engine.reachable and not engine.trips):
+                writer = self._writer(job, engine)
+                shut = writer is None
+                if writer and (writer.cell == engine.cell or job.luck >= self.keeps[engine.cell]):
+                    found = engine, writer           # a reader whose own writers are open comes first
+                    break
+                found = found or writer and (engine, writer)
+        if found is None:                            # no reader has room: a writer may read in place
+            writer = self._writer(job, None) if self.settings["writers_read"] and not shut else None
+            return writer is not None and self._start(job, writer)
+        reader, job.writer = found
+        reader.credit -= 1.0
+        self._turn(job.writer)
+        job.writer.paired[job] = None
+        self.out += 1
         self._send(job, reader, reading=True, time_out=(job.give_up_at - self.now) / 2)
         if self.settings["may_hold"]:
-            self.actions.append(Hold(job, writer))
+            self.actions.append(Hold(job, job.writer))
+        return True
+
+    def _start(self, job: Job, engine: Engine) -> bool:
+        self._turn(engine)
+        self._send(job, engine, reading=False)
         return True
 
     def _send_held(self) -> None:
@@ -513,38 +556,32 @@
                 self._end(job)                       # guards against late answers that make others late too
                 continue
             writer = job.writer
-            if writer and not (self._may_send(job, writer) and self._well(writer)):
+            if not (writer and self._may_send(job, writer) and self._well(writer, job.offering)):
                 self._unpair(job)
-                writer = None
-            if writer is None:
                 writer = self._writer(job, job.holder)
                 if writer:
-                    self._take_turn(writer)
+                    self._turn(writer)
             if writer:
                 self._unpair(job)
                 self._send(job, writer, reading=False)
 
     def _look_round(self) -> None:
         """Each beat: what has run out of time, and who has fallen silent."""
-        beat = self._beat()
-        self.streams.add(self.now, sum(len(engine.trips) + len(engine.paired)
-                                       for engine in self._ready("write", "both")))
         for job in list(self.holding):
             if self._spent(job) or self.now > job.held_since + self.settings["release_within"] / 2:
-                self.holding.pop(job)
-                job.holder = None                    # guards against pinned state: it is read anew if in time
+                self.holding.pop(job)                # guards against pinned state: it is read anew if in time
                 self._again(job)
         soonest = self.first.mean(self.now)
         for job in list(self.waiting):
             need = soonest + self.per_token.mean(self.now) * job.prompt
-            if self.now + need + 2 * beat > min(job.promised_at, job.give_up_at):
+            if self.now + need + 2 * self.beat > min(job.promised_at, job.give_up_at):
                 self._end(job)
-        for engine in self.engines:
-            if engine.quiet_since and not engine.probing and engine.unwell_until <= self.now \
+        for engine in list(self.awaited):
+            if engine.quiet_since and not engine.suspected and engine.unwell.get(ALL, 0.0) <= self.now \
                     and self.now - engine.quiet_since > self._patience(engine):
                 if self.settings["may_probe"] and engine.state == "ready":
-                    engine.probing = True
+                    engine.suspected = True
                     self.actions.append(Probe(engine))
                 else:
                     self._strike(engine)
-                    self._rescue(engine)
+                    self._rescue(list(engine.trips))
