Keep a shared beginning at root-of-n readers, pass on what a zone's writers are not due, widen windows by a root

Cause: at full size a plain session hash filled every reader with every beginning, cells and zones with few writers were pushed over, and windows of one or two jobs closed by chance.

--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -18,7 +18,6 @@
 from .measure import Chance, Ring, mix, straw
 
 MARGIN = 0.25            # of an engine's even share, added to make its first window or its room
-SPARE = 1.0              # jobs that a window starts with beyond share and margin
 BACKLOG = 0.15           # of the shortest promised time: a wait for the first token that narrows no window
 MARK = 1_000.0           # how long a full answer sets a writer aside (the design's "about a second")
 BEATS = 6                # looks at the clock, while a job waits, within the time to let go of held state
@@ -28,8 +27,7 @@
 MEMORY = 16 * MARK       # how long faults, good turns and usual times are remembered
 LONGEST_ASIDE = 2        # doublings of MARK at most
 FAILING = 0.25           # of an offering's trips: above it, engines known to serve the offering come first
-LEAN = 0.5               # beyond their even share that readers take for the writers of their own cell
-SPREAD = 2.0             # engines for a shared beginning, as a multiple of what its part of the jobs fills
+LEAN = 6.0               # times the price of moving state: what readers take beyond their even share for their cell
 BUCKETS = 10             # in a ring
 ALL = -1                 # stands for every offering
 
@@ -52,8 +50,6 @@
         self.first = Ring(MEMORY, BUCKETS)           # time to a first token
         self.stays = [Ring(MEMORY, BUCKETS) for _ in self.offerings]     # first token to last
         self.fates = [Ring(MEMORY, BUCKETS) for _ in self.offerings]     # 1 for each fault, else 0
-        self.beginnings: dict[int, int] = {}         # how many jobs came with each shared beginning
-        self.arrived = 0
         self._index()
 
     def decide(self, now: float, events: list[Event]) -> list[Action]:
@@ -86,8 +82,6 @@
                                    + offering["promised_per_k"] * job.prompt / 1000)
                 job.luck = self.chance.share()
                 self.waiting[job] = None
-                self.arrived += 1
-                self.beginnings[job.prefix] = self.beginnings.get(job.prefix, 0) + 1
                 self._earn(self.cold, 0.25)          # a little, so that a fleet all cold is not left alone
             case Began(trip, elapsed):
                 trip.began, trip.job.began, trip.job.holder = self.now, True, None
@@ -161,23 +155,34 @@
         self.around: dict[int, list[Engine]] = {}    # writers of each zone
         self.lacking: dict[int, list[Engine]] = {}   # of each zone, in cells that answer more than they read
         self.keeps: dict[int, float] = {}            # the part of a cell's reads that its own writers are due
+        self.stays_in: dict[int, float] = {}         # the part of a zone's overflow that its writers are due
         reads: dict[int, float] = {}
         answers: dict[int, float] = {}
         for engines, parts in ((self.readers, reads), (self.writers, answers)):
             whole = sum(engine.size for engine in engines)
             for engine in engines:
                 parts[engine.cell] = parts.get(engine.cell, 0.0) + engine.size / whole
-        flow = {cell: min(answers.get(cell, 0.0), (1 + LEAN) * part) for cell, part in reads.items()}
-        room = {cell: (1 + LEAN) * part - flow[cell] for cell, part in reads.items()}
+        lean = 1 + LEAN * self.settings["far_price"]
+        flow = {cell: min(answers.get(cell, 0.0), lean * part) for cell, part in reads.items()}
+        room = {cell: lean * part - flow[cell] for cell, part in reads.items()}
         rest = (1 - sum(flow.values())) / (sum(room.values()) or 1.0)
         for cell in reads:
             flow[cell] += rest * room[cell] + 1e-6
             self.keeps[cell] = min(1.0, answers.get(cell, 0.0) / flow[cell])
+        over: dict[int, float] = {}
+        short: dict[int, float] = {}
+        for cell, zone in {engine.cell: engine.zone for engine in ready}.items():
+            less = answers.get(cell, 0.0) - flow.get(cell, 0.0)
+            over[zone] = over.get(zone, 0.0) + max(0.0, -less)
+            short[zone] = short.get(zone, 0.0) + max(0.0, less)
+        self.stays_in = {zone: min(1.0, short[zone] / (over[zone] or 1.0)) for zone in over}
         for engine in self.writers:
             self.nearest.setdefault(engine.cell, []).append(engine)
             self.around.setdefault(engine.zone, []).append(engine)
             if self.keeps.get(engine.cell, 1.0) == 1.0:
                 self.lacking.setdefault(engine.zone, []).append(engine)
+                if short[engine.zone] > over[engine.zone]:
+                    self.lacking.setdefault(ALL, []).append(engine)
         for engine in self.readers:
             engine.weight = flow[engine.cell] / reads[engine.cell] * engine.size / sum(
                 other.size for other in self.readers) * max(1, len(self.writers))
@@ -428,46 +433,48 @@
 
     # The ordinary path.
 
-    def _order(self, job: Job) -> list[Engine]:
+    def _order(self, job: Job) -> list[tuple[Engine, float]]:
         """Who may read, by hash: the shared beginning picks a few, the session one of them.
 
-        The more of this front's jobs share the beginning, the more engines keep it. Mixed engines stand among the
-        readers and keep what they read, for they answer it too.
+        Mixed engines stand among the readers and keep what they read, for they answer it too.
         """
-        session = mix(job.session or job.id, 1)
+        few, session = 0, mix(job.session or job.id, 1)
         key = mix(job.prefix, 0) if job.prefix else session
         order = sorted(self.hosts, key=lambda engine: log(straw(key, engine.salt)) / engine.weight, reverse=True)
         if job.prefix:
-            part = self.beginnings[job.prefix] / (self.arrived + len(order))
-            few = 1 + ceil(SPREAD * part * len(order))
+            few = 1 + ceil(len(order) ** 0.5)
             order[:few] = sorted(order[:few], key=lambda engine: straw(session, engine.salt))
         if self._failing(job.offering):
             order.sort(key=lambda engine: not self._vouched(engine, job.offering))
-        return order
+        home = order[:few]
+        return ([(engine, 0.0) for engine in home] + [(engine, job.prompt) for engine in home]
+                + [(engine, 0.0) for engine in order[few:]])
 
-    def _has_room(self, reader: Engine, job: Job) -> bool:
-        return (reader.load <= (1 + MARGIN) * self.reading / len(self.readers) and self._usable(reader, job)
-                and self._oldest(reader) <= BACKLOG * self.quickest)
+    def _has_room(self, reader: Engine, job: Job, anew: float = 0.0) -> bool:
+        """Little of our own out there; more (`anew`) before the shared beginning is read anew elsewhere."""
+        return (reader.load <= (1 + MARGIN) * self.reading / len(self.readers) + anew
+                and self._usable(reader, job)
+                and self._oldest(reader) <= BACKLOG * self.quickest + SLOWNESS * self.shortest * anew)
 
-    def _has_window(self, engine: Engine) -> bool:
-        """Room at a writer for one more of our own jobs.
+    def _has_window(self, engine: Engine, job: Job) -> bool:
+        """Room at a writer for one more of our own jobs; chance decides on the fraction of a job in a window.
 
         The window narrows with the ratio of a harmless first-token time to the present one, so that a writer
         where states queue (short of memory, slow, hung) gets no more before it answers full.
         """
         ours = len(engine.trips) + len(engine.paired)
-        if not ours or self._crowded(engine):
+        if not ours or self._crowded(engine, job):
             return not ours
         present = max(engine.pace.mean(self.now), self._oldest(engine))
-        return ours < self._window(engine) * min(1.0, self.calm / max(present, 1.0))
+        return ours < self._window(engine, job.luck) * min(1.0, self.calm / max(present, 1.0))
 
-    def _window(self, engine: Engine) -> float:
+    def _window(self, engine: Engine, luck: float = 0.0) -> float:
         """The even share of recent streams and a margin; a rise counts at once: a burst is spread, not stopped."""
         share = max(self.out, self.streams.mean(self.now)) / max(1, len(self.answering))
         slower = max(1.0, engine.stay.mean(self.now, 1.0))
-        return max(1.0, share * (1 + MARGIN) / slower + SPARE - engine.narrowed)
+        return max(1.0, share * (1 + MARGIN) / slower + share ** 0.5 - engine.narrowed + luck)
 
-    def _crowded(self, engine: Engine) -> bool:
+    def _crowded(self, engine: Engine, job: Job) -> bool:
         """Guards against a writer's memory running out: its newest answers go back and are read anew.
 
         Each front keeps to its even part and margin, counted in prompt tokens, the answers' growth left out;
@@ -477,18 +484,22 @@
         if engine.kind >= len(memory):
             return False
         held = sum(trip.job.prompt for trip in engine.trips) + sum(job.prompt for job in engine.paired)
-        return held > (1 + MARGIN) * memory[engine.kind] / self.settings["fronts"]
+        return held + job.luck * job.prompt > (1 + MARGIN) * memory[engine.kind] / self.settings["fronts"]
 
     def _open(self, engine: Engine, job: Job) -> bool:
-        return (self._has_window(engine) and self._usable(engine, job)
+        return (self._has_window(engine, job) and self._usable(engine, job)
                 and (not job.trips or self._may_send(job, engine)))
 
     def _rounds(self, job: Job, near: Engine | None) -> Iterator[list[Engine]]:
         """Writers, nearest first: the reader's cell up to what its writers are due, its zone, the rest."""
         if near:
-            if job.luck < self.keeps.get(near.cell, 0.0):
+            keeps = self.keeps.get(near.cell, 0.0)
+            if job.luck < keeps:
                 yield self.nearest.get(near.cell, [])
-            yield self.lacking.get(near.zone, [])
+            if job.luck < keeps + (1 - keeps) * self.stays_in[near.zone]:
+                yield self.lacking.get(near.zone, [])
+                yield self.around.get(near.zone, [])
+            yield self.lacking.get(ALL, [])
             yield self.around.get(near.zone, [])
         yield self.writers
 
@@ -520,11 +531,11 @@
         shut = self._trips_left(job) < 2
         # Guards against our own marks emptying the whole stage.
         last = not any(self._well(engine, job.offering) for engine in self.readers)
-        for engine in self._order(job):
+        for engine, anew in self._order(job):
             if engine.role == "both":
                 if not found and self._open(engine, job):
                     return self._start(job, engine)
-            elif not shut and (self._has_room(engine, job) or last and engine.reachable and not engine.trips):
+            elif not shut and (self._has_room(engine, job, anew) or last and engine.reachable and not engine.trips):
                 writer = self._writer(job, engine)
                 shut = writer is None
                 if writer and (writer.cell == engine.cell or job.luck >= self.keeps[engine.cell]):
