Defer tries too short to be answered at once; their time-outs mark no engine

Cause, read off the trace of a class that fails at size: clients' short retries timed out within milliseconds and set healthy engines aside for every offering.

--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -409,7 +409,7 @@
             engine.reachable = outcome is Outcome.ERROR
             self.fates[offering].add(self.now)
             self._strike(engine, offering if engine.reachable else ALL)
-        elif outcome is Outcome.TIMED_OUT and engine.quiet_since and engine.quiet_since <= trip.sent:
+        elif outcome is Outcome.TIMED_OUT and event.elapsed > self._patience(engine):    # not a short try
             self.fates[offering].add(self.now)
             self._strike(engine)
         if engine.trips and outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.MOOT):
@@ -517,13 +517,19 @@
         self.streams.add(self.now, self.out)
         closed = False                               # where one new job finds no place, none does
         for job in sorted(self.waiting, key=lambda job: job.promised_at):
+            if self._late(job):
+                self._end(job)                       # guards against reads that can't be answered in time
+                continue
             if job.trips or not closed:
                 if self._place(job):
                     del self.waiting[job]
                     continue
                 closed = closed or not job.trips
-            if self.now + 2 * self.beat > job.give_up_at:
-                self._end(job)                       # guards against a client that leaves before the next beat
+
+    def _late(self, job: Job) -> bool:
+        """Can no longer be answered in its promised time, or before its client leaves or the next beat comes."""
+        need = self.first.mean(self.now) + self.per_token.mean(self.now) * job.prompt
+        return self.now + max(need, 2 * self.beat) > min(job.promised_at, job.give_up_at)
 
     def _place(self, job: Job) -> bool:
         """Starts a job: whole at a mixed engine, or paired with a writer before its read."""
@@ -582,11 +588,6 @@
             if self._spent(job) or self.now > job.held_since + self.settings["release_within"] / 2:
                 self.holding.pop(job)                # guards against pinned state: it is read anew if in time
                 self._again(job)
-        soonest = self.first.mean(self.now)
-        for job in list(self.waiting):
-            need = soonest + self.per_token.mean(self.now) * job.prompt
-            if self.now + need + 2 * self.beat > min(job.promised_at, job.give_up_at):
-                self._end(job)
         for engine in list(self.awaited):
             if engine.quiet_since and not engine.suspected and engine.unwell.get(ALL, 0.0) <= self.now \
                     and self.now - engine.quiet_since > self._patience(engine):
