--- a/worksmux/drill/codec.py
+++ b/worksmux/drill/codec.py
@@ -82,11 +82,11 @@
     name, form = EVENTS[body[at]]
     values = form.unpack_from(body, at + 1)
     if name in WITH_TAIL:
-        *values, offset, length = values
+        *rest, offset, length = values
         length *= WITH_TAIL[name]
         if offset + length > len(tail):
             raise WireError(f"{where}: {name} points {offset + length} bytes into a tail of {len(tail)}")
-        values = (*values, bytes(tail[offset:offset + length]))
+        values = (*rest, bytes(tail[offset:offset + length]))
     return Record(name, tuple(values))
 
 
@@ -96,8 +96,8 @@
     for name, values in records:
         code, form = ACTIONS[name]
         if name in WITH_TAIL:
-            *values, content = values
-            values = (*values, len(tail), len(content))
+            *rest, content = values
+            values = (*rest, len(tail), len(content))
             tail += content
         parts.append(form.pack(code, *values).ljust(ACTION_SIZE, b"\0"))
     size = REPLY_HEADER.size + len(parts) * ACTION_SIZE + len(tail)
--- a/worksmux/interface.py
+++ b/worksmux/interface.py
@@ -9,7 +9,10 @@
 from enum import Enum
 from typing import Any
 
+from .measure import Ring
+
 Settings = dict[str, Any]
+UNMADE = Ring(1.0, 1)                # stands for a ring that the module has yet to make
 
 
 class Outcome(Enum):
@@ -46,20 +49,23 @@
     skip_until: float = 0.0          # answered full lately
     turn: float = 0.0                # when it last had its turn
     salt: int = 0                    # the key, hashed
+    part: float = 0.0                # of its role's size
     weight: float = 1.0              # among those that read
-    load: float = 0.0                # tokens of our own being read there
     credit: float = 0.0              # while it is cold: jobs that it may be sent
     quiet_since: float = 0.0         # the first send since its last sign of life; 0: none is awaited
     unwell: dict[int, float] = field(default_factory=dict)    # by offering: set aside until then
     good: dict[int, float] = field(default_factory=dict)      # by offering: when it last served one
-    reachable: bool = True           # its last sign was not a failed connection, reset or probe
     suspected: bool = False          # silent, and a probe is out
-    faults: Any = None               # rings of time buckets, made by the module
-    pace: Any = None
-    stay: Any = None
+    faults: Ring = UNMADE            # made by the module
+    pace: Ring = UNMADE
     report: dict[str, float] = field(default_factory=dict)
     reported: float = 0.0
 
+    @property
+    def unanswered(self) -> list[Trip]:
+        """Trips out here that have brought no first token, the first sent first."""
+        return [trip for trip in self.trips if not trip.began]
+
 
 @dataclass(eq=False, slots=True)
 class Job:
@@ -85,7 +91,15 @@
     luck: float = 0.0                # its draw by chance
     ended: bool = False
     began: bool = False
-    plan: Any = None
+
+    @property
+    def out(self) -> list[Trip]:
+        return [trip for trip in self.trips if trip.outcome is None]
+
+    @property
+    def may_have_run(self) -> list[Trip]:
+        """Trips whose outcome does not prove that they had no effect; reading has none."""
+        return [trip for trip in self.trips if not trip.reading and trip.outcome not in NEVER_RAN]
 
 
 @dataclass(eq=False, slots=True)
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -3,18 +3,19 @@
     front = Front(settings, seed)            # a plain map, named as in the adapter's `settings_from`
     actions = front.decide(now, events)      # once for each batch of events, in the order they came
 
-The types of events, actions, jobs, trips and engines are in `worksmux/interface.py`; `docs/design.md` says which
-part of the design each piece serves.  Times are milliseconds.  A front knows only its own events; in a large
-fleet it meets an engine less than once in the time that a trouble lasts.
+The types of events, actions, jobs, trips and engines are in `worksmux/interface.py`; `docs/design.md` says
+which part of the design each piece serves.  Times are milliseconds.  A front knows only its own events; in a
+large fleet it meets an engine less than once in the time that a trouble lasts.
 """
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterator
 from math import ceil, inf, log
 
 from .interface import (
-    NEVER_RAN, Action, Alarm, Arrived, Began, BreakOff, Cancel, Defer, Ended, Engine, Entry, Event, Hold, Job,
-    Left, Listed, Outcome, Placed, Probe, Probed, Rang, Release, Send, Settings, Trip, Watch)
+    Action, Alarm, Arrived, Began, BreakOff, Cancel, Defer, Ended, Engine, Entry, Event, Hold, Job,
+    Left, Listed, Outcome, Probe, Probed, Rang, Release, Send, Settings, Trip, Watch)
 from .measure import Chance, Ring, mix, straw
 
 MARGIN = 0.25            # of an engine's even share, added to make its first window or its room
@@ -27,7 +28,7 @@
 MEMORY = 16 * MARK       # how long faults, good turns and usual times are remembered
 LONGEST_ASIDE = 2        # doublings of MARK at most
 FAILING = 0.25           # of an offering's trips: above it, engines known to serve the offering come first
-LEAN = 6.0               # times the price of moving state: what readers take beyond their even share for their cell
+LEAN = 6.0               # times the price of moving state: what readers take beyond their even share
 BUCKETS = 10             # in a ring
 ALL = -1                 # stands for every offering
 
@@ -48,7 +49,6 @@
         self.streams = Ring(4 * MARK, BUCKETS)       # our own jobs at writers, seen at each placement
         self.per_token = Ring(MEMORY, BUCKETS)       # reading time for a token of the prompt
         self.first = Ring(MEMORY, BUCKETS)           # time to a first token
-        self.stays = [Ring(MEMORY, BUCKETS) for _ in self.offerings]     # first token to last
         self.fates = [Ring(MEMORY, BUCKETS) for _ in self.offerings]     # 1 for each fault, else 0
         self._index()
 
@@ -67,8 +67,8 @@
         pause = UNHEARD * self.quickest / 4 if self.awaited else inf
         pause = self.beat if self.waiting or self.holding else pause
         if pause < inf and not now < self.alarm_at <= now + pause:
-            self.alarm_at = now + pause
-            self.actions.append(Alarm(pause, 0))     # a front with nothing to watch sleeps
+            self.alarm_at = now + pause              # a front with nothing to watch sleeps
+            self.actions.append(Alarm(pause, 0))
         actions, self.actions = self.actions, []
         return actions
 
@@ -101,8 +101,6 @@
                 self._list(event)
             case Probed(engine, outcome):
                 self._probed(engine, outcome)
-            case Placed(trip, _, held):
-                trip.job.plan = held
 
     # Which engines there are.
 
@@ -111,9 +109,8 @@
             if self.settings["ask_for_list"]:
                 self.actions.append(Alarm(MARK * (0.5 + self.chance.share()), 1))
             return
-        named = {entry.engine for entry in event.entries}
-        for engine in self.engines:
-            if event.scope != "delta" and engine not in named:
+        if event.scope != "delta":
+            for engine in self.engines.keys() - {entry.engine for entry in event.entries}:
                 engine.state = "gone"
         for entry in event.entries:
             self._enter(entry)
@@ -125,7 +122,6 @@
             self.engines[engine] = None
             engine.salt = mix(engine.key, 0)
             engine.faults, engine.pace = Ring(MEMORY, BUCKETS), Ring(MARK, BUCKETS)
-            engine.stay = Ring(4 * MARK, BUCKETS)
             engine.turn = self.chance.share() - 1.0  # fronts' rounds start differently
         if entry.state == "ready" and (entry.started != engine.started or engine.state == "gone"):
             engine.narrowed, engine.skip_until, engine.unwell = 0.0, 0.0, {}
@@ -140,54 +136,38 @@
     def _index(self) -> None:
         """Reckons, once a list, who reads and answers what part.
 
-        Readers are weighted so that each cell reads about what its own writers can answer: where racks hold
-        readers and writers unevenly, a plain hash would push the few writers of a rack over, and a front that
-        meets an engine once a minute never sees its window fill.
+        Readers weigh as much as their cell's writers can answer: where racks hold the two unevenly, a plain
+        hash would push a rack's few writers over, and a front that seldom meets them sees no window fill.
         """
         ready = [engine for engine in self.engines if engine.state == "ready"]
-        self.readers = [engine for engine in ready if engine.role == "read"]
-        self.writers = [engine for engine in ready if engine.role == "write"]
-        mixed = [engine for engine in ready if engine.role == "both"]
+        self.readers, self.writers, mixed = ([engine for engine in ready if engine.role == role]
+                                             for role in ("read", "write", "both"))
         self.hosts, self.answering = self.readers + mixed, self.writers + mixed
         self.cold = [engine for engine in ready if self._cold(engine)]
-        self.like = {role: sum(engine.role == role for engine in ready) for role in self.settings["roles"]}
-        self.nearest: dict[int, list[Engine]] = {}   # writers of each cell
-        self.around: dict[int, list[Engine]] = {}    # writers of each zone
-        self.lacking: dict[int, list[Engine]] = {}   # of each zone, in cells that answer more than they read
-        self.keeps: dict[int, float] = {}            # the part of a cell's reads that its own writers are due
-        self.stays_in: dict[int, float] = {}         # the part of a zone's overflow that its writers are due
-        reads: dict[int, float] = {}
-        answers: dict[int, float] = {}
-        for engines, parts in ((self.readers, reads), (self.writers, answers)):
+        reads: dict[int, float] = defaultdict(float)
+        answers: dict[int, float] = defaultdict(float)
+        for engines, parts in ((self.readers, reads), (self.writers, answers), (mixed, defaultdict(float))):
             whole = sum(engine.size for engine in engines)
             for engine in engines:
-                parts[engine.cell] = parts.get(engine.cell, 0.0) + engine.size / whole
+                parts[engine.cell] += engine.size / whole
+                engine.part = engine.size / whole
         lean = 1 + LEAN * self.settings["far_price"]
-        flow = {cell: min(answers.get(cell, 0.0), lean * part) for cell, part in reads.items()}
-        room = {cell: lean * part - flow[cell] for cell, part in reads.items()}
-        rest = (1 - sum(flow.values())) / (sum(room.values()) or 1.0)
-        for cell in reads:
-            flow[cell] += rest * room[cell] + 1e-6
-            self.keeps[cell] = min(1.0, answers.get(cell, 0.0) / flow[cell])
-        over: dict[int, float] = {}
-        short: dict[int, float] = {}
-        for cell, zone in {engine.cell: engine.zone for engine in ready}.items():
-            less = answers.get(cell, 0.0) - flow.get(cell, 0.0)
-            over[zone] = over.get(zone, 0.0) + max(0.0, -less)
-            short[zone] = short.get(zone, 0.0) + max(0.0, less)
-        self.stays_in = {zone: min(1.0, short[zone] / (over[zone] or 1.0)) for zone in over}
+        flow = {cell: min(answers[cell], lean * part) for cell, part in reads.items()}
+        room = sum(lean * part - flow[cell] for cell, part in reads.items())
+        unread = 1 - sum(flow.values())
+        self.keeps: dict[int, float] = {}            # the part of a cell's reads that its own writers are due
+        for cell, part in reads.items():
+            flow[cell] += unread * (lean * part - flow[cell]) / (room or 1.0) + 1e-6
+            self.keeps[cell] = min(1.0, answers[cell] / flow[cell])
+        self.nearest: dict[int, list[Engine]] = defaultdict(list)    # writers of each cell
+        self.around: dict[int, list[Engine]] = defaultdict(list)     # writers of each zone
         for engine in self.writers:
-            self.nearest.setdefault(engine.cell, []).append(engine)
-            self.around.setdefault(engine.zone, []).append(engine)
-            if self.keeps.get(engine.cell, 1.0) == 1.0:
-                self.lacking.setdefault(engine.zone, []).append(engine)
-                if short[engine.zone] > over[engine.zone]:
-                    self.lacking.setdefault(ALL, []).append(engine)
+            self.nearest[engine.cell].append(engine)
+            self.around[engine.zone].append(engine)
         for engine in self.readers:
-            engine.weight = flow[engine.cell] / reads[engine.cell] * engine.size / sum(
-                other.size for other in self.readers) * max(1, len(self.writers))
+            engine.weight = engine.part * flow[engine.cell] / reads[engine.cell] * max(1, len(self.writers))
         for engine in mixed:                         # each takes as many jobs as a writer answers
-            engine.weight = engine.size * len(mixed) / sum(other.size for other in mixed)
+            engine.weight = engine.part * len(mixed)
 
     def _cold(self, engine: Engine) -> bool:
         return engine.started > 0 and self.now < engine.started + self.settings["warm_up"]
@@ -195,18 +175,17 @@
     def _earn(self, engines: list[Engine], part: float) -> None:
         """Guards against pushing a cold engine over: this front's part of its budget, in any window.
 
-        A front cannot see capacity; what the engines of its role serve is a measure that no storm of retries
-        can raise. Each serve earns a cold engine its even share, made smaller; a job costs one. Fronts start
-        at different parts of one, so that hundreds of them do not all send their first job at once.
+        Each serve at engines of its role, which no storm of retries can raise, earns it its even share, made
+        smaller; a job costs one. Fronts start at different parts of one: hundreds must not begin at once.
         """
         budget = self.settings["cold_share"] * self.settings["fall_multiple"] * PRUDENCE * part
         for engine in engines:
-            engine.credit = min(1.0, engine.credit + budget / self.like[engine.role])
+            engine.credit = min(1.0, engine.credit + budget * engine.part)
 
     # How engines fare, judged from this front's own trips.
 
     def _alive(self, engine: Engine) -> None:
-        engine.quiet_since = self.now if any(not trip.began for trip in engine.trips) else 0.0
+        engine.quiet_since = self.now if engine.unanswered else 0.0
         if not engine.quiet_since:
             self.awaited.pop(engine, None)
 
@@ -219,42 +198,37 @@
     def _strike(self, engine: Engine, offering: int = ALL) -> None:
         """Sets an engine aside, longer with each fault in memory: one that fails fast loses its turns.
 
-        One offering alone is set aside after an error or an unanswered job of its own: an engine may fail it and
-        serve the others. A front that meets its engines seldom keeps the mark until about the next meeting.
+        An error or an unanswered job sets it aside for that offering alone: it may serve the others. A front
+        that meets its engines seldom keeps the mark until about the next meeting.
         """
         engine.faults.add(self.now)
         meetings = sum(fate.count(self.now) for fate in self.fates)
         aside = max(MARK * 2 ** min(engine.faults.count(self.now) - 1, LONGEST_ASIDE),
-                    min(MEMORY, MEMORY * len(self.engines) / max(1, 2 * meetings)))
+                    MEMORY * min(1.0, len(self.engines) / max(1, 2 * meetings)))
         engine.unwell[offering] = self.now + aside * (0.75 + 0.5 * self.chance.share())
 
     def _reads(self, trip: Trip) -> float:
-        """What a trip's own reading may take; a mixed engine reads between the steps of its answers."""
         return SLOWNESS * self.shortest * trip.work
 
     def _oldest(self, engine: Engine) -> float:
-        """How long the first in line there has waited, beyond its own reading."""
-        first = next((trip for trip in engine.trips if not trip.began), None) if engine.quiet_since else None
-        return max(0.0, self.now - first.sent - self._reads(first)) if first else 0.0
+        first = engine.unanswered[:1] if engine.quiet_since else []
+        return max([0.0, *(self.now - trip.sent - self._reads(trip) for trip in first)])
 
     def _patience(self, engine: Engine) -> float:
         """How long an engine may give no sign of life: a slowness shared by all lengthens it for all."""
-        reads = sum(self._reads(trip) for trip in engine.trips if not trip.began)
         waits = 0.0 if engine.role == "read" else SLOWNESS * self.first.mean(self.now)
-        return UNHEARD * self.quickest + reads + waits
+        return UNHEARD * self.quickest + waits + sum(self._reads(trip) for trip in engine.unanswered)
 
     def _probed(self, engine: Engine, outcome: Outcome) -> None:
         engine.suspected = False
-        engine.reachable = outcome in (Outcome.DELIVERED, Outcome.FULL)
-        if not engine.reachable:
+        if outcome not in (Outcome.DELIVERED, Outcome.FULL):
             self._strike(engine)
-            self._rescue(list(engine.trips))
-            return
-        # Guards against an engine that lives and leaves one offering's jobs unanswered; a state that comes over
-        # a slow link looks alike, so only what lies near is called off.
+            return self._rescue(list(engine.trips))
+        # Guards against an engine that lives and leaves one offering's jobs unanswered; a state that comes
+        # over a slow link looks alike, so only what lies near is called off.
         patience = self._patience(engine)
-        late = [trip for trip in engine.trips if not trip.began and self.now - trip.sent > patience
-                and (trip.job.holder is None or trip.job.holder.cell == engine.cell)]
+        late = [trip for trip in engine.unanswered if self.now - trip.sent > patience and (
+            trip.job.holder is None or trip.job.holder.cell == engine.cell)]
         for offering in sorted({trip.job.offering for trip in late}):
             self.fates[offering].add(self.now)
             self._strike(engine, offering)
@@ -264,8 +238,8 @@
     def _rescue(self, trips: list[Trip]) -> None:
         """Guards against hung engines: calls off what waits there and may run elsewhere."""
         for trip in trips:
-            free = trip.reading or self.offerings[trip.job.offering]["effect"] == "redoable"
-            if free and not trip.job.ended and self._trips_left(trip.job):
+            if ((trip.reading or self.offerings[trip.job.offering]["effect"] == "redoable")
+                    and not trip.job.ended and self._trips_left(trip.job)):
                 self._call_off(trip)
 
     def _call_off(self, trip: Trip) -> None:
@@ -282,7 +256,6 @@
         return not on_trial
 
     def _usable(self, engine: Engine, job: Job) -> bool:
-        """Well, not marked full, and with credit left while it is cold."""
         return (engine.skip_until <= self.now and self._well(engine, job.offering)
                 and (engine.credit >= 1.0 or engine not in self.cold or not self._cold(engine)))
 
@@ -299,10 +272,9 @@
 
     def _may_send(self, job: Job, engine: Engine) -> bool:
         """Guards against a second effect; reading has none."""
-        if engine.state != "ready" or self._trips_left(job) < 1 or any(not trip.outcome for trip in job.trips):
+        if engine.state != "ready" or self._trips_left(job) < 1 or job.out:
             return False
-        ran = [trip for trip in job.trips if not trip.reading and trip.outcome not in NEVER_RAN]
-        offering = self.offerings[job.offering]
+        ran, offering = job.may_have_run, self.offerings[job.offering]
         if not ran or offering["effect"] == "redoable":
             return True
         if offering["effect"] == "irreversible":
@@ -312,31 +284,26 @@
             group == "all" or trip.engine.zone == engine.zone
             and (group == "zone" or trip.engine.cell == engine.cell) for trip in ran))
 
+    def _may_repeat(self, job: Job) -> bool:
+        return any(self._may_send(job, engine) for engine in self.answering)
+
     def _may_defer(self, job: Job) -> bool:
         offering = self.offerings[job.offering]
-        if offering["effect"] == "redoable" or (offering["effect"], offering["group"]) == ("labelled", "all"):
-            return True
-        return all(trip.reading or trip.outcome in NEVER_RAN for trip in job.trips)
+        return (offering["effect"] == "redoable" or not job.may_have_run
+                or (offering["effect"], offering["group"]) == ("labelled", "all"))
 
     def _send(self, job: Job, engine: Engine, reading: bool, time_out: float = 0.0) -> None:
         trip = Trip(job, engine, len(job.trips), self.now, reading, work=0.0 if job.holder else job.prompt)
-        self._count(trip, 1)
         job.trips.append(trip)
+        self.out += not reading
+        self.reading += reading * trip.work
         engine.trips[trip] = None
         engine.quiet_since = engine.quiet_since or self.now
         self.awaited[engine] = None
         self.holding.pop(job, None)
         self.actions.append(Send(trip, time_out))
 
-    def _count(self, trip: Trip, by: int) -> None:
-        if trip.reading:
-            trip.engine.load += by * trip.work
-            self.reading += by * trip.work
-        else:
-            self.out += by
-
     def _turn(self, engine: Engine) -> None:
-        """Takes the engine's turn, and one off its credit while it is cold."""
         self.turns += 1
         engine.turn = self.turns
         engine.credit -= 1.0
@@ -348,7 +315,6 @@
             self.out -= 1
 
     def _end(self, job: Job) -> None:
-        """The one final answer: a deferral where that is true, else a break-off; nothing stays held."""
         if not job.ended:
             self.actions.append(Defer(job) if self._may_defer(job) else BreakOff(job))
             self._drop(job)
@@ -358,10 +324,9 @@
         self._unpair(job)
         self.holding.pop(job, None)
         self.waiting.pop(job, None)
-        out = [trip for trip in job.trips if trip.outcome is None]
-        for trip in out:
+        for trip in job.out:
             self._call_off(trip)
-        if job.trips and not out:
+        if job.trips and not job.out:
             self.actions.append(Release(job))
 
     def _ended(self, event: Ended) -> None:
@@ -369,9 +334,10 @@
         job, engine = trip.job, trip.engine
         trip.outcome = outcome
         engine.trips.pop(trip, None)
-        self._count(trip, -1)
+        self.out -= not trip.reading
+        self.reading -= trip.reading * trip.work
         self._judge(event)
-        if event.closed and not job.ended:
+        if event.closed:
             job.ended = True
             self._unpair(job)
         if job.ended:
@@ -380,49 +346,38 @@
         elif outcome is Outcome.READ and not self._spent(job):
             job.holder, job.held_since = engine, self.now
             self.holding[job] = None
-        elif job.holder and not (outcome is Outcome.FULL and event.note == 1) and not self._spent(job) \
-                and any(self._may_send(job, other) for other in self.answering):
-            self._unpair(job)                        # the state still waits: the next writer gets it
-            job.held_since = self.now
+        elif (job.holder and not (outcome is Outcome.FULL and event.note == 1) and not self._spent(job)
+                and self._may_repeat(job)):
+            job.held_since = self.now                # the state still waits: the next writer gets it
             self.holding[job] = None
         else:
             self._again(job)
 
     def _judge(self, event: Ended) -> None:
-        """What an outcome says about its engine."""
         trip, engine, outcome = event.trip, event.trip.engine, event.outcome
         offering = trip.job.offering
-        if outcome in (Outcome.READ, Outcome.DELIVERED):
-            engine.reachable = True
         if outcome is Outcome.READ:
             self.per_token.add(self.now, event.elapsed / max(1.0, trip.work))
             self._praise(trip)
         elif outcome is Outcome.DELIVERED:
-            stay = max(self.settings["tick"], self.now - (trip.began or trip.sent))
-            self.stays[offering].add(self.now, stay)     # an answer of one token stays no time at all
-            engine.stay.add(self.now, stay / self.stays[offering].mean(self.now))
             engine.narrowed = max(0.0, engine.narrowed - 1.0)
         elif outcome is Outcome.FULL and event.note != 1:    # lost state is no fault of the writer
             engine.narrowed += self._window(engine) / 2
             engine.skip_until = self.now + MARK
         elif outcome in (Outcome.ERROR, Outcome.UNREACHABLE, Outcome.RESET):
-            engine.reachable = outcome is Outcome.ERROR
             self.fates[offering].add(self.now)
-            self._strike(engine, offering if engine.reachable else ALL)
+            self._strike(engine, offering if outcome is Outcome.ERROR else ALL)
         elif outcome is Outcome.TIMED_OUT and event.elapsed > self._patience(engine):    # not a short try
             self.fates[offering].add(self.now)
             self._strike(engine)
-        if engine.trips and outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.MOOT):
-            return                                   # no sign of life
-        self._alive(engine)                          # a silence is over: what is left is judged anew
+        if not engine.trips or outcome not in (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.MOOT):
+            self._alive(engine)                      # a silence is over: what is left is judged anew
 
     def _again(self, job: Job) -> None:
-        """Back to the wait before the read, where another trip is allowed and can help."""
         job.holder = None
         self._unpair(job)                            # a place held ahead outlives a failed read
         self.actions.append(Release(job))            # lost state may still lie where a place was held ahead
-        if self._spent(job) or not (self._may_defer(job)
-                                    or any(self._may_send(job, engine) for engine in self.answering)):
+        if self._spent(job) or not (self._may_defer(job) or self._may_repeat(job)):
             self._end(job)
         else:
             self.waiting[job] = None
@@ -438,29 +393,27 @@
 
         Mixed engines stand among the readers and keep what they read, for they answer it too.
         """
-        few, session = 0, mix(job.session or job.id, 1)
+        session = mix(job.session or job.id, 1)
         key = mix(job.prefix, 0) if job.prefix else session
-        order = sorted(self.hosts, key=lambda engine: log(straw(key, engine.salt)) / engine.weight, reverse=True)
-        if job.prefix:
-            few = 1 + ceil(len(order) ** 0.5)
-            order[:few] = sorted(order[:few], key=lambda engine: straw(session, engine.salt))
+        order = sorted(self.hosts, key=lambda engine: -log(straw(key, engine.salt)) / engine.weight)
+        few = 1 + ceil(len(order) ** 0.5) if job.prefix else 0
+        order[:few] = sorted(order[:few], key=lambda engine: straw(session, engine.salt))
         if self._failing(job.offering):
             order.sort(key=lambda engine: not self._vouched(engine, job.offering))
-        home = order[:few]
-        return ([(engine, 0.0) for engine in home] + [(engine, job.prompt) for engine in home]
+        return ([(engine, 0.0) for engine in order[:few]] + [(engine, job.prompt) for engine in order[:few]]
                 + [(engine, 0.0) for engine in order[few:]])
 
     def _has_room(self, reader: Engine, job: Job, anew: float = 0.0) -> bool:
         """Little of our own out there; more (`anew`) before the shared beginning is read anew elsewhere."""
-        return (reader.load <= (1 + MARGIN) * self.reading / len(self.readers) + anew
-                and self._usable(reader, job)
+        ours = sum(trip.work for trip in reader.trips)
+        return (ours <= (1 + MARGIN) * self.reading / len(self.readers) + anew and self._usable(reader, job)
                 and self._oldest(reader) <= BACKLOG * self.quickest + SLOWNESS * self.shortest * anew)
 
     def _has_window(self, engine: Engine, job: Job) -> bool:
         """Room at a writer for one more of our own jobs; chance decides on the fraction of a job in a window.
 
-        The window narrows with the ratio of a harmless first-token time to the present one, so that a writer
-        where states queue (short of memory, slow, hung) gets no more before it answers full.
+        It narrows with the ratio of a harmless first-token time to the present one, so that a writer where
+        states queue (short of memory, slow, hung) gets no more before it answers full.
         """
         ours = len(engine.trips) + len(engine.paired)
         if not ours or self._crowded(engine, job):
@@ -469,22 +422,17 @@
         return ours < self._window(engine, job.luck) * min(1.0, self.calm / max(present, 1.0))
 
     def _window(self, engine: Engine, luck: float = 0.0) -> float:
-        """The even share of recent streams and a margin; a rise counts at once: a burst is spread, not stopped."""
+        """The even share of recent streams and a margin; a rise counts at once: a burst is spread."""
         share = max(self.out, self.streams.mean(self.now)) / max(1, len(self.answering))
-        slower = max(1.0, engine.stay.mean(self.now, 1.0))
-        return max(1.0, share * (1 + MARGIN) / slower + share ** 0.5 - engine.narrowed + luck)
+        return max(1.0, share * (1 + MARGIN) + share ** 0.5 - engine.narrowed + luck)
 
     def _crowded(self, engine: Engine, job: Job) -> bool:
-        """Guards against a writer's memory running out: its newest answers go back and are read anew.
-
-        Each front keeps to its even part and margin, counted in prompt tokens, the answers' growth left out;
-        it could harm where nearly all traffic comes in at one front.
+        """Guards against a writer's memory running out, which has answers read anew: each front keeps to its
+        part. It could harm where nearly all traffic comes in at one front.
         """
-        memory = self.settings["kind_memory"]
-        if engine.kind >= len(memory):
-            return False
+        memory: list[float] = self.settings["kind_memory"]
         held = sum(trip.job.prompt for trip in engine.trips) + sum(job.prompt for job in engine.paired)
-        return held + job.luck * job.prompt > (1 + MARGIN) * memory[engine.kind] / self.settings["fronts"]
+        return engine.kind < len(memory) and held + job.luck * job.prompt > (1 + MARGIN) * memory[engine.kind] / self.settings["fronts"]
 
     def _open(self, engine: Engine, job: Job) -> bool:
         return (self._has_window(engine, job) and self._usable(engine, job)
@@ -493,18 +441,13 @@
     def _rounds(self, job: Job, near: Engine | None) -> Iterator[list[Engine]]:
         """Writers, nearest first: the reader's cell up to what its writers are due, its zone, the rest."""
         if near:
-            keeps = self.keeps.get(near.cell, 0.0)
-            if job.luck < keeps:
-                yield self.nearest.get(near.cell, [])
-            if job.luck < keeps + (1 - keeps) * self.stays_in[near.zone]:
-                yield self.lacking.get(near.zone, [])
-                yield self.around.get(near.zone, [])
-            yield self.lacking.get(ALL, [])
-            yield self.around.get(near.zone, [])
+            if job.luck < self.keeps[near.cell]:
+                yield self.nearest[near.cell]
+            yield self.around[near.zone]
         yield self.writers
 
     def _writer(self, job: Job, near: Engine | None) -> Engine | None:
-        """The next in turn whose window is open; while the offering fails, first among those known to serve it."""
+        """The next in turn whose window is open; while the offering fails, first those known to serve it."""
         for known in (True, False) if self._failing(job.offering) else (False,):
             for engines in self._rounds(job, near):
                 able = [engine for engine in engines if self._open(engine, job)
@@ -519,15 +462,14 @@
         for job in sorted(self.waiting, key=lambda job: job.promised_at):
             if self._late(job):
                 self._end(job)                       # guards against reads that can't be answered in time
-                continue
-            if job.trips or not closed:
+            elif job.trips or not closed:
                 if self._place(job):
                     del self.waiting[job]
-                    continue
-                closed = closed or not job.trips
+                else:
+                    closed = closed or not job.trips
 
     def _late(self, job: Job) -> bool:
-        """Can no longer be answered in its promised time, or before its client leaves or the next beat comes."""
+        """Can't be answered in its promised time, or its client leaves before that or the next beat."""
         need = self.first.mean(self.now) + self.per_token.mean(self.now) * job.prompt
         return self.now + max(need, 2 * self.beat) > min(job.promised_at, job.give_up_at)
 
@@ -540,30 +482,33 @@
         for engine, anew in self._order(job):
             if engine.role == "both":
                 if not found and self._open(engine, job):
-                    return self._start(job, engine)
-            elif not shut and (self._has_room(engine, job, anew) or last and engine.reachable and not engine.trips):
+                    found = engine, engine
+                    break
+            elif not shut and (self._has_room(engine, job, anew) or last and not engine.trips
+                               and engine.unwell.get(ALL, 0.0) <= self.now):
                 writer = self._writer(job, engine)
                 shut = writer is None
                 if writer and (writer.cell == engine.cell or job.luck >= self.keeps[engine.cell]):
                     found = engine, writer           # a reader whose own writers are open comes first
                     break
-                found = found or writer and (engine, writer)
-        if found is None:                            # no reader has room: a writer may read in place
-            writer = self._writer(job, None) if self.settings["writers_read"] and not shut else None
-            return writer is not None and self._start(job, writer)
-        reader, job.writer = found
+                found = found or ((engine, writer) if writer else None)
+        if found is None and self.settings["writers_read"] and not shut:
+            writer = self._writer(job, None)         # no reader has room: a writer reads in place
+            found = (writer, writer) if writer else None
+        if found is None:
+            return False
+        reader, writer = found
+        self._turn(writer)
+        if reader is writer:
+            self._send(job, writer, reading=False)
+            return True
         reader.credit -= 1.0
-        self._turn(job.writer)
-        job.writer.paired[job] = None
+        job.writer = writer
+        writer.paired[job] = None
         self.out += 1
         self._send(job, reader, reading=True, time_out=(job.give_up_at - self.now) / 2)
         if self.settings["may_hold"]:
-            self.actions.append(Hold(job, job.writer))
-        return True
-
-    def _start(self, job: Job, engine: Engine) -> bool:
-        self._turn(engine)
-        self._send(job, engine, reading=False)
+            self.actions.append(Hold(job, writer))
         return True
 
     def _send_held(self) -> None:
@@ -573,13 +518,12 @@
                 self._end(job)                       # guards against late answers that make others late too
                 continue
             writer = job.writer
+            self._unpair(job)
             if not (writer and self._may_send(job, writer) and self._well(writer, job.offering)):
-                self._unpair(job)
                 writer = self._writer(job, job.holder)
                 if writer:
                     self._turn(writer)
             if writer:
-                self._unpair(job)
                 self._send(job, writer, reading=False)
 
     def _look_round(self) -> None:
@@ -591,9 +535,8 @@
         for engine in list(self.awaited):
             if engine.quiet_since and not engine.suspected and engine.unwell.get(ALL, 0.0) <= self.now \
                     and self.now - engine.quiet_since > self._patience(engine):
+                engine.suspected = True
                 if self.settings["may_probe"] and engine.state == "ready":
-                    engine.suspected = True
                     self.actions.append(Probe(engine))
                 else:
-                    self._strike(engine)
-                    self._rescue(list(engine.trips))
+                    self._probed(engine, Outcome.TIMED_OUT)
