--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -96,6 +96,15 @@
     assert kinds(front.decide(NOW + 990, [i.Rang(0)])) == ["Defer"] and one.ended
 
 
+def test_line_is_cut_by_chance_before_the_usual_need_no_longer_fits():
+    front, _ = fleet((0, 0, 0))
+    front.first.add(NOW, 400.0)
+    front.now, lucky, unlucky = NOW, job(1), job(2)
+    lucky.promised_at = unlucky.promised_at = NOW + 1000
+    lucky.luck, unlucky.luck = 0.1, 0.9
+    assert not front._late(lucky) and front._late(unlucky)
+
+
 def test_irreversible_job_that_may_have_run_is_broken_off():
     front, _ = fleet(*TWO_WRITERS)
     one = job(offering=1)
--- a/worksmux/measure.py
+++ b/worksmux/measure.py
@@ -23,8 +23,9 @@
     """Sums and counts over the last `span` milliseconds, in fixed buckets that are used again.
 
     >>> ring = Ring(100.0, 10)
-    >>> ring.add(5.0, 2.0); ring.add(95.0, 4.0); ring.total(99.0), ring.count(99.0), ring.total(104.0)
-    (6.0, 2, 4.0)
+    >>> ring.add(5.0, 2.0); ring.add(95.0, 12.0, 3.0)
+    >>> ring.mean(99.0), ring.least(99.0), ring.count(99.0), ring.mean(104.0)
+    (3.5, 2.0, 4.0, 4.0)
     """
     __slots__ = ("width", "size", "marks", "sums", "counts", "newest")
 
@@ -32,27 +33,25 @@
         self.width, self.size, self.newest = span / buckets, buckets, -buckets
         self.marks: list[int] = []               # made with the first figure: most rings stay empty
         self.sums: list[float] = []
-        self.counts: list[int] = []
+        self.counts: list[float] = []
 
-    def add(self, now: float, value: float = 1.0) -> None:
+    def add(self, now: float, value: float = 1.0, of: float = 1.0) -> None:
+        """Counts `value`, which stands for `of` things."""
         if not self.marks:
             self.marks, self.sums = [-self.size] * self.size, [0.0] * self.size
-            self.counts = [0] * self.size
+            self.counts = [0.0] * self.size
         mark = int(now / self.width)
         at = mark % self.size
         if self.marks[at] != mark:
-            self.marks[at], self.sums[at], self.counts[at], self.newest = mark, 0.0, 0, mark
+            self.marks[at], self.sums[at], self.counts[at], self.newest = mark, 0.0, 0.0, mark
         self.sums[at] += value
-        self.counts[at] += 1
+        self.counts[at] += of
 
     def _live(self, now: float) -> list[int]:
         oldest = int(now / self.width) - self.size
         return [at for at, mark in enumerate(self.marks) if mark > oldest] if self.newest > oldest else []
 
-    def total(self, now: float) -> float:
-        return sum(self.sums[at] for at in self._live(now))
-
-    def count(self, now: float) -> int:
+    def count(self, now: float) -> float:
         return sum(self.counts[at] for at in self._live(now))
 
     def least(self, now: float) -> float:
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -28,6 +28,7 @@
 MEMORY = 16 * MARK       # how long faults, good turns and usual times are remembered
 LONGEST_ASIDE = 2        # doublings of MARK at most
 FAILING = 0.25           # of an offering's trips: above it, engines known to serve the offering come first
+PRESS = 3.0              # times the usual need, at most, that a job is given up early by chance
 LEAN = 6.0               # times the price of moving state: what readers take beyond their even share
 BUCKETS = 10             # in a ring
 ALL = -1                 # stands for every offering
@@ -211,8 +212,7 @@
         return SLOWNESS * self.shortest * trip.work
 
     def _oldest(self, engine: Engine) -> float:
-        first = engine.unanswered[:1] if engine.quiet_since else []
-        return max([0.0, *(self.now - trip.sent - self._reads(trip) for trip in first)])
+        return max([0.0, *(self.now - trip.sent - self._reads(trip) for trip in engine.unanswered[:1])])
 
     def _patience(self, engine: Engine) -> float:
         """How long an engine may give no sign of life: a slowness shared by all lengthens it for all."""
@@ -357,7 +357,7 @@
         trip, engine, outcome = event.trip, event.trip.engine, event.outcome
         offering = trip.job.offering
         if outcome is Outcome.READ:
-            self.per_token.add(self.now, event.elapsed / max(1.0, trip.work))
+            self.per_token.add(self.now, event.elapsed, max(1.0, trip.work))
             self._praise(trip)
         elif outcome is Outcome.DELIVERED:
             engine.narrowed = max(0.0, engine.narrowed - 1.0)
@@ -469,8 +469,8 @@
                     closed = closed or not job.trips
 
     def _late(self, job: Job) -> bool:
-        """Can't be answered in its promised time, or its client leaves before that or the next beat."""
-        need = self.first.mean(self.now) + self.per_token.mean(self.now) * job.prompt
+        """Chance gives up a part of the jobs before the usual need no longer fits: a line is cut gradually."""
+        need = (1 + PRESS * job.luck) * (self.first.mean(self.now) + self.per_token.mean(self.now) * job.prompt)
         return self.now + max(need, 2 * self.beat) > min(job.promised_at, job.give_up_at)
 
     def _place(self, job: Job) -> bool:
