--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -105,6 +105,17 @@
     assert not front._late(lucky) and front._late(unlucky)
 
 
+def test_full_reader_counts_as_a_long_wait_and_a_few_jobs_go_ahead_all_the_same():
+    front, _ = fleet(*PAIR)
+    one = job()
+    front.decide(NOW, [i.Arrived(one)])
+    ended(front, one.trips[0], i.Outcome.FULL)
+    assert one.ended and front.per_token.mean(front.now) * one.prompt == 1000.0
+    trial = job(2, now=front.now)
+    trial.promised_at, trial.luck = front.now + 1000, 0.01
+    assert not front._late(trial)
+
+
 def test_irreversible_job_that_may_have_run_is_broken_off():
     front, _ = fleet(*TWO_WRITERS)
     one = job(offering=1)
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -29,6 +29,7 @@
 LONGEST_ASIDE = 2        # doublings of MARK at most
 FAILING = 0.25           # of an offering's trips: above it, engines known to serve the offering come first
 PRESS = 3.0              # times the usual need, at most, that a job is given up early by chance
+TRIAL = 0.05             # of the jobs go ahead whatever the usual need: else nothing would show its fall
 LEAN = 6.0               # times the price of moving state: what readers take beyond their even share
 BUCKETS = 10             # in a ring
 ALL = -1                 # stands for every offering
@@ -136,10 +137,8 @@
 
     def _index(self) -> None:
         """Reckons, once a list, who reads and answers what part.
-
         Readers weigh as much as their cell's writers can answer: where racks hold the two unevenly, a plain
-        hash would push a rack's few writers over, and a front that seldom meets them sees no window fill.
-        """
+        hash would push a rack's few writers over, and a front that seldom meets them sees no window fill."""
         ready = [engine for engine in self.engines if engine.state == "ready"]
         self.readers, self.writers, mixed = ([engine for engine in ready if engine.role == role]
                                              for role in ("read", "write", "both"))
@@ -175,10 +174,8 @@
 
     def _earn(self, engines: list[Engine], part: float) -> None:
         """Guards against pushing a cold engine over: this front's part of its budget, in any window.
-
         Each serve at engines of its role, which no storm of retries can raise, earns it its even share, made
-        smaller; a job costs one. Fronts start at different parts of one: hundreds must not begin at once.
-        """
+        smaller; a job costs one. Fronts start at different parts of one: hundreds must not begin at once."""
         budget = self.settings["cold_share"] * self.settings["fall_multiple"] * PRUDENCE * part
         for engine in engines:
             engine.credit = min(1.0, engine.credit + budget * engine.part)
@@ -198,10 +195,8 @@
 
     def _strike(self, engine: Engine, offering: int = ALL) -> None:
         """Sets an engine aside, longer with each fault in memory: one that fails fast loses its turns.
-
         An error or an unanswered job sets it aside for that offering alone: it may serve the others. A front
-        that meets its engines seldom keeps the mark until about the next meeting.
-        """
+        that meets its engines seldom keeps the mark until about the next meeting."""
         engine.faults.add(self.now)
         meetings = sum(fate.count(self.now) for fate in self.fates)
         aside = max(MARK * 2 ** min(engine.faults.count(self.now) - 1, LONGEST_ASIDE),
@@ -364,6 +359,9 @@
         elif outcome is Outcome.FULL and event.note != 1:    # lost state is no fault of the writer
             engine.narrowed += self._window(engine) / 2
             engine.skip_until = self.now + MARK
+            # Guards against a jam that shows no times, as nothing ends there: it counts as a long wait.
+            waits, of = (self.per_token, max(1.0, trip.work)) if trip.reading else (self.first, 1.0)
+            waits.add(self.now, self.quickest, of)
         elif outcome in (Outcome.ERROR, Outcome.UNREACHABLE, Outcome.RESET):
             self.fates[offering].add(self.now)
             self._strike(engine, offering if outcome is Outcome.ERROR else ALL)
@@ -422,17 +420,16 @@
         return ours < self._window(engine, job.luck) * min(1.0, self.calm / max(present, 1.0))
 
     def _window(self, engine: Engine, luck: float = 0.0) -> float:
-        """The even share of recent streams and a margin; a rise counts at once: a burst is spread."""
         share = max(self.out, self.streams.mean(self.now)) / max(1, len(self.answering))
-        return max(1.0, share * (1 + MARGIN) + share ** 0.5 - engine.narrowed + luck)
+        return max(1.0, share * (1 + MARGIN) + float(share ** 0.5) - engine.narrowed + luck)
 
     def _crowded(self, engine: Engine, job: Job) -> bool:
         """Guards against a writer's memory running out, which has answers read anew: each front keeps to its
-        part. It could harm where nearly all traffic comes in at one front.
-        """
+        part. It could harm where nearly all traffic comes in at one front."""
         memory: list[float] = self.settings["kind_memory"]
         held = sum(trip.job.prompt for trip in engine.trips) + sum(job.prompt for job in engine.paired)
-        return engine.kind < len(memory) and held + job.luck * job.prompt > (1 + MARGIN) * memory[engine.kind] / self.settings["fronts"]
+        part = memory[engine.kind] / self.settings["fronts"] if engine.kind < len(memory) else inf
+        return bool(held + job.luck * job.prompt > (1 + MARGIN) * part)
 
     def _open(self, engine: Engine, job: Job) -> bool:
         return (self._has_window(engine, job) and self._usable(engine, job)
@@ -469,12 +466,12 @@
                     closed = closed or not job.trips
 
     def _late(self, job: Job) -> bool:
-        """Chance gives up a part of the jobs before the usual need no longer fits: a line is cut gradually."""
-        need = (1 + PRESS * job.luck) * (self.first.mean(self.now) + self.per_token.mean(self.now) * job.prompt)
+        """Chance gives up some of the jobs before the usual need no longer fits: a line is cut by degrees."""
+        usual = self.first.mean(self.now) + self.per_token.mean(self.now) * job.prompt
+        need = usual * (1 + PRESS * job.luck) * (job.luck > TRIAL)
         return self.now + max(need, 2 * self.beat) > min(job.promised_at, job.give_up_at)
 
     def _place(self, job: Job) -> bool:
-        """Starts a job: whole at a mixed engine, or paired with a writer before its read."""
         found: tuple[Engine, Engine] | None = None
         shut = self._trips_left(job) < 2
         # Guards against our own marks emptying the whole stage.
