--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -28,7 +28,9 @@
 MEMORY = 16 * MARK       # how long faults, good turns and usual times are remembered
 LONGEST_ASIDE = 2        # doublings of MARK at most
 FAILING = 0.25           # of an offering's trips: above it, engines known to serve the offering come first
-PRESS = 3.0              # times the usual need, at most, that a job is given up early by chance
+PRESS = 1.0              # times the usual need that a job is given up early, by chance
+REPEAT = 4.0             # the same for a client's repeat, whose promised time is partly spent
+LATELY = 3               # buckets of the newest: a trouble that is over is forgotten
 TRIAL = 0.05             # of the jobs go ahead whatever the usual need: else nothing would show its fall
 LEAN = 6.0               # times the price of moving state: what readers take beyond their even share
 BUCKETS = 10             # in a ring
@@ -210,15 +212,14 @@
         return max([0.0, *(self.now - trip.sent - self._reads(trip) for trip in engine.unanswered[:1])])
 
     def _patience(self, engine: Engine) -> float:
-        """How long an engine may give no sign of life: a slowness shared by all lengthens it for all."""
-        waits = 0.0 if engine.role == "read" else SLOWNESS * self.first.mean(self.now)
+        waits = 0.0 if engine.role == "read" else SLOWNESS * self.first.mean(self.now)    # slow for all alike
         return UNHEARD * self.quickest + waits + sum(self._reads(trip) for trip in engine.unanswered)
 
     def _probed(self, engine: Engine, outcome: Outcome) -> None:
         engine.suspected = False
         if outcome not in (Outcome.DELIVERED, Outcome.FULL):
             self._strike(engine)
-            return self._rescue(list(engine.trips))
+            return self._rescue(list(engine.trips))  # guards against hung engines: it may run elsewhere
         # Guards against an engine that lives and leaves one offering's jobs unanswered; a state that comes
         # over a slow link looks alike, so only what lies near is called off.
         patience = self._patience(engine)
@@ -231,7 +232,6 @@
         self._alive(engine)
 
     def _rescue(self, trips: list[Trip]) -> None:
-        """Guards against hung engines: calls off what waits there and may run elsewhere."""
         for trip in trips:
             if ((trip.reading or self.offerings[trip.job.offering]["effect"] == "redoable")
                     and not trip.job.ended and self._trips_left(trip.job)):
@@ -266,7 +266,6 @@
         return int(self.settings["most_trips"]) - len(job.trips)
 
     def _may_send(self, job: Job, engine: Engine) -> bool:
-        """Guards against a second effect; reading has none."""
         if engine.state != "ready" or self._trips_left(job) < 1 or job.out:
             return False
         ran, offering = job.may_have_run, self.offerings[job.offering]
@@ -467,8 +466,10 @@
 
     def _late(self, job: Job) -> bool:
         """Chance gives up some of the jobs before the usual need no longer fits: a line is cut by degrees."""
-        usual = self.first.mean(self.now) + self.per_token.mean(self.now) * job.prompt
-        need = usual * (1 + PRESS * job.luck) * (job.luck > TRIAL)
+        first, read = (min(ring.mean(self.now), ring.mean(self.now, inf, LATELY))
+                       for ring in (self.first, self.per_token))
+        press = 1 + PRESS * job.luck + REPEAT * job.repeat
+        need = (first + read * job.prompt) * press * (job.luck > TRIAL)
         return self.now + max(need, 2 * self.beat) > min(job.promised_at, job.give_up_at)
 
     def _place(self, job: Job) -> bool:
@@ -524,7 +525,6 @@
                 self._send(job, writer, reading=False)
 
     def _look_round(self) -> None:
-        """Each beat: what has run out of time, and who has fallen silent."""
         for job in list(self.holding):
             if self._spent(job) or self.now > job.held_since + self.settings["release_within"] / 2:
                 self.holding.pop(job)                # guards against pinned state: it is read anew if in time
