--- /dev/null
+++ b/worksmux/api/__init__.py
@@ -0,0 +1,1 @@
+"""Messages of each published form: typed, checked, without I/O."""
--- /dev/null
+++ b/worksmux/api/chat.py
@@ -0,0 +1,223 @@
+"""Chat completions in the published form (`POST /v1/chat/completions`, `GET /v1/models`), from client and to engine.
+
+Only what routing needs is read: the other fields of a job go on to the engine as they came.  Between reader and
+writer the field `kv_transfer_params` of disaggregated serving is used, in the form that public engines document:
+a reader gets `do_remote_decode` and one token to make, and returns a handle, which the writer is given.
+"""
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import xxhash
+
+from .errors import BadJob
+
+Text = str | list[dict[str, Any]] | None
+TIME_LEFT, SESSION, PREFIX = "x-worksmux-time-left-ms", "x-worksmux-session", "x-worksmux-prefix"
+PREFIX_TOKENS, REPEAT, RETRY_COUNT = "x-worksmux-prefix-tokens", "x-worksmux-repeat", "x-stainless-retry-count"
+REQUEST_ID, LABEL = "x-request-id", "idempotency-key"
+BYTES_A_TOKEN = 4
+
+
+class Message(msgspec.Struct):
+    role: str
+    content: Text = None
+
+
+class StreamOptions(msgspec.Struct):
+    include_usage: bool = False
+
+
+class Known(msgspec.Struct):
+    """The fields of a job that the front reads."""
+    model: str
+    messages: list[Message]
+    stream: bool | None = False
+    stream_options: StreamOptions | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = 1
+    prompt_cache_key: str | None = None
+
+
+class KvParams(msgspec.Struct, omit_defaults=True):
+    """The handle of a read state, as a reader returns it."""
+    remote_engine_id: str
+    remote_host: str
+    remote_port: int
+    remote_block_ids: list[int] = []
+    remote_request_id: str = ""
+    do_remote_prefill: bool = True
+    do_remote_decode: bool = False
+
+
+class Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    total_tokens: int = 0
+    prompt_tokens_details: dict[str, int] | None = None
+
+    @property
+    def cached(self) -> int:
+        return (self.prompt_tokens_details or {}).get("cached_tokens", 0)
+
+
+class ReadReply(msgspec.Struct):
+    """A reader's answer."""
+    kv_transfer_params: KvParams
+    usage: Usage | None = None
+
+
+class Delta(msgspec.Struct):
+    content: str | None = None
+    role: str | None = None
+
+
+class Choice(msgspec.Struct):
+    index: int = 0
+    delta: Delta | None = None
+    finish_reason: str | None = None
+
+
+class Chunk(msgspec.Struct):
+    """One event of a stream."""
+    id: str
+    choices: list[Choice]
+    usage: Usage | None = None
+
+
+READ_CHUNK = msgspec.json.Decoder(Chunk)
+READ_KNOWN = msgspec.json.Decoder(Known)
+READ_FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
+READ_REPLY = msgspec.json.Decoder(ReadReply)
+ENCODE = msgspec.json.Encoder()
+
+
+@dataclass(slots=True)
+class Asked:
+    """A client's job as the front takes it; times in milliseconds, lengths in tokens."""
+    offering: int
+    name: str
+    fields: dict[str, msgspec.Raw]
+    stream: bool
+    usage: bool
+    most: int
+    prompt: float
+    session: int
+    prefix: int
+    prefix_tokens: float
+    time_left: float | None
+    repeat: bool
+    label: str
+    request_id: str
+    answer_id: str = field(default_factory=lambda: "chatcmpl-" + secrets.token_hex(12))
+
+
+def _figure(raw: str | None, name: str) -> float | None:
+    if raw is None:
+        return None
+    try:
+        found = float(raw)
+    except ValueError:
+        found = -1.0
+    if not 0 <= found < 1e12:
+        raise BadJob(f"the header {name} must be a number from 0", name)
+    return found
+
+
+def _identity(text: str | None) -> int:
+    """A number for a text, above 0; 0 for none."""
+    return (xxhash.xxh3_64_intdigest(text.encode("utf-8", "surrogatepass")) or 1) if text else 0
+
+
+def _length(content: Text) -> int:
+    """Bytes of a message's text."""
+    if content is None:
+        return 0
+    if isinstance(content, str):
+        return len(content.encode("utf-8", "surrogatepass"))
+    return sum(len(str(part.get("text", "")).encode("utf-8", "surrogatepass")) for part in content)
+
+
+def asked(body: bytes, header: Callable[[str], str | None], offerings: dict[str, int], most: list[int]) -> Asked:
+    """Reads a client's job; `most` gives each offering's longest answer.  Raises BadJob with the remedy."""
+    try:
+        known, fields = READ_KNOWN.decode(body), READ_FIELDS.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise BadJob(f"the body is no chat completion: {error}") from error
+    if known.model not in offerings:
+        raise BadJob(f"the model {known.model[:100]!r} does not exist; GET /v1/models lists those that do",
+                     "model", "model_not_found", 404)
+    if not known.messages:
+        raise BadJob("messages must hold at least one message", "messages")
+    if known.n not in (None, 1):
+        raise BadJob("n must be 1: one job has one answer", "n")
+    at = offerings[known.model]
+    longest = known.max_completion_tokens if known.max_completion_tokens is not None else known.max_tokens
+    if longest is not None and longest < 1:
+        raise BadJob("max_tokens must be at least 1", "max_tokens")
+    lengths = [_length(message.content) for message in known.messages]
+    first = known.messages[0]
+    named = header(PREFIX) or known.prompt_cache_key
+    shared = named or (str(first.content) if first.role in ("system", "developer") and lengths[0] else None)
+    prefix_tokens = _figure(header(PREFIX_TOKENS), PREFIX_TOKENS)
+    repeats = _figure(header(REPEAT) or header(RETRY_COUNT), REPEAT)
+    return Asked(
+        at, known.model, fields, bool(known.stream), bool(known.stream_options and known.stream_options.include_usage),
+        min(longest or most[at], most[at]), max(1.0, sum(lengths) / BYTES_A_TOKEN), _identity(header(SESSION)),
+        _identity(shared), prefix_tokens if prefix_tokens is not None else lengths[0] / BYTES_A_TOKEN * bool(shared),
+        _figure(header(TIME_LEFT), TIME_LEFT), bool(repeats), header(LABEL) or "", header(REQUEST_ID) or "")
+
+
+def _raw(value: Any) -> msgspec.Raw:
+    return msgspec.Raw(ENCODE.encode(value))
+
+
+TRUE, FALSE, ONE, USAGE = _raw(True), _raw(False), _raw(1), _raw({"include_usage": True})
+TO_READ = _raw({"do_remote_decode": True, "do_remote_prefill": False, "remote_engine_id": None,
+                "remote_block_ids": None, "remote_host": None, "remote_port": None})
+
+
+def to_reader(job: Asked) -> bytes:
+    """The body for a reader: one token, whole, and the state kept for another engine."""
+    fields = {**job.fields, "stream": FALSE, "max_tokens": ONE, "kv_transfer_params": TO_READ}
+    fields.pop("max_completion_tokens", None)
+    fields.pop("stream_options", None)
+    return ENCODE.encode(fields)
+
+
+def to_writer(job: Asked, state: KvParams | None) -> bytes:
+    """The body for what answers, always as a stream with usage; `state` is left out where it reads by itself."""
+    fields = {**job.fields, "stream": TRUE, "stream_options": USAGE, "max_tokens": _raw(job.most)}
+    fields.pop("max_completion_tokens", None)
+    if state is not None:
+        fields["kv_transfer_params"] = _raw(state)
+    return ENCODE.encode(fields)
+
+
+def whole(job: Asked, text: str, finish: str, usage: Usage) -> bytes:
+    """The answer of a job that asked for no stream."""
+    return ENCODE.encode({
+        "id": job.answer_id, "object": "chat.completion", "created": int(time.time()), "model": job.name,
+        "choices": [{"index": 0, "message": {"role": "assistant", "content": text, "refusal": None},
+                     "logprobs": None, "finish_reason": finish}],
+        "usage": usage})
+
+
+def chunk(answer_id: str, model: str, content: str | None = None, finish: str | None = None,
+          usage: Usage | None = None) -> bytes:
+    """One event's data of a streamed answer; with `usage` alone it is the last, without choices."""
+    choices = [] if usage is not None else [
+        {"index": 0, "delta": {"content": content} if content is not None else {}, "finish_reason": finish}]
+    return ENCODE.encode({"id": answer_id, "object": "chat.completion.chunk", "created": int(time.time()),
+                          "model": model, "choices": choices, "usage": usage})
+
+
+def models(names: list[str]) -> bytes:
+    return ENCODE.encode({"object": "list", "data": [
+        {"id": name, "object": "model", "created": 0, "owned_by": "worksmux"} for name in names]})
--- /dev/null
+++ b/worksmux/api/engine.py
@@ -0,0 +1,58 @@
+"""The small calls between front and engine beside the chat form: probe, place and release, and the load report.
+
+`GET /worksmux/probe` answers 200 with {"load": {...}}; `POST /worksmux/place` {"job", "tokens", "reader"} answers 200
+with {"held": bool}; `POST /worksmux/release` {"job"} answers 200.  Load reports travel in the header
+`endpoint-load-metrics: JSON {"named_metrics": {...}}`, the open request cost aggregation form.
+"""
+from __future__ import annotations
+
+import msgspec
+
+from .chat import KvParams
+
+CHAT, PROBE, PLACE, RELEASE = "/v1/chat/completions", "/worksmux/probe", "/worksmux/place", "/worksmux/release"
+PULL, CONTROL = "/worksmux/state", "/worksmux/control"
+LOAD = "endpoint-load-metrics"
+JOB, FRONT, TRY = "x-worksmux-job", "x-worksmux-front", "x-worksmux-try"
+FULL, STATE_LOST, DRAINING = "full", "state_lost", "draining"
+
+
+class Place(msgspec.Struct):
+    """Asks to hold a slot and memory for a job's answer, and to pull its state as it is read."""
+    job: str
+    tokens: float
+    reader: KvParams | None = None
+
+
+class Placed(msgspec.Struct):
+    held: bool
+
+
+class Release(msgspec.Struct):
+    job: str
+
+
+class Probed(msgspec.Struct):
+    load: dict[str, float] = {}
+
+
+class Load(msgspec.Struct):
+    named_metrics: dict[str, float] = {}
+
+
+def load_report(header: str | None) -> dict[str, float] | None:
+    """The figures of a load report; None where there is none, or it is malformed: a report is only advice.
+
+    >>> load_report('JSON {"named_metrics": {"queue": 2}}'), load_report("TEXT queue=2")
+    ({'queue': 2.0}, None)
+    """
+    if header is None or not header.startswith("JSON "):
+        return None
+    try:
+        return msgspec.json.decode(header[5:], type=Load).named_metrics
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
+def load_header(figures: dict[str, float]) -> tuple[str, str]:
+    return LOAD, "JSON " + msgspec.json.encode(Load(figures)).decode()
--- /dev/null
+++ b/worksmux/api/errors.py
@@ -0,0 +1,44 @@
+"""Errors in the chat API's published form: {"error": {"message", "type", "param", "code"}}."""
+from __future__ import annotations
+
+import msgspec
+
+
+class ErrorBody(msgspec.Struct):
+    message: str
+    type: str
+    param: str | None = None
+    code: str | None = None
+
+
+class ErrorReply(msgspec.Struct):
+    error: ErrorBody
+
+
+class BadJob(Exception):
+    """A client's job that cannot be taken, with the status and the body to answer."""
+
+    def __init__(self, message: str, param: str | None = None, code: str | None = None, status: int = 400) -> None:
+        super().__init__(message)
+        self.status = status
+        self.body = error(message, "invalid_request_error", param, code)
+
+
+def error(message: str, kind: str, param: str | None = None, code: str | None = None) -> bytes:
+    """
+    >>> error("no", "server_error", code="deferred")
+    b'{"error":{"message":"no","type":"server_error","param":null,"code":"deferred"}}'
+    """
+    return msgspec.json.encode(ErrorReply(ErrorBody(message, kind, param, code)))
+
+
+def code_of(body: bytes) -> str:
+    """The code of an error body; empty where it is none.
+
+    >>> code_of(error("", "", code="state_lost")), code_of(b"{")
+    ('state_lost', '')
+    """
+    try:
+        return msgspec.json.decode(body, type=ErrorReply).error.code or ""
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return ""
--- a/worksmux/drill/instance.py
+++ b/worksmux/drill/instance.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from .. import interface as i
-from ..rules import Front
+from ..door import Door
 from .codec import ENTRY, Record, WireError
 
 OUTCOMES = {1: i.Outcome.DELIVERED, 0: i.Outcome.ERROR, 2: i.Outcome.FULL, 3: i.Outcome.TIMED_OUT,
@@ -58,24 +58,16 @@
 
 
 class Instance:
-    """The door of one front: ids outside, objects inside."""
+    """One front on the wire: records in, records out."""
 
     def __init__(self, number: int, seed: int, settings: bytes) -> None:
         self.number = number
         self.settings = settings_from(settings)
-        self.front = Front(self.settings, seed)
-        self.engines: dict[bytes, i.Engine] = {}
-        self.jobs: dict[int, i.Job] = {}
-        self.touched: list[i.Job] = []
+        self.door = Door(self.settings, seed)
 
     def decide(self, now: float, records: list[Record]) -> list[Record]:
         events = [event for record in records if (event := self._event(now, record)) is not None]
-        actions = [self._record(action) for action in self.front.decide(now, events)]
-        for job in self.touched:     # nothing more can be told of these
-            if job.ended and all(trip.outcome for trip in job.trips):
-                self.jobs.pop(job.id, None)
-        self.touched.clear()
-        return actions
+        return [self._record(action) for action in self.door.decide(now, events)]
 
     def _event(self, now: float, record: Record) -> i.Event | None:
         values = record.values[1:]
@@ -89,24 +81,20 @@
                     raise WireError(f"request {call}: unknown class {offering}")
                 pace = self.settings["offerings"][offering]["token_time"]
                 hint = guess / pace if options & HINTED and pace else 0.0
-                self.jobs[call] = i.Job(
+                return self.door.arrived(i.Job(
                     call, offering, session, prefix, prompt, shared, most, now, now + left, hint, party,
-                    bool(options & REPEAT), bool(options & RESUMED))
-                return i.Arrived(self.jobs[call])
+                    bool(options & REPEAT), bool(options & RESUMED)))
             case "flowing":
                 call, _, number, elapsed = values
-                trip = self._trip(call, number)
+                trip = self.door.trip(call, number)
                 return i.Began(trip, elapsed) if trip else None
             case "answer":
                 call, number, _, how, elapsed, done, note, *load = values
-                trip = self._trip(call, number)
+                trip = self.door.trip(call, number)
                 report = self._report(load)
                 return i.Ended(trip, OUTCOMES[how], elapsed, bool(done), note, report) if trip else None
             case "withdrawn":
-                job = self.jobs.get(values[0])
-                if job:
-                    self.touched.append(job)
-                return i.Left(job) if job else None
+                return self.door.left(values[0])
             case "bell":
                 return i.Rang(values[0])
             case "pong":
@@ -117,21 +105,12 @@
                 return i.Heard(*values)
             case "answer_ahead":
                 call, number, address, what, _ = values
-                trip = self._trip(call, number)
+                trip = self.door.trip(call, number)
                 return i.Placed(trip, self._engine(address), what == 1) if trip else None
         raise WireError(f"{record.name} is not for a running instance")
 
-    def _trip(self, call: int, number: int) -> i.Trip | None:
-        job = self.jobs.get(call)
-        if job is None or number >= len(job.trips):
-            return None
-        self.touched.append(job)
-        return job.trips[number]
-
     def _engine(self, address: bytes) -> i.Engine:
-        if address not in self.engines:
-            self.engines[address] = i.Engine(address, int.from_bytes(address, "big"))
-        return self.engines[address]
+        return self.door.engine(address, int.from_bytes(address, "big"))
 
     def _entry(self, size: float, zone: int, kind: int, state: int, started: float, cell: int,
                address: bytes) -> i.Entry:
@@ -143,8 +122,6 @@
 
     def _record(self, action: i.Action) -> Record:
         name, values = self._words(action)
-        if hasattr(action, "job"):
-            self.touched.append(action.job)
         return Record(name, (self.number, *values))
 
     @staticmethod
--- /dev/null
+++ b/worksmux/net/client.py
@@ -0,0 +1,380 @@
+"""An HTTP/1.1 client connection (RFC 9112) as a LineReceiver, and a pool of them for one address.
+
+A call either never left (`Unsent`), broke while it was out (`Broken`), or its reply made no sense (`Malformed`):
+the three are told apart, since only the first proves that the other side did nothing.  All is bounded: lines, the
+head, the body, and the time to connect.  What comes after a reply's end closes the connection and harms no call.
+"""
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from typing import Protocol
+
+from twisted.internet.interfaces import IAddress, IConnector, IReactorTCP, IReactorTime
+from twisted.internet.protocol import ClientFactory, connectionDone
+from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
+
+from . import clock
+
+Headers = Iterable[tuple[str, str]]
+HEX = b"0123456789abcdefABCDEF"
+
+
+class Trouble(Exception):
+    """Why a call brought no whole reply."""
+
+
+class Unsent(Trouble):
+    """No connection came about: nothing of the call was written."""
+
+
+class Broken(Trouble):
+    """The connection ended while the call was out: the other side may have acted on it."""
+
+
+class Malformed(Trouble):
+    """The reply breaks HTTP or a bound."""
+
+
+class Receiver(Protocol):
+    """What takes a reply: `head`, then any number of `piece`, then `done`; or `failed` at any moment."""
+
+    def head(self, status: int, headers: dict[str, str]) -> None: ...
+
+    def piece(self, data: bytes) -> None: ...
+
+    def done(self) -> None: ...
+
+    def failed(self, trouble: Trouble) -> None: ...
+
+
+class Reactor(IReactorTCP, IReactorTime):  # type: ignore[misc]
+    """What is asked of a reactor here."""
+
+
+def request(method: str, path: str, host: str, headers: Headers = (), body: bytes = b"") -> bytes:
+    """The bytes of one request with its body."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", *(f"{name}: {value}" for name, value in headers)]
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n" + body
+
+
+class Connection(LineReceiver):
+    """One connection that carries one call at a time."""
+
+    delimiter = b"\r\n"
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.MAX_LENGTH = pool.head_bound
+        self.receiver: Receiver | None = None
+        self.used_at = 0.0
+        self.calls = 0
+        self._clear()
+
+    def _clear(self) -> None:
+        self._at = "status"
+        self._status = 0
+        self._headers: dict[str, str] = {}
+        self._head_size = 0
+        self._left = 0
+        self._keep = True
+
+    def send(self, data: bytes, receiver: Receiver) -> None:
+        self._clear()
+        self.receiver = receiver
+        self.calls += 1
+        assert self.transport is not None
+        self.transport.write(data)
+
+    def connectionMade(self) -> None:
+        assert self.transport is not None
+        self.transport.setTcpNoDelay(True)  # type: ignore[attr-defined]
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.pool._forget(self)
+        if self.receiver and self._at == "until close":
+            self._finish()
+        else:
+            self._fail(Broken("the connection ended before the reply did"))
+
+    def _fail(self, trouble: Trouble) -> None:
+        receiver, self.receiver = self.receiver, None
+        self._drop()
+        if receiver:
+            receiver.failed(trouble)
+
+    def _drop(self) -> None:
+        self.pool._forget(self)
+        if self.transport is not None:
+            self.transport.abortConnection()  # type: ignore[attr-defined]
+
+    def abandon(self) -> None:
+        """Ends the call without a word to its receiver: the other side sees the connection close."""
+        self.receiver = None
+        self._drop()
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        self._fail(Malformed("a line of the head is too long"))
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.receiver is None:                    # after its end, or unasked for
+            return self._drop()
+        if self._at in ("status", "headers", "trailers"):
+            self._head_size += len(line)
+            if self._head_size > self.pool.head_bound:
+                return self._fail(Malformed("the head is too long"))
+        try:
+            match self._at:
+                case "status":
+                    self._status_line(line)
+                case "headers" if line:
+                    self._header(line)
+                case "headers":
+                    self._head_done()
+                case "chunk size":
+                    self._chunk_size(line)
+                case "chunk end":
+                    if line:
+                        raise Malformed("a chunk is longer than it says")
+                    self._at = "chunk size"
+                case "trailers":
+                    if not line:
+                        self._finish()
+        except Malformed as trouble:
+            self._fail(trouble)
+
+    def _status_line(self, line: bytes) -> None:
+        version, _, rest = line.partition(b" ")
+        if not version.startswith(b"HTTP/1.") or not rest[:3].isdigit() or rest[3:4] not in (b" ", b""):
+            raise Malformed("no HTTP/1 status line")
+        self._status, self._at = int(rest[:3]), "headers"
+        self._keep = version != b"HTTP/1.0"
+
+    def _header(self, line: bytes) -> None:
+        name, colon, value = line.partition(b":")
+        if not colon or not name or name != name.strip():
+            raise Malformed("a header without a name")
+        key = name.decode("latin-1").lower()
+        if key in self._headers and key in ("content-length", "transfer-encoding"):
+            raise Malformed(f"{key} is given twice")
+        self._headers[key] = value.strip().decode("latin-1")
+
+    def _head_done(self) -> None:
+        if self._status < 200:                       # 100 Continue and the like: the reply is still to come
+            if self._status == 101:
+                raise Malformed("an upgrade that was not asked for")
+            return self._clear()
+        assert self.receiver is not None
+        headers = self._headers
+        self._keep = self._keep and headers.get("connection", "").lower() != "close"
+        coding, length = headers.get("transfer-encoding"), headers.get("content-length")
+        if coding is not None and coding.lower() != "chunked":
+            raise Malformed(f"an unknown transfer coding {coding[:40]}")
+        if coding is None and length is not None and not (length.isascii() and length.isdigit()):
+            raise Malformed("content-length is no number")
+        bare = self._status in (204, 304)
+        self._at = "chunk size" if coding and not bare else "body" if length is not None or bare else "until close"
+        self._left = int(length or 0) if not bare and coding is None else 0
+        self.receiver.head(self._status, headers)
+        if self.receiver is None:                    # its receiver gave the call up
+            return
+        if self._at == "body" and not self._left:
+            self._finish()
+        elif self._at != "chunk size":
+            self.setRawMode()
+
+    def _chunk_size(self, line: bytes) -> None:
+        digits = line.partition(b";")[0].strip()
+        if not digits or len(digits) > 8 or digits.strip(HEX):
+            raise Malformed("a chunk without a size")
+        self._left = int(digits, 16)
+        if self._left:
+            self._at = "chunk data"
+            self.setRawMode()
+        else:
+            self._at = "trailers"
+
+    def rawDataReceived(self, data: bytes) -> None:
+        if self.receiver is None:
+            return self._drop()
+        if self._at == "until close":
+            return self.receiver.piece(data)
+        piece, rest = data[:self._left], data[self._left:]
+        self._left -= len(piece)
+        self.receiver.piece(piece)
+        if self._left or self.receiver is None:
+            return
+        if self._at == "chunk data":
+            self._at = "chunk end"
+            self.setLineMode(rest)
+        else:
+            self._finish()
+            if rest:
+                self._drop()                         # more than the reply: nothing here can be trusted
+            else:
+                self.setLineMode()
+
+    def _finish(self) -> None:
+        receiver, self.receiver = self.receiver, None
+        if self._keep and self._at != "until close":
+            self.pool._idle(self)
+        else:
+            self._drop()
+        if receiver:
+            receiver.done()
+
+
+class Call:
+    """A call that waits for a connection or is out; `abandon` ends it at any moment."""
+
+    def __init__(self, data: bytes, receiver: Receiver) -> None:
+        self.data, self.receiver = data, receiver
+        self.connection: Connection | None = None
+        self.connector: IConnector | None = None
+        self.over = False
+
+    @property
+    def written(self) -> bool:
+        return self.connection is not None
+
+    def abandon(self) -> None:
+        if self.over:
+            return
+        self.over = True
+        if self.connection is not None:
+            if self.connection.receiver is self:
+                self.connection.abandon()
+        elif self.connector is not None:
+            self.connector.disconnect()
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        if not self.over:
+            self.receiver.head(status, headers)
+
+    def piece(self, data: bytes) -> None:
+        if not self.over:
+            self.receiver.piece(data)
+
+    def done(self) -> None:
+        if not self.over:
+            self.over = True
+            self.receiver.done()
+
+    def failed(self, trouble: Trouble) -> None:
+        if not self.over:
+            self.over = True
+            self.receiver.failed(trouble)
+
+
+class _Opening(ClientFactory):
+    """One attempt to connect, for one call."""
+
+    noisy = False
+
+    def __init__(self, pool: Pool, call: Call) -> None:
+        self.pool, self.call = pool, call
+
+    def buildProtocol(self, addr: IAddress | None) -> Connection:
+        connection = _Opened(self.pool, self.call)
+        self.pool.open[connection] = None
+        return connection
+
+    def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
+        self.call.failed(Unsent(reason.getErrorMessage()))
+
+
+class _Opened(Connection):
+    """A connection whose first call waits for it."""
+
+    def __init__(self, pool: Pool, call: Call) -> None:
+        super().__init__(pool)
+        self._first: Call | None = call
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        call, self._first = self._first, None
+        if call is not None and not call.over:
+            call.connection = self
+            self.send(call.data, call)
+        else:
+            self.pool._idle(self)
+
+
+class Pool:
+    """Connections to one address; an idle one is closed after `keep_alive` milliseconds.
+
+    The newest idle connection is used first, so that the others age and are closed.
+    """
+
+    def __init__(self, reactor: Reactor, host: str, port: int, connect_time_out: float, keep_alive: float,
+                 most_idle: int, head_bound: int) -> None:
+        self.reactor, self.host, self.port = reactor, host, port
+        self.connect_time_out, self.keep_alive = connect_time_out, keep_alive
+        self.most_idle, self.head_bound = most_idle, head_bound
+        self.idle: deque[Connection] = deque()
+        self.open: dict[Connection, None] = {}
+
+    def call(self, method: str, path: str, receiver: Receiver, headers: Headers = (), body: bytes = b"") -> Call:
+        """Sends one request; its reply goes to `receiver`, never before this returns."""
+        call = Call(request(method, path, f"{self.host}:{self.port}", headers, body), receiver)
+        self.sweep()
+        if self.idle:
+            call.connection = self.idle.pop()
+            call.connection.send(call.data, call)
+        else:
+            call.connector = self.reactor.connectTCP(
+                self.host, self.port, _Opening(self, call), timeout=self.connect_time_out / 1000)
+        return call
+
+    def sweep(self) -> None:
+        """Closes what has been idle for too long."""
+        now = clock.now()
+        while self.idle and now - self.idle[0].used_at > self.keep_alive:
+            self.idle.popleft()._drop()
+
+    def close(self) -> None:
+        """Closes the idle connections; those with a call out finish it."""
+        while self.idle:
+            self.idle.popleft()._drop()
+
+    def _idle(self, connection: Connection) -> None:
+        if len(self.idle) >= self.most_idle:
+            return connection._drop()
+        connection.used_at = clock.now()
+        self.idle.append(connection)
+
+    def _forget(self, connection: Connection) -> None:
+        self.open.pop(connection, None)
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+
+class Whole:
+    """Gathers a whole reply of at most `bound` bytes and hands it over: `on_end(status, headers, body, trouble)`."""
+
+    def __init__(self, bound: int, on_end: OnEnd) -> None:
+        self.bound, self.on_end = bound, on_end
+        self.status, self.headers, self.body = 0, {}, bytearray()  # type: int, dict[str, str], bytearray
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        self.status, self.headers = status, headers
+
+    def piece(self, data: bytes) -> None:
+        if len(self.body) + len(data) <= self.bound:
+            self.body += data
+        else:
+            self.bound = -1                          # too long: the rest is let by, the end says so
+
+    def done(self) -> None:
+        trouble = Malformed("the reply is too long") if self.bound < 0 else None
+        self.on_end(self.status, self.headers, bytes(self.body), trouble)
+
+    def failed(self, trouble: Trouble) -> None:
+        self.on_end(self.status, self.headers, bytes(self.body), trouble)
+
+
+class OnEnd(Protocol):
+    def __call__(self, status: int, headers: dict[str, str], body: bytes, trouble: Trouble | None, /) -> None: ...
--- /dev/null
+++ b/worksmux/settings/document.py
@@ -0,0 +1,240 @@
+"""KDL documents whose nodes know their line, read key by key; all complaints are gathered, then raised at once.
+
+A section is asked for each key it may hold.  What was never asked for is unknown, and is reported with the nearest
+known name.  A reader that meets a complaint goes on with a harmless stand-in value, so that one run shows all.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from difflib import get_close_matches
+from pathlib import Path
+from typing import Any, TypeVar
+
+import kdl
+
+from . import units
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, order=True)
+class Complaint:
+    """One fault of a settings file: where it stands, what was expected and how to mend it."""
+    file: str
+    line: int
+    text: str
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}: {self.text}"
+
+
+class SettingsError(Exception):
+    """All complaints about one file, sorted by line."""
+
+    def __init__(self, complaints: list[Complaint]) -> None:
+        self.complaints = sorted(set(complaints))
+        super().__init__("\n".join(map(str, self.complaints)))
+
+
+@dataclass
+class Section:
+    """A node: its name, arguments, properties and children, and the line it stands on."""
+    name: str
+    line: int
+    args: list[Any] = field(default_factory=list)
+    props: dict[str, Any] = field(default_factory=dict)
+    nodes: list[Section] = field(default_factory=list)
+    file: str = ""
+    complaints: list[Complaint] = field(default_factory=list)
+    known: set[str] = field(default_factory=set)
+
+    def complain(self, text: str, line: int = 0) -> None:
+        self.complaints.append(Complaint(self.file, line or self.line, text))
+
+    def _adopt(self, node: Section) -> Section:
+        node.file, node.complaints = self.file, self.complaints
+        return node
+
+    def _raw(self, key: str) -> tuple[Any, int] | None:
+        """The value of a key given as a property or as a child with one argument."""
+        self.known.add(key)
+        found = [(self.props[key], self.line)] if key in self.props else []
+        for node in self.nodes:
+            if node.name == key:
+                if len(node.args) != 1 or node.props or node.nodes:
+                    self.complain(f"{key}: expected exactly one value", node.line)
+                    return None
+                found.append((node.args[0], node.line))
+        if len(found) > 1:
+            self.complain(f"{key}: given {len(found)} times; keep one", found[-1][1])
+        return found[0] if found else None
+
+    def value(self, key: str, make: Callable[[Any], T], stand_in: T, default: T | None = None) -> T:
+        """A key's value through `make`, which raises ValueError with what was expected."""
+        raw = self._raw(key)
+        if raw is None:
+            if default is not None:
+                return default
+            if not any(node.name == key for node in self.nodes):
+                self.complain(f"{self.name}: {key} is missing; add it inside {self.name}")
+            return stand_in
+        try:
+            return make(raw[0])
+        except ValueError as error:
+            self.complain(f"{key}: {error}, not {raw[0]!r}", raw[1])
+            return stand_in
+
+    def time(self, key: str, default: float | None = None, least: float = 0.0) -> float:
+        def make(raw: object) -> float:
+            found = units.milliseconds(raw)
+            if found < least:
+                raise ValueError(f"expected at least {least:g}ms")
+            return found
+        return self.value(key, make, max(1.0, least), default)
+
+    def size(self, key: str, default: int | None = None) -> int:
+        return self.value(key, units.size, 1, default)
+
+    def address(self, key: str, default: tuple[str, int] | None = None) -> tuple[str, int]:
+        return self.value(key, units.address, ("127.0.0.1", 0), default)
+
+    def number(self, key: str, default: float | None = None, least: float = 0.0, most: float = 1e15) -> float:
+        def make(raw: object) -> float:
+            if isinstance(raw, bool) or not isinstance(raw, (int, float)) or not least <= raw <= most:
+                span = f"from {least:g}" + (f" to {most:g}" if most < 1e15 else "")
+                raise ValueError(f"expected a number {span}")
+            return float(raw)
+        return self.value(key, make, least, default)
+
+    def whole(self, key: str, default: int | None = None, least: int = 0, most: int = 10**9) -> int:
+        def make(raw: object) -> int:
+            if isinstance(raw, bool) or not isinstance(raw, (int, float)) or raw != int(raw) \
+                    or not least <= raw <= most:
+                raise ValueError(f"expected a whole number from {least} to {most}")
+            return int(raw)
+        return self.value(key, make, least, default)
+
+    def flag(self, key: str, default: bool | None = None) -> bool:
+        def make(raw: object) -> bool:
+            if not isinstance(raw, bool):
+                raise ValueError("expected true or false")
+            return raw
+        return self.value(key, make, False, default)
+
+    def text(self, key: str, default: str | None = None) -> str:
+        def make(raw: object) -> str:
+            if not isinstance(raw, str) or not raw:
+                raise ValueError("expected a text in quotes")
+            return raw
+        return self.value(key, make, "", default)
+
+    def choice(self, key: str, choices: list[str], default: str | None = None) -> str:
+        def make(raw: object) -> str:
+            if not isinstance(raw, str) or raw not in choices:
+                raise ValueError(f"expected one of {', '.join(choices)}")
+            return raw
+        return self.value(key, make, choices[0] if choices else "", default)
+
+    def span(self, key: str, default: tuple[float, float] | None = None) -> tuple[float, float]:
+        """A child with two numbers, the lower first, or one that stands for both."""
+        return self._pair(key, lambda raw: raw, "numbers, such as 40 120", default)
+
+    def times(self, key: str, default: tuple[float, float] | None = None) -> tuple[float, float]:
+        return self._pair(key, units.milliseconds, 'times, such as "1s" "4s"', default)
+
+    def _pair(self, key: str, make: Callable[[Any], float], wanted: str,
+              default: tuple[float, float] | None) -> tuple[float, float]:
+        self.known.add(key)
+        node = next((node for node in self.nodes if node.name == key), None)
+        if node is None and key in self.props:
+            node = Section(key, self.line, [self.props[key]])
+        if node is None:
+            if default is None:
+                self.complain(f"{self.name}: {key} is missing; add it inside {self.name}")
+            return default or (1.0, 1.0)
+        try:
+            figures = [float(make(raw)) for raw in node.args if not isinstance(raw, bool)]
+        except (ValueError, TypeError):
+            figures = []
+        if len(figures) not in (1, 2) or len(figures) != len(node.args) or figures[0] > figures[-1]:
+            self.complain(f"{key}: expected one or two {wanted}, the lower first", node.line)
+            return default or (1.0, 1.0)
+        return figures[0], figures[-1]
+
+    def title(self) -> str:
+        """The node's one text argument, its name."""
+        if len(self.args) != 1 or not isinstance(self.args[0], str) or not self.args[0]:
+            self.complain(f'{self.name}: expected one name in quotes, such as {self.name} "one"')
+            return ""
+        return self.args[0]
+
+    def texts(self, key: str) -> list[str]:
+        node = self.only(key)
+        if not node.args or not all(isinstance(arg, str) and arg for arg in node.args):
+            self.complain(f"{key}: expected one or more names in quotes", node.line)
+            return [""]
+        return [str(arg) for arg in node.args]
+
+    def all(self, key: str) -> list[Section]:
+        self.known.add(key)
+        return [self._adopt(node) for node in self.nodes if node.name == key]
+
+    def maybe(self, key: str) -> Section | None:
+        found = self.all(key)
+        if len(found) > 1:
+            self.complain(f"{key}: given {len(found)} times; keep one", found[-1].line)
+        return found[0] if found else None
+
+    def only(self, key: str) -> Section:
+        found = self.maybe(key)
+        if found is None:
+            self.complain(f"{self.name}: {key} is missing; add a section {key}")
+            return self._adopt(Section(key, self.line, complaints=self.complaints))
+        return found
+
+    def end(self) -> None:
+        """Reports every key that nothing asked for."""
+        for key, line in self._given():
+            if key not in self.known:
+                near = get_close_matches(key, self.known, 1)
+                hint = f"; did you mean {near[0]}?" if near else f"; known here: {', '.join(sorted(self.known))}"
+                self.complain(f"{self.name}: unknown key {key}{hint}", line)
+
+    def _given(self) -> Iterator[tuple[str, int]]:
+        for key in self.props:
+            yield key, self.line
+        for node in self.nodes:
+            yield node.name, node.line
+
+
+def _section(node: Any, fragment: Any) -> Section:
+    return Section(node.name, fragment.error("").line, list(node.args), dict(node.props), list(node.nodes))
+
+
+def parse(text: str, file: str = "settings") -> Section:
+    """The document as one section.
+
+    Raises SettingsError where the text is not KDL (version 1, https://kdl.dev/spec-v1/).
+
+    >>> parse('limits {\\n trips 4 \\n}').all("limits")[0].whole("trips")
+    4
+    """
+    try:
+        document = kdl.Parser().parse(text, kdl.ParseConfig(nodeConverters={(..., ...): _section}))
+    except kdl.ParseError as error:
+        words = " ".join(str(error.msg).split("parse error:")[-1].split())
+        raise SettingsError([Complaint(file, error.line, f"not KDL: {words}")]) from error
+    except (ValueError, RecursionError) as error:
+        raise SettingsError([Complaint(file, 1, f"not KDL: {type(error).__name__}")]) from error
+    return Section("file", 1, nodes=list(document.nodes), file=file)  # type: ignore[arg-type]
+
+
+def load(path: str | Path) -> Section:
+    """Reads and parses a file; one that cannot be read is a complaint like any other."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = error.strerror if isinstance(error, OSError) else "it is not UTF-8 text"
+        raise SettingsError([Complaint(str(path), 1, f"cannot be read: {reason}")]) from error
+    return parse(text, str(path))
--- /dev/null
+++ b/worksmux/settings/front.py
@@ -0,0 +1,120 @@
+"""The settings of one front: `worksmux serve` and `worksmux check` read them."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from . import shared
+from .document import Section, SettingsError, load
+
+Address = tuple[str, int]
+POLICIES = ["worksmux", "random", "round-robin", "least-of-our-own"]
+
+
+@dataclass(frozen=True)
+class Transport:
+    """Bounds of the front's own sockets; milliseconds and bytes."""
+    connect_time_out: float          # a connection to an engine
+    keep_alive: float                # an idle connection, to a client or an engine
+    idle_connections: int            # kept open to each engine
+    stream_silence: float            # between two pieces of a begun stream
+    call_time_out: float             # a probe, a place or a release
+    release_tries: int
+    answer_margin: float             # taken off the time a client names, for the way back
+    body: int                        # a client's job
+    head: int                        # a message's head, from clients and engines
+    reply: int                       # an engine's answer, and one event of a stream
+    open_jobs: int                   # taken and not yet answered
+    drain_time: float                # at a stop: for the jobs still out
+
+
+@dataclass(frozen=True)
+class ListSource:
+    """Where the list of engines comes from."""
+    address: Address
+    ask: bool                        # changes come only after they were asked for
+    least_pause: float               # before the next attempt to connect
+    most_pause: float
+    longest_line: int
+    silence: float                   # without any line: the connection is given up
+
+
+@dataclass(frozen=True)
+class FrontSettings:
+    name: str
+    listen: Address
+    watch: Address                   # health and metrics
+    turn: float                      # the shortest time between two turns
+    seed: int | None
+    policy: str
+    zones: list[str]
+    offerings: list[shared.Offering]
+    kinds: list[shared.Kind]
+    transport: Transport
+    source: ListSource
+    log_format: str
+    log_level: str
+    module: dict[str, Any]           # what the decision module is given
+
+
+def _transport(section: Section) -> Transport:
+    node = section.only("transport")
+    found = Transport(
+        node.time("connect-time-out", least=1), node.time("keep-alive", least=1),
+        node.whole("idle-connections", 32), node.time("stream-silence", least=1),
+        node.time("call-time-out", least=1), node.whole("release-tries", 3, least=1),
+        node.time("answer-margin", 0.0), node.size("body"), node.size("head"), node.size("reply"),
+        node.whole("open-jobs", least=1), node.time("drain-time"))
+    node.end()
+    return found
+
+
+def _source(section: Section) -> ListSource:
+    node = section.only("registry")
+    found = ListSource(
+        node.address("address"), node.choice("changes", ["pushed", "asked-for"], "pushed") == "asked-for",
+        node.time("least-pause", least=1), node.time("most-pause", least=1), node.size("longest-line"),
+        node.time("silence", least=1))
+    if found.most_pause < found.least_pause:
+        node.complain("registry: most-pause is shorter than least-pause; swap them")
+    node.end()
+    return found
+
+
+def read_front(root: Section) -> FrontSettings:
+    """All settings of a front; raises SettingsError with every complaint at once."""
+    node = root.only("front")
+    name = node.title()
+    listen, watch = node.address("listen"), node.address("watch", ("127.0.0.1", 0))
+    zone, number, fronts = node.text("zone"), node.whole("number", 0), node.whole("fronts", least=1)
+    turn = node.time("turn", least=0.1)
+    seed = node.whole("seed", -1, least=-1, most=2**53)
+    policy = node.choice("policy", POLICIES, "worksmux")
+    node.end()
+    zones = root.texts("zones")
+    if zone and zone not in zones:
+        node.complain(f'zone "{zone}" is not among the zones {", ".join(zones)}')
+    if number >= fronts:
+        node.complain(f"number counts from 0: it must be below fronts ({fronts})")
+    offered, kinds = shared.offerings(root), shared.kinds(root)
+    figures, allowed, priced = shared.rules(root), shared.limits(root), shared.prices(root)
+    transport, source = _transport(root), _source(root)
+    log = root.maybe("log") or Section("log", root.line, complaints=root.complaints)
+    log_format, level = log.choice("format", ["json", "console"], "json"), log.choice(
+        "level", ["debug", "info", "warning", "error"], "info")
+    log.end()
+    root.end()
+    if allowed["may_hold"] and not any(kind.role == "write" for kind in kinds):
+        root.complain("limits: hold is on, yet no kind of engine writes only; set hold false")
+    if root.complaints:
+        raise SettingsError(root.complaints)
+    module = shared.module_settings(
+        offered, kinds, figures, allowed, priced, me=number, fronts=fronts, zone=zones.index(zone), tick=turn,
+        connect_time_out=transport.connect_time_out, ask_for_list=source.ask)
+    return FrontSettings(name, listen, watch, turn, None if seed < 0 else seed, policy, zones, offered, kinds,
+                         transport, source, log_format, level, module)
+
+
+def load_front(path: str | Path) -> FrontSettings:
+    return read_front(load(path))
--- /dev/null
+++ b/worksmux/settings/shared.py
@@ -0,0 +1,124 @@
+"""Sections that the front's settings and a trial's file have in common: offerings, kinds, rules, limits, prices."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from .document import Section
+
+EFFECTS = ["redoable", "labelled", "irreversible"]
+ROLES = ["read", "write", "both"]
+GROUPS = ["all", "zone", "cell"]
+
+
+@dataclass(frozen=True)
+class Offering:
+    """One offering; times in milliseconds, tokens as whole numbers."""
+    name: str
+    promised_time: float
+    promised_per_k: float            # added for each 1,000 tokens of the prompt
+    outer_limit: float
+    token_time: float                # the mean time wanted between tokens
+    most_answer: int                 # tokens, where the client names no figure
+    credit: float
+    late_credit: float
+    effect: str
+    group: str
+    remembered: float
+
+
+def offerings(section: Section) -> list[Offering]:
+    """All offerings of a file, in their order; names are unique."""
+    found: list[Offering] = []
+    for node in section.all("offering"):
+        effect = node.choice("effect", EFFECTS)
+        labelled = effect == "labelled"
+        one = Offering(
+            node.title(), node.time("promised-time", least=1), node.time("promised-per-1000-tokens", 0.0),
+            node.time("outer-limit", least=1), node.time("token-time", least=1), node.whole("most-answer", least=1),
+            node.number("credit", 1.0), node.number("late-credit", 0.0, most=1.0), effect,
+            node.choice("group", GROUPS, None if labelled else "all"),
+            node.time("remembered", None if labelled else 0.0))
+        if one.outer_limit < one.promised_time:
+            node.complain(f'offering "{one.name}": outer-limit is shorter than promised-time; '
+                          "a client does not leave before its answer is due")
+        if any(other.name == one.name for other in found):
+            node.complain(f'offering "{one.name}" is given twice; rename one')
+        node.end()
+        found.append(one)
+    if not found:
+        section.complain("no offering; add at least one section offering")
+    return found
+
+
+@dataclass(frozen=True)
+class Kind:
+    """A kind of engine; memory in tokens."""
+    name: str
+    role: str
+    memory: float
+
+
+def kinds(section: Section) -> list[Kind]:
+    found = []
+    for node in section.all("kind"):
+        found.append(Kind(node.title(), node.choice("role", ROLES), node.number("memory", least=1)))
+        node.end()
+    if not found:
+        section.complain("no kind of engine; add at least one section kind")
+    elif not any(kind.role == "both" for kind in found) and len({kind.role for kind in found}) < 2:
+        section.complain("no job could be carried: there must be kinds that read and write, or one that does both")
+    return found
+
+
+def rules(section: Section) -> dict[str, float]:
+    """The figures of the five rules, named as the module names them."""
+    node = section.only("rules")
+    found = {
+        "answer_slack": node.time("answer-slack"), "drain_grace": node.time("drain-grace"),
+        "release_within": node.time("release-within", least=1),
+        "cold_share": node.number("cold-share", most=1.0), "warm_up": node.time("warm-up"),
+        "fall_multiple": node.number("fall-multiple"), "fall_time": node.time("fall-time"),
+    }
+    node.end()
+    return found
+
+
+def limits(section: Section) -> dict[str, Any]:
+    """What the module is told it may do."""
+    node = section.only("limits")
+    found = {
+        "most_trips": node.whole("trips", least=2, most=100),
+        "may_cancel": node.flag("cancel", True), "may_probe": node.flag("probe", True),
+        "may_hold": node.flag("hold", False), "writers_read": node.flag("writers-read", False),
+        "second_copies": node.flag("second-copies", False), "stay_away": node.time("stay-away", 0.0),
+    }
+    node.end()
+    return found
+
+
+def prices(section: Section) -> dict[str, float]:
+    node = section.maybe("prices")
+    names = ("far", "late", "cross", "waste", "probe")
+    if node is None:
+        return {f"{name}_price": 0.0 for name in names}
+    found = {f"{name}_price": node.number(name, 0.0) for name in names}
+    node.end()
+    return found
+
+
+def module_settings(offered: list[Offering], kinds_of: list[Kind], figures: dict[str, float],
+                    allowed: dict[str, Any], priced: dict[str, float], **place: Any) -> dict[str, Any]:
+    """The plain map for the module, with the names that the adapter's `settings_from` uses."""
+    return {
+        "offerings": [{
+            "promised_time": one.promised_time, "outer_limit": one.outer_limit, "credit": one.credit,
+            "late_credit": one.late_credit, "effect": one.effect, "group": one.group,
+            "remembered": one.remembered, "promised_per_k": one.promised_per_k, "token_time": one.token_time,
+        } for one in offered],
+        "parties": [], "roles": [kind.role for kind in kinds_of], "kind_memory": [kind.memory for kind in kinds_of],
+        "resume": False, "reports": "inline", "report_fields": [], "far_price": priced["far_price"],
+        "price_late": priced["late_price"], "price_cross": priced["cross_price"],
+        "price_waste": priced["waste_price"], "price_probe": priced["probe_price"],
+        **figures, **allowed, **place,
+    }
