Type the reactor's interfaces; fix the list's scope field

Need: Twisted's interfaces carry no usable types, so what the program asks of a reactor is written as plain protocols in one place.

--- a/worksmux/api/fleet.py
+++ b/worksmux/api/fleet.py
@@ -24,12 +24,12 @@
     started: float = 0.0             # 0: long ago
 
 
-class Listing(msgspec.Struct):
-    list: Literal["full", "delta", "failed"]
+class Listing(msgspec.Struct, rename={"scope": "list"}):
+    scope: Literal["full", "delta", "failed"]
     serial: int = 0
     previous: int | None = None
     now: float = 0.0
-    engines: list[Line] = []  # type: ignore[valid-type]
+    engines: list[Line] = []
     reason: str = ""
 
 
--- a/worksmux/net/client.py
+++ b/worksmux/net/client.py
@@ -8,14 +8,15 @@
 
 from collections import deque
 from collections.abc import Iterable
-from typing import Protocol
+from typing import Any, Protocol, cast
 
-from twisted.internet.interfaces import IAddress, IConnector, IReactorTCP, IReactorTime
+from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ClientFactory, connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
 from . import clock
+from .loop import Reactor, Transport
 
 Headers = Iterable[tuple[str, str]]
 HEX = b"0123456789abcdefABCDEF"
@@ -49,10 +50,6 @@
     def failed(self, trouble: Trouble) -> None: ...
 
 
-class Reactor(IReactorTCP, IReactorTime):  # type: ignore[misc]
-    """What is asked of a reactor here."""
-
-
 def request(method: str, path: str, host: str, headers: Headers = (), body: bytes = b"") -> bytes:
     """The bytes of one request with its body."""
     lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", *(f"{name}: {value}" for name, value in headers)]
@@ -74,6 +71,10 @@
         self.calls = 0
         self._clear()
 
+    @property
+    def _wire(self) -> Transport:
+        return cast(Transport, self.transport)
+
     def _clear(self) -> None:
         self._at = "status"
         self._status = 0
@@ -86,12 +87,10 @@
         self._clear()
         self.receiver = receiver
         self.calls += 1
-        assert self.transport is not None
-        self.transport.write(data)
+        self._wire.write(data)
 
     def connectionMade(self) -> None:
-        assert self.transport is not None
-        self.transport.setTcpNoDelay(True)  # type: ignore[attr-defined]
+        self._wire.setTcpNoDelay(True)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.pool._forget(self)
@@ -109,7 +108,7 @@
     def _drop(self) -> None:
         self.pool._forget(self)
         if self.transport is not None:
-            self.transport.abortConnection()  # type: ignore[attr-defined]
+            self._wire.abortConnection()
 
     def abandon(self) -> None:
         """Ends the call without a word to its receiver: the other side sees the connection close."""
@@ -233,7 +232,7 @@
     def __init__(self, data: bytes, receiver: Receiver) -> None:
         self.data, self.receiver = data, receiver
         self.connection: Connection | None = None
-        self.connector: IConnector | None = None
+        self.connector: Any = None
         self.over = False
 
     @property
@@ -282,7 +281,7 @@
         self.pool.open[connection] = None
         return connection
 
-    def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         self.call.failed(Unsent(reason.getErrorMessage()))
 
 
--- /dev/null
+++ b/worksmux/net/loop.py
@@ -0,0 +1,47 @@
+"""What the program asks of Twisted's reactor and transports, as plain types (its interfaces carry none)."""
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+
+class Timer(Protocol):
+    def cancel(self) -> None: ...
+
+    def active(self) -> bool: ...
+
+
+class Reactor(Protocol):
+    def callLater(self, delay: float, call: Callable[..., Any], /, *args: Any) -> Timer: ...
+
+    def connectTCP(self, host: str, port: int, factory: Any, /, timeout: float = 30) -> Any: ...
+
+    def listenTCP(self, port: int, factory: Any, /, backlog: int = 50, interface: str = "") -> Any: ...
+
+    def run(self) -> None: ...
+
+    def stop(self) -> None: ...
+
+
+class Transport(Protocol):
+    """A TCP connection."""
+
+    def write(self, data: bytes) -> None: ...
+
+    def loseConnection(self) -> None: ...
+
+    def abortConnection(self) -> None: ...
+
+    def setTcpNoDelay(self, enabled: bool) -> None: ...
+
+
+def the_reactor() -> Reactor:
+    """The process's reactor; imported late, as importing installs it."""
+    from twisted.internet import reactor
+    return reactor
+
+
+def listen(reactor: Reactor, address: tuple[str, int], factory: Any) -> tuple[Any, int]:
+    """Listens and returns the port object and its number, chosen by the system for port 0."""
+    port = reactor.listenTCP(address[1], factory, backlog=1024, interface=address[0])
+    return port, int(port.getHost().port)
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 from twisted.web import http
 
@@ -27,12 +28,12 @@
         self._bound = self.channel.factory.body_bound
         self._size = 0
         self.too_long = length is not None and length > self._bound
-        self.content = BytesIO()                     # bounded, so it never goes to a file on the disk
+        self._kept = self.content = BytesIO()        # bounded, so it never goes to a file on the disk
 
     def handleContentChunk(self, data: bytes) -> None:
         self._size += len(data)
         if self._size <= self._bound and not self.too_long:
-            self.content.write(data)
+            self._kept.write(data)
             return
         self.too_long = True                         # let by and not kept, so that the client reads why
         if self._size > PATIENCE * self._bound:
@@ -51,7 +52,7 @@
         return found if found is None or isinstance(found, str) else found.decode("latin-1")
 
     def body(self) -> bytes:
-        return bytes(self.content.read()) if self.content is not None else b""
+        return self._kept.getvalue()
 
     @property
     def over(self) -> bool:
@@ -114,7 +115,7 @@
         self.totalHeadersSize = self.factory.head_bound
         self.MAX_LENGTH = self.factory.head_bound
 
-    def connectionLost(self, reason: Failure) -> None:
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.factory.channels.pop(self, None)
         super().connectionLost(reason)
 
@@ -130,11 +131,10 @@
         self.answerer, self.body_bound, self.head_bound = answerer, body_bound, head_bound
         self.channels: dict[Any, None] = {}
 
-    def buildProtocol(self, addr: IAddress) -> Channel:
-        channel = Channel()
-        channel.factory = self
+    def buildProtocol(self, addr: IAddress | None) -> Any:
+        channel: Any = Channel()  # Any: Twisted's channel is untyped where these are set
+        channel.factory = channel.site = self
         channel.requestFactory = Exchange
-        channel.site = self
         channel.timeOut = self.timeOut
         channel.callLater = self.reactor.callLater
         return channel
--- a/worksmux/settings/document.py
+++ b/worksmux/settings/document.py
@@ -11,7 +11,8 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-import kdl
+from kdl.errors import ParseError
+from kdl.parsing import ParseConfig, Parser
 
 from . import units
 
@@ -221,13 +222,13 @@
     4
     """
     try:
-        document = kdl.Parser().parse(text, kdl.ParseConfig(nodeConverters={(..., ...): _section}))
-    except kdl.ParseError as error:
+        document = Parser().parse(text, ParseConfig(nodeConverters={(..., ...): _section}))
+    except ParseError as error:
         words = " ".join(str(error.msg).split("parse error:")[-1].split())
         raise SettingsError([Complaint(file, error.line, f"not KDL: {words}")]) from error
     except (ValueError, RecursionError) as error:
         raise SettingsError([Complaint(file, 1, f"not KDL: {type(error).__name__}")]) from error
-    return Section("file", 1, nodes=list(document.nodes), file=file)  # type: ignore[arg-type]
+    return Section("file", 1, nodes=list(document.nodes), file=file)
 
 
 def load(path: str | Path) -> Section:
