--- a/worksmux/api/chat.py
+++ b/worksmux/api/chat.py
@@ -1,8 +1,10 @@
-"""Chat completions in the published form (`POST /v1/chat/completions`, `GET /v1/models`), from client and to engine.
+"""Chat completions in the published form (`POST /v1/chat/completions`, `GET /v1/models`), from client and to
+engine.
 
-Only what routing needs is read: the other fields of a job go on to the engine as they came.  Between reader and
-writer the field `kv_transfer_params` of disaggregated serving is used, in the form that public engines document:
-a reader gets `do_remote_decode` and one token to make, and returns a handle, which the writer is given.
+Only what routing needs is read: the other fields of a job go on to the engine as they came.  Between reader
+and writer the field `kv_transfer_params` of disaggregated serving is used, in the form that public engines
+document: a reader gets `do_remote_decode` and one token to make, and returns a handle, which the writer is
+given.
 """
 from __future__ import annotations
 
@@ -19,7 +21,11 @@
 
 Text = str | list[dict[str, Any]] | None
 TIME_LEFT, SESSION, PREFIX = "x-worksmux-time-left-ms", "x-worksmux-session", "x-worksmux-prefix"
-PREFIX_TOKENS, REPEAT, RETRY_COUNT = "x-worksmux-prefix-tokens", "x-worksmux-repeat", "x-stainless-retry-count"
+PREFIX_TOKENS, REPEAT, RETRY_COUNT = (
+    "x-worksmux-prefix-tokens",
+    "x-worksmux-repeat",
+    "x-stainless-retry-count",
+)
 REQUEST_ID, LABEL = "x-request-id", "idempotency-key"
 BYTES_A_TOKEN = 4
 
@@ -144,7 +150,9 @@
     return sum(len(str(part.get("text", "")).encode("utf-8", "surrogatepass")) for part in content)
 
 
-def asked(body: bytes, header: Callable[[str], str | None], offerings: dict[str, int], most: list[int]) -> Asked:
+def asked(
+    body: bytes, header: Callable[[str], str | None], offerings: dict[str, int], most: list[int]
+) -> Asked:
     """Reads a client's job; `most` gives each offering's longest answer.  Raises BadJob with the remedy."""
     try:
         known, fields = READ_KNOWN.decode(body), READ_FIELDS.decode(body)
@@ -168,10 +176,21 @@
     prefix_tokens = _figure(header(PREFIX_TOKENS), PREFIX_TOKENS)
     repeats = _figure(header(REPEAT) or header(RETRY_COUNT), REPEAT)
     return Asked(
-        at, known.model, fields, bool(known.stream), bool(known.stream_options and known.stream_options.include_usage),
-        min(longest or most[at], most[at]), max(1.0, sum(lengths) / BYTES_A_TOKEN), _identity(header(SESSION)),
-        _identity(shared), prefix_tokens if prefix_tokens is not None else lengths[0] / BYTES_A_TOKEN * bool(shared),
-        _figure(header(TIME_LEFT), TIME_LEFT), bool(repeats), header(LABEL) or "", header(REQUEST_ID) or "")
+        at,
+        known.model,
+        fields,
+        bool(known.stream),
+        bool(known.stream_options and known.stream_options.include_usage),
+        min(longest or most[at], most[at]),
+        max(1.0, sum(lengths) / BYTES_A_TOKEN),
+        _identity(header(SESSION)),
+        _identity(shared),
+        prefix_tokens if prefix_tokens is not None else lengths[0] / BYTES_A_TOKEN * bool(shared),
+        _figure(header(TIME_LEFT), TIME_LEFT),
+        bool(repeats),
+        header(LABEL) or "",
+        header(REQUEST_ID) or "",
+    )
 
 
 def _raw(value: Any) -> msgspec.Raw:
@@ -192,7 +211,8 @@
 
 
 def to_writer(job: Asked, state: KvParams | None) -> bytes:
-    """The body for what answers, always as a stream with usage; `state` is left out where it reads by itself."""
+    """The body for what answers, always as a stream with usage; `state` is left out where it reads by
+    itself."""
     fields = {**job.fields, "stream": TRUE, "stream_options": USAGE, "max_tokens": _raw(job.most)}
     fields.pop("max_completion_tokens", None)
     if state is not None:
--- a/worksmux/api/engine.py
+++ b/worksmux/api/engine.py
@@ -1,8 +1,9 @@
-"""The small calls between front and engine beside the chat form: probe, place and release, and the load report.
+"""The small calls between front and engine beside the chat form: probe, place and release, and the load
+report.
 
-`GET /worksmux/probe` answers 200 with {"load": {...}}; `POST /worksmux/place` {"job", "tokens", "reader"} answers 200
-with {"held": bool}; `POST /worksmux/release` {"job"} answers 200.  Load reports travel in the header
-`endpoint-load-metrics: JSON {"named_metrics": {...}}`, the open request cost aggregation form.
+`GET /worksmux/probe` answers 200 with {"load": {...}}; `POST /worksmux/place` {"job", "tokens", "reader"}
+answers 200 with {"held": bool}; `POST /worksmux/release` {"job"} answers 200.  Load reports travel in the
+header `endpoint-load-metrics: JSON {"named_metrics": {...}}`, the open request cost aggregation form.
 """
 from __future__ import annotations
 
@@ -10,7 +11,12 @@
 
 from .chat import KvParams
 
-CHAT, PROBE, PLACE, RELEASE = "/v1/chat/completions", "/worksmux/probe", "/worksmux/place", "/worksmux/release"
+CHAT, PROBE, PLACE, RELEASE = (
+    "/v1/chat/completions",
+    "/worksmux/probe",
+    "/worksmux/place",
+    "/worksmux/release",
+)
 PULL, CONTROL = "/worksmux/state", "/worksmux/control"
 LOAD = "endpoint-load-metrics"
 JOB, FRONT, TRY = "x-worksmux-job", "x-worksmux-front", "x-worksmux-try"
--- a/worksmux/api/errors.py
+++ b/worksmux/api/errors.py
@@ -18,7 +18,9 @@
 class BadJob(Exception):
     """A client's job that cannot be taken, with the status and the body to answer."""
 
-    def __init__(self, message: str, param: str | None = None, code: str | None = None, status: int = 400) -> None:
+    def __init__(
+        self, message: str, param: str | None = None, code: str | None = None, status: int = 400
+    ) -> None:
         super().__init__(message)
         self.status = status
         self.body = error(message, "invalid_request_error", param, code)
--- a/worksmux/api/fleet.py
+++ b/worksmux/api/fleet.py
@@ -1,8 +1,9 @@
 """The list of engines as JSON lines, between registry and front.
 
-The front opens with {"hello": its name, "serial": the last it has}; {"watch": true} asks for changes where they come
-only when asked for, and {"fetch": true} for the whole list.  The registry sends {"list": "full" | "delta" | "failed",
-"serial", "previous" (of a delta), "now", "engines"}; `now` and `started` are milliseconds since 1970 on its clock.
+The front opens with {"hello": its name, "serial": the last it has}; {"watch": true} asks for changes where
+they come only when asked for, and {"fetch": true} for the whole list.  The registry sends {"list": "full" |
+"delta" | "failed", "serial", "previous" (of a delta), "now", "engines"}; `now` and `started` are milliseconds
+since 1970 on its clock.
 """
 from __future__ import annotations
 
--- a/worksmux/audit/records.py
+++ b/worksmux/audit/records.py
@@ -1,4 +1,5 @@
-"""Lays the journals of clients, engines, registry and runner side by side: tries, trips, holdings, what was told."""
+"""Lays the journals of clients, engines, registry and runner side by side: tries, trips, holdings, what was
+told."""
 from __future__ import annotations
 
 from bisect import bisect_right
@@ -107,9 +108,12 @@
     def trace(self, *names: str) -> list[str]:
         """All that was recorded of a job, a try or an engine, in order of time."""
         wanted = {name for name in names if name}
-        return [f"{line['t']:.1f} {line['who']}: {line['what']} "
-                + " ".join(f"{key}={value}" for key, value in line.items() if key not in ("t", "who", "what"))
-                for line in self.lines if wanted & {str(line.get(key, "")) for key in ("job", "try", "try_id", "who")}]
+        return [
+            f"{line['t']:.1f} {line['who']}: {line['what']} "
+            + " ".join(f"{key}={value}" for key, value in line.items() if key not in ("t", "who", "what"))
+            for line in self.lines
+            if wanted & {str(line.get(key, "")) for key in ("job", "try", "try_id", "who")}
+        ]
 
 
 def load(folder: Path) -> Records:
@@ -191,8 +195,15 @@
     one = found.tries.get(str(line.get("try_id", "")))
     match line["what"]:
         case "try":
-            found.tries[line["try_id"]] = TryRecord(line["try_id"], line["job"], line["offering"], line["effect"],
-                                                    line["front"], time, line["left"])
+            found.tries[line["try_id"]] = TryRecord(
+                line["try_id"],
+                line["job"],
+                line["offering"],
+                line["effect"],
+                line["front"],
+                time,
+                line["left"],
+            )
         case "first token" if one:
             one.first = time
         case "answer" if one:
--- a/worksmux/audit/report.py
+++ b/worksmux/audit/report.py
@@ -1,4 +1,5 @@
-"""What a run came to: jobs by their end, credit, trips, and each rule's verdict with its first offender traced."""
+"""What a run came to: jobs by their end, credit, trips, and each rule's verdict with its first offender
+traced."""
 from __future__ import annotations
 
 from collections import Counter
--- a/worksmux/audit/rules.py
+++ b/worksmux/audit/rules.py
@@ -1,7 +1,7 @@
 """The five rules, each checked on its own from the records.
 
-`slack` (milliseconds) allows for the way between two processes and for their own delay in writing a line down.
-Each finding names the job, so that all that was recorded of it can be shown.
+`slack` (milliseconds) allows for the way between two processes and for their own delay in writing a line
+down. Each finding names the job, so that all that was recorded of it can be shown.
 """
 from __future__ import annotations
 
@@ -61,13 +61,14 @@
             continue
         time, how = one.answers[0]
         if how in ("left", "reset", "cut") and not dead:
-            verdict.find(f"try {one.id}: its client saw no final answer ({how})", *names)
+            verdict.find(f"try {one.id}: no final answer ({how})", *names)
         elif time > limit and one.first is None:
-            verdict.find(f"try {one.id}: answered {time - one.sent - one.left:.0f} ms after its client's time",
+            late = time - one.sent - one.left
+            verdict.find(f"try {one.id}: answered {late:.0f} ms after its client's time",
                          *names)
         for trip in trips.get(one.id, []):
             if trip.got > time + figures.slack:
-                verdict.find(f"try {one.id}: sent to {trip.engine} {trip.got - time:.0f} ms after its answer",
+                verdict.find(f"try {one.id}: sent to {trip.engine} {trip.got - time:.0f} ms after the end",
                              *names)
     return verdict
 
@@ -86,7 +87,7 @@
             if trip.role == "read":
                 continue
             if ran and not _repeat_allowed(one, ran, trip, figures):
-                verdict.find(f"{one.effect} try {one.id}: sent to {trip.engine} though {ran[0].engine} may have run it "
+                verdict.find(f"{one.effect} try {one.id}: sent to {trip.engine}, but {ran[0].engine} may have run it "
                              f"({ran[0].how or 'no end'})", one.id, trip.job)
             if trip.may_have_run:
                 ran.append(trip)
@@ -94,7 +95,7 @@
                 made.setdefault(one.job, []).append(trip)
         deferred = any(how == "deferred" for _, how in one.answers)
         if ran and deferred and (one.effect == "irreversible" or figures.groups.get(one.offering) != "all"):
-            verdict.find(f"{one.effect} try {one.id}: deferred though {ran[0].engine} may have run it", one.id,
+            verdict.find(f"{one.effect} try {one.id}: deferred, but {ran[0].engine} may have run it", one.id,
                          ran[0].job)
     for job, trips in made.items():
         one = records.tries[trips[0].try_id]
@@ -125,7 +126,7 @@
         when, state, _ = last
         late = time - when - figures.drain_grace - figures.slack
         if state != "ready" and late > 0:
-            verdict.find(f"job {job}: {front} sent to {engine}, {time - when:.0f} ms after it was told '{state}'", job)
+            verdict.find(f"job {job}: {front} sent to {engine}, told '{state}' {time - when:.0f} ms before", job)
     return verdict
 
 
@@ -141,8 +142,8 @@
             last = told.at(trip.got) if told else None
             knew += bool(last and last[2] > 0)
         if window and knew >= 2 / 3 * len(window):
-            verdict.find(f"engine {engine} fell over: {len(window)} trips in {figures.fall_time:.0f} ms, {knew} of them "
-                         "from fronts that knew of its start", engine)
+            verdict.find(f"engine {engine} fell over: {len(window)} trips in {figures.fall_time:.0f} ms, {knew} "
+                         "of them from fronts that knew of its start", engine)
     return verdict
 
 
@@ -156,8 +157,11 @@
             continue
         gap = _longest_gap(holding, until, trips.get(holding.job, []))
         if gap > figures.release_within + figures.slack:
-            verdict.find(f"job {holding.job}: its {holding.what} lay at {holding.engine} for {gap:.0f} ms with no trip "
-                         f"out ({holding.why or 'to the end'})", holding.job)
+            verdict.find(
+                f"job {holding.job}: its {holding.what} lay at {holding.engine} for {gap:.0f} ms, no trip "
+                f"out ({holding.why or 'to the end'})",
+                holding.job,
+            )
     return verdict
 
 
--- a/worksmux/baselines/plain.py
+++ b/worksmux/baselines/plain.py
@@ -1,7 +1,8 @@
-"""Plain policies: a job goes to a reader, its state to a writer, by chance, in turn, or where few of our own are.
+"""Plain policies: a job goes to a reader, its state to a writer, by chance, in turn, or where few of our own
+are.
 
-They keep the rules as far as a front can without watching engines: drains, what may be repeated, one answer in time,
-state let go, and a cold engine's budget by staying away from it while another of its role is warm.
+They keep the rules as far as a front can without watching engines: drains, what may be repeated, one answer
+in time, state let go, and a cold engine's budget by staying away from it while another of its role is warm.
 """
 from __future__ import annotations
 
--- a/worksmux/commands/main.py
+++ b/worksmux/commands/main.py
@@ -12,7 +12,7 @@
 from ..settings.document import SettingsError
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
-                  help="A router for language-model jobs that are read on one engine and answered on another.")
+                  help="A router for language-model jobs, read on one engine and answered on another.")
 File = Annotated[str, typer.Argument(help="a settings file in KDL", metavar="FILE.kdl")]
 BAD_CALL = 2
 
@@ -43,19 +43,26 @@
         settings = load_front(file)
     except SettingsError as error:
         raise _refuse(error) from error
-    typer.echo(f"{file}: front {settings.name}, {len(settings.offerings)} offerings, {len(settings.kinds)} kinds of "
-               f"engine, list from {settings.source.address[0]}:{settings.source.address[1]}: no fault")
+    typer.echo(f"{file}: front {settings.name}, {len(settings.offerings)} offerings, {len(settings.kinds)} kinds "
+               f"of engine, list from {settings.source.address[0]}:{settings.source.address[1]}: no fault")
 
 
 @app.command()
 def trial(
-    file: Annotated[str, typer.Argument(help="a day in KDL, such as examples/bad-day.kdl", metavar="DAY.kdl")],
-    policy: Annotated[list[str] | None, typer.Option(
-        help="worksmux, random, round-robin or least-of-our-own; given several times, they play the same day")] = None,
+    file: Annotated[
+        str, typer.Argument(help="a day in KDL, such as examples/bad-day.kdl", metavar="DAY.kdl")
+    ],
+    policy: Annotated[
+        list[str] | None,
+        typer.Option(
+            help="worksmux, random, round-robin or least-of-our-own; several play the same day"
+        ),
+    ] = None,
     as_json: Annotated[bool, typer.Option("--json", help="print the report as JSON")] = False,
     keep: Annotated[Path | None, typer.Option(help="an empty folder for all records")] = None,
 ) -> None:
-    """Play a scripted day: fronts, engines, registry and clients on loopback sockets, and check the five rules.
+    """Play a scripted day: fronts, engines, registry and clients on loopback sockets, and check the five
+    rules.
 
     Exit codes: 0 all rules kept, 1 a rule was broken or the day could not be run, 2 the file is wrong.
     """
--- a/worksmux/commands/trials.py
+++ b/worksmux/commands/trials.py
@@ -13,7 +13,8 @@
 
 
 def show(told: list[dict[str, Any]]) -> None:
-    """One table of figures with a column a run, one of the rules, and the first offender of each broken rule."""
+    """One table of figures with a column a run, one of the rules, and the first offender of each broken
+    rule."""
     console = Console(width=110, highlight=False)
     table = Table(title=f"Day: {told[0].get('day', 'records')}")
     table.add_column("")
@@ -26,7 +27,9 @@
              ("credit of what was asked", [f"{run['credit_share']:.3f}" for run in told])]
     for name in told[0]["credit_by_offering"]:
         rows.append((f"  {name}", [f"{run['credit_by_offering'].get(name, 0):.3f}" for run in told]))
-    rows += [(f"first token {at}, ms", [str(run["first_ms"][at]) for run in told]) for at in ("p50", "p90", "p99")]
+    rows += [
+        (f"first token {at}, ms", [str(run["first_ms"][at]) for run in told]) for at in ("p50", "p90", "p99")
+    ]
     rows += [("trips a job", [f"{run['trips_a_job']:.2f}" for run in told]),
              ("state moved out of its cell", [f"{run['moved_out_of_cell']:.3f}" for run in told]),
              ("engines fallen over", [str(run["engines_fallen"]) for run in told]),
@@ -48,7 +51,8 @@
 
 
 def run_all(file: str, policies: list[str], as_json: bool, keep: Path | None) -> int:
-    """Each policy plays the day in a process of its own; the exit code is 1 if the first of them breaks a rule."""
+    """Each policy plays the day in a process of its own; the exit code is 1 if the first of them breaks a
+    rule."""
     told = []
     for policy in policies:
         args = [sys.executable, "-m", "worksmux", "trial", file, "--policy", policy, "--json"]
--- a/worksmux/door.py
+++ b/worksmux/door.py
@@ -1,7 +1,7 @@
 """The door of one front: ids outside, objects inside, for the simulator's wire and the running front alike.
 
-No decision is taken here.  The door makes the engines, jobs and list entries that the module is told of, finds them
-again by the ids that the outside uses, and forgets a job once nothing more can be told of it.
+No decision is taken here.  The door makes the engines, jobs and list entries that the module is told of,
+finds them again by the ids that the outside uses, and forgets a job once nothing more can be told of it.
 """
 from __future__ import annotations
 
--- a/worksmux/drill/instance.py
+++ b/worksmux/drill/instance.py
@@ -118,7 +118,7 @@
 
     def _report(self, load: list[float]) -> dict[str, float] | None:
         count, *figures = load
-        return dict(zip(self.settings["report_fields"], figures[:int(count)])) if count else None
+        return dict(zip(self.settings["report_fields"], figures[:int(count)], strict=False)) if count else None
 
     def _record(self, action: i.Action) -> Record:
         name, values = self._words(action)
--- a/worksmux/front/carriers.py
+++ b/worksmux/front/carriers.py
@@ -1,6 +1,7 @@
 """Carries one trip over a connection and reports how it went.  `docs/outcomes.md` has the table of outcomes.
 
-Each outcome comes about in exactly one way; whatever an engine sends that makes no sense is an error of that trip.
+Each outcome comes about in exactly one way; whatever an engine sends that makes no sense is an error of that
+trip.
 """
 from __future__ import annotations
 
@@ -36,14 +37,16 @@
 
 
 def refusal(status: int, body: bytes) -> tuple[i.Outcome, int]:
-    """How a whole reply without an answer ended: 429 is full, told apart by its code; all else is an error."""
+    """How a whole reply without an answer ended: 429 is full, told apart by its code; all else is an
+    error."""
     if status != 429:
         return i.Outcome.ERROR, 0
     return i.Outcome.FULL, int(code_of(body) == calls.STATE_LOST)
 
 
 class Carrier:
-    """One trip.  `time_out` runs until the answer begins, then `silence` between its pieces (milliseconds)."""
+    """One trip.  `time_out` runs until the answer begins, then `silence` between its pieces
+    (milliseconds)."""
 
     def __init__(self, reactor: Reactor, pool: client.Pool, trip: i.Trip, listener: Listener, time_out: float,
                  silence: float, bound: int) -> None:
--- a/worksmux/front/case.py
+++ b/worksmux/front/case.py
@@ -1,4 +1,5 @@
-"""What the front keeps of one job beside what the module knows: its client, its text, and where its state may lie."""
+"""What the front keeps of one job beside what the module knows: its client, its text, and where its state may
+lie."""
 from __future__ import annotations
 
 from dataclasses import dataclass, field
--- a/worksmux/front/clients.py
+++ b/worksmux/front/clients.py
@@ -1,7 +1,8 @@
 """The clients' side: chat completions over HTTP/1.1, answered whole or as a stream of events.
 
-Deferred is 503 with `Retry-After`; broken off is 502, or 504 where time ran out.  Both name themselves in the header
-`x-worksmux-answer` and in the error's code.  A stream that breaks ends with an error event and without its end.
+Deferred is 503 with `Retry-After`; broken off is 502, or 504 where time ran out.  Both name themselves in the
+header `x-worksmux-answer` and in the error's code.  A stream that breaks ends with an error event and without
+its end.
 """
 from __future__ import annotations
 
@@ -58,7 +59,9 @@
 
     def delivered(self, finish: str, usage: Usage) -> None:
         if not self.asked.stream:
-            self.exchange.answer(200, chat.whole(self.asked, "".join(self.parts), finish, usage), headers=self._tags)
+            self.exchange.answer(
+                200, chat.whole(self.asked, "".join(self.parts), finish, usage), headers=self._tags
+            )
             return
         self._unlink()
         name, number = self.asked.name, self.asked.answer_id
@@ -70,18 +73,24 @@
 
     def deferred(self, stay_away: float) -> None:
         wait = (("Retry-After", str(ceil(stay_away / 1000))), ("retry-after-ms", str(round(stay_away))))
-        self._refused(503, "deferred", "the job was deferred: it has had no effect, and trying again is harmless", wait)
+        self._refused(
+            503, "deferred", "the job was deferred: it has had no effect, and trying again is harmless", wait
+        )
 
     def broken_off(self, timed_out: bool) -> None:
         self._refused(504 if timed_out else 502, "broken_off", BROKEN)
 
-    def _refused(self, status: int, code: str, message: str, headers: tuple[tuple[str, str], ...] = ()) -> None:
+    def _refused(
+        self, status: int, code: str, message: str, headers: tuple[tuple[str, str], ...] = ()
+    ) -> None:
         body = errors.error(message, "server_error", code=code)
         if self.begun:
             self._unlink()
             self.exchange.cut(event(body))
         else:
-            self.exchange.answer(status, body, headers=(*headers, (ANSWER, code.replace("_", "-")), *self._tags))
+            self.exchange.answer(
+                status, body, headers=(*headers, (ANSWER, code.replace("_", "-")), *self._tags)
+            )
 
     def cut(self) -> None:
         self.exchange.cut()
@@ -119,10 +128,14 @@
         if self.stopping:
             self.core.metrics.turned_away("stopping")
             exchange.setHeader("connection", "close")
-            return self._no(exchange, 503, "the front is stopping; try another", "server_error", "deferred", away)
+            return self._no(
+                exchange, 503, "the front is stopping; try another", "server_error", "deferred", away
+            )
         if len(self.core.cases) >= self.core.settings.transport.open_jobs:
             self.core.metrics.turned_away("too many open")
-            return self._no(exchange, 503, "the front holds as many jobs as it may", "server_error", "deferred", away)
+            return self._no(
+                exchange, 503, "the front holds as many jobs as it may", "server_error", "deferred", away
+            )
         try:
             asked = chat.asked(exchange.body(), exchange.header, self.offerings, self.most)
         except errors.BadJob as bad:
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -1,8 +1,9 @@
-"""The turn: what happened since the last one goes to the module in order, and its actions are carried out in order.
+"""The turn: what happened since the last one goes to the module in order, and its actions are carried out in
+order.
 
-The front decides nothing.  It keeps what the interface promises the module: each trip has exactly one outcome, what
-is sent for a job that has ended is moot, a stream that began belongs to its client, and whatever may hold state for a
-job is let go when the module says so.
+The front decides nothing.  It keeps what the interface promises the module: each trip has exactly one
+outcome, what is sent for a job that has ended is moot, a stream that began belongs to its client, and
+whatever may hold state for a job is let go when the module says so.
 """
 from __future__ import annotations
 
@@ -25,7 +26,9 @@
 
 
 class Core:
-    def __init__(self, settings: FrontSettings, door: Door, reactor: Reactor, metrics: Metrics, name: str) -> None:
+    def __init__(
+        self, settings: FrontSettings, door: Door, reactor: Reactor, metrics: Metrics, name: str
+    ) -> None:
         self.settings, self.door, self.reactor, self.metrics = settings, door, reactor, metrics
         self.name = name                             # of this front and this start of it
         self.cases: dict[i.Job, Case] = {}
@@ -89,8 +92,18 @@
         left = max(0.0, min(limit, asked.time_left if asked.time_left is not None else limit)
                    - self.settings.transport.answer_margin)
         self.number += 1
-        job = i.Job(self.number, asked.offering, asked.session, asked.prefix, asked.prompt, asked.prefix_tokens,
-                    float(asked.most), now, now + left, repeat=asked.repeat)
+        job = i.Job(
+            self.number,
+            asked.offering,
+            asked.session,
+            asked.prefix,
+            asked.prompt,
+            asked.prefix_tokens,
+            float(asked.most),
+            now,
+            now + left,
+            repeat=asked.repeat,
+        )
         case = Case(job, asked, client_side, f"{self.name}.{job.id}")
         asked.label = asked.label or case.key
         slack = float(self.settings.module["answer_slack"])
@@ -110,7 +123,8 @@
                 carrier.cancel()
 
     def _overdue(self, case: Case) -> None:
-        """Guards against a module that lets a job's time pass: the client is told, and the fault is counted."""
+        """Guards against a module that lets a job's time pass: the client is told, and the fault is
+        counted."""
         if not case.answered and not case.first_at:
             LOG.error("a job's time passed without an answer", job=case.key)
             self.metrics.overdue()
@@ -261,7 +275,9 @@
         if case.asked.request_id:
             headers.append((calls.TRY, case.asked.request_id))
         state = case.state if job.holder is not None else None
-        carrier.send(headers, chat.to_reader(case.asked) if trip.reading else chat.to_writer(case.asked, state))
+        carrier.send(
+            headers, chat.to_reader(case.asked) if trip.reading else chat.to_writer(case.asked, state)
+        )
         self.metrics.trip("read" if trip.reading else "write")
 
     # Small calls.
@@ -344,7 +360,8 @@
         self._call_release(engine, chat.ENCODE.encode(calls.Release(case.key)), 1)
 
     def _call_release(self, engine: i.Engine, body: bytes, tries: int) -> None:
-        """Guards against a release that gets lost, which would leave state pinned: it is harmless to repeat."""
+        """Guards against a release that gets lost, which would leave state pinned: it is harmless to
+        repeat."""
         def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
             if status != 200 and tries < self.settings.transport.release_tries:
                 self._call_release(engine, body, tries + 1)
--- a/worksmux/front/fleet.py
+++ b/worksmux/front/fleet.py
@@ -1,4 +1,5 @@
-"""The connection to the registry: JSON lines over a LineReceiver, opened again with growing pauses when it is lost."""
+"""The connection to the registry: JSON lines over a LineReceiver, opened again with growing pauses when it is
+lost."""
 from __future__ import annotations
 
 import random
@@ -89,7 +90,9 @@
         return ListLink(self)
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        LOG.warning("the registry cannot be reached", why=reason.getErrorMessage(), again_ms=round(self.pause))
+        LOG.warning(
+            "the registry cannot be reached", why=reason.getErrorMessage(), again_ms=round(self.pause)
+        )
         self._again()
 
     def _again(self) -> None:
--- a/worksmux/front/logbook.py
+++ b/worksmux/front/logbook.py
@@ -1,7 +1,7 @@
 """Structured logging by structlog: JSON lines or console text, written by a thread of its own.
 
-Guards against a reader of the log that stalls: lines wait in a bounded queue; past its bound they are dropped and
-counted, and the reactor goes on.
+Guards against a reader of the log that stalls: lines wait in a bounded queue; past its bound they are dropped
+and counted, and the reactor goes on.
 """
 from __future__ import annotations
 
--- a/worksmux/front/metrics.py
+++ b/worksmux/front/metrics.py
@@ -20,8 +20,12 @@
         self._whole = Histogram("worksmux_job_seconds", "Time to a job's end", ["offering"], buckets=SECONDS,
                                 registry=self.registry)
         self._trips = Counter("worksmux_trips", "Trips sent, by stage", ["stage"], registry=self.registry)
-        self._tries = Histogram("worksmux_trips_a_job", "Trips that a job took", buckets=(0, 1, 2, 3, 4, 6, 8),
-                                registry=self.registry)
+        self._tries = Histogram(
+            "worksmux_trips_a_job",
+            "Trips that a job took",
+            buckets=(0, 1, 2, 3, 4, 6, 8),
+            registry=self.registry,
+        )
         self._probes = Counter("worksmux_probes", "Probes, by outcome", ["outcome"], registry=self.registry)
         self._releases = Counter("worksmux_releases", "Releases sent", registry=self.registry)
         self._overdue = Counter("worksmux_overdue", "Jobs whose time passed without an answer by the module",
--- a/worksmux/front/serve.py
+++ b/worksmux/front/serve.py
@@ -38,7 +38,9 @@
         self.core.on_empty = self._emptied
         self.clients = ClientSide(self.core)
         transport = settings.transport
-        self.client_server = Server(self.clients, transport.body, transport.head, transport.keep_alive, reactor)
+        self.client_server = Server(
+            self.clients, transport.body, transport.head, transport.keep_alive, reactor
+        )
         self.watch_server = Server(self._watch, transport.head, transport.head, transport.keep_alive, reactor)
         self.port = self.watch_port = 0
         self.ports: list[Any] = []
@@ -92,8 +94,10 @@
             self.timer.cancel()
         self.timer = None
         if self.core.cases:
-            LOG.error("jobs are still out at the end of the drain time; their clients see the connection close",
-                      open=len(self.core.cases))
+            LOG.error(
+                "jobs are still out at the end of the drain time; their clients see the connection close",
+                open=len(self.core.cases),
+            )
         self.close()
         self.on_end()
 
@@ -115,16 +119,37 @@
             LOG.error("the settings were not reloaded", complaints=[str(one) for one in error.complaints])
             return
         old = self.settings
-        fixed = [name for name in ("name", "listen", "watch", "turn", "policy", "zones", "offerings", "kinds", "module",
-                                   "source", "log_format") if getattr(old, name) != getattr(fresh, name)]
+        fixed = [
+            name
+            for name in (
+                "name",
+                "listen",
+                "watch",
+                "turn",
+                "policy",
+                "zones",
+                "offerings",
+                "kinds",
+                "module",
+                "source",
+                "log_format",
+            )
+            if getattr(old, name) != getattr(fresh, name)
+        ]
         if fixed:
             LOG.error("the settings were not reloaded: these need a restart", sections=fixed)
             return
         self.settings = self.core.settings = fresh
-        for server, bound in ((self.client_server, fresh.transport.body), (self.watch_server, fresh.transport.head)):
+        for server, bound in (
+            (self.client_server, fresh.transport.body),
+            (self.watch_server, fresh.transport.head),
+        ):
             server.body_bound, server.head_bound = bound, fresh.transport.head
         for pool in self.core.pools.values():
-            pool.connect_time_out, pool.keep_alive = fresh.transport.connect_time_out, fresh.transport.keep_alive
+            pool.connect_time_out, pool.keep_alive = (
+                fresh.transport.connect_time_out,
+                fresh.transport.keep_alive,
+            )
             pool.most_idle, pool.head_bound = fresh.transport.idle_connections, fresh.transport.head
         LOG.info("settings reloaded")
 
--- a/worksmux/membership/listing.py
+++ b/worksmux/membership/listing.py
@@ -1,9 +1,9 @@
 """Keeps the list of engines in step with a registry that restarts, repeats itself and skips lines.
 
-What it guards against: a gap in the serial numbers (what came is newer than ours and holds, and the whole list is
-asked for), a change or list older than ours on the same connection (left out), a registry that starts its numbers
-anew (believed on a new connection), an unknown kind or zone (that engine is left out, the others hold), and a start
-time that jitters with each listing though the engine never restarted.
+What it guards against: a gap in the serial numbers (what came is newer than ours and holds, and the whole
+list is asked for), a change or list older than ours on the same connection (left out), a registry that starts
+its numbers anew (believed on a new connection), an unknown kind or zone (that engine is left out, the others
+hold), and a start time that jitters with each listing though the engine never restarted.
 """
 from __future__ import annotations
 
@@ -79,7 +79,9 @@
         if gap:
             told.fetch = not self.fetching
             self.fetching = True
-            told.notes.append(f"changes between {self.serial} and {message.serial} are missing; the list is asked for")
+            told.notes.append(
+                f"changes between {self.serial} and {message.serial} are missing; the list is asked for"
+            )
         if not gap or message.serial > self.serial:
             self.serial = message.serial
         told.event = Listed("delta", self._entries(now, message, told))
@@ -113,7 +115,8 @@
 
     @staticmethod
     def _started(now: float, theirs: float, line: Line) -> float:
-        """The start on this front's clock; reckoned once for each start, or each listing would look like one."""
+        """The start on this front's clock; reckoned once for each start, or each listing would look like
+        one."""
         return max(1e-3, now - max(0.0, theirs - line.started)) if line.started else 0.0
 
     def _entry(self, known: Known, state: str) -> Entry:
--- a/worksmux/net/client.py
+++ b/worksmux/net/client.py
@@ -1,8 +1,9 @@
 """An HTTP/1.1 client connection (RFC 9112) as a LineReceiver, and a pool of them for one address.
 
-A call either never left (`Unsent`), broke while it was out (`Broken`), or its reply made no sense (`Malformed`):
-the three are told apart, since only the first proves that the other side did nothing.  All is bounded: lines, the
-head, the body, and the time to connect.  What comes after a reply's end closes the connection and harms no call.
+A call either never left (`Unsent`), broke while it was out (`Broken`), or its reply made no sense
+(`Malformed`): the three are told apart, since only the first proves that the other side did nothing.  All is
+bounded: lines, the head, the body, and the time to connect.  What comes after a reply's end closes the
+connection and harms no call.
 """
 from __future__ import annotations
 
@@ -175,7 +176,9 @@
         if coding is None and length is not None and not (length.isascii() and length.isdigit()):
             raise Malformed("content-length is no number")
         bare = self._status in (204, 304)
-        self._at = "chunk size" if coding and not bare else "body" if length is not None or bare else "until close"
+        self._at = (
+            "chunk size" if coding and not bare else "body" if length is not None or bare else "until close"
+        )
         self._left = int(length or 0) if not bare and coding is None else 0
         self.receiver.head(self._status, headers)
         if self.receiver is None:                    # its receiver gave the call up
@@ -316,7 +319,9 @@
         self.idle: deque[Connection] = deque()
         self.open: dict[Connection, None] = {}
 
-    def call(self, method: str, path: str, receiver: Receiver, headers: Headers = (), body: bytes = b"") -> Call:
+    def call(
+        self, method: str, path: str, receiver: Receiver, headers: Headers = (), body: bytes = b""
+    ) -> Call:
         """Sends one request; its reply goes to `receiver`, never before this returns."""
         call = Call(request(method, path, f"{self.host}:{self.port}", headers, body), receiver)
         self.sweep()
@@ -352,7 +357,8 @@
 
 
 class Whole:
-    """Gathers a whole reply of at most `bound` bytes and hands it over: `on_end(status, headers, body, trouble)`."""
+    """Gathers a whole reply of at most `bound` bytes and hands it over: `on_end(status, headers, body,
+    trouble)`."""
 
     def __init__(self, bound: int, on_end: OnEnd) -> None:
         self.bound, self.on_end = bound, on_end
@@ -376,4 +382,6 @@
 
 
 class OnEnd(Protocol):
-    def __call__(self, status: int, headers: dict[str, str], body: bytes, trouble: Trouble | None, /) -> None: ...
+    def __call__(
+        self, status: int, headers: dict[str, str], body: bytes, trouble: Trouble | None, /
+    ) -> None: ...
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -1,4 +1,5 @@
-"""An HTTP/1.1 server on Twisted's HTTPChannel with bounded heads and bodies, and plain methods to answer by."""
+"""An HTTP/1.1 server on Twisted's HTTPChannel with bounded heads and bodies, and plain methods to answer
+by."""
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -42,8 +43,11 @@
     def process(self) -> None:
         if self.too_long:
             self.setHeader("connection", "close")
-            self.answer(413, b'{"error":{"message":"the body is longer than %d bytes; send less",'
-                             b'"type":"invalid_request_error","param":null,"code":"body_too_long"}}' % self._bound)
+            self.answer(
+                413,
+                b'{"error":{"message":"the body is longer than %d bytes; send less",'
+                b'"type":"invalid_request_error","param":null,"code":"body_too_long"}}' % self._bound,
+            )
             return
         self.channel.factory.answerer(self)
 
--- a/worksmux/settings/document.py
+++ b/worksmux/settings/document.py
@@ -1,7 +1,9 @@
-"""KDL documents whose nodes know their line, read key by key; all complaints are gathered, then raised at once.
+"""KDL documents whose nodes know their line, read key by key; all complaints are gathered, then raised at
+once.
 
-A section is asked for each key it may hold.  What was never asked for is unknown, and is reported with the nearest
-known name.  A reader that meets a complaint goes on with a harmless stand-in value, so that one run shows all.
+A section is asked for each key it may hold.  What was never asked for is unknown, and is reported with the
+nearest known name.  A reader that meets a complaint goes on with a harmless stand-in value, so that one run
+shows all.
 """
 from __future__ import annotations
 
@@ -199,7 +201,9 @@
         for key, line in self._given():
             if key not in self.known:
                 near = get_close_matches(key, self.known, 1)
-                hint = f"; did you mean {near[0]}?" if near else f"; known here: {', '.join(sorted(self.known))}"
+                hint = (
+                    f"; did you mean {near[0]}?" if near else f"; known here: {', '.join(sorted(self.known))}"
+                )
                 self.complain(f"{self.name}: unknown key {key}{hint}", line)
 
     def _given(self) -> Iterator[tuple[str, int]]:
--- a/worksmux/settings/shared.py
+++ b/worksmux/settings/shared.py
@@ -1,4 +1,5 @@
-"""Sections that the front's settings and a trial's file have in common: offerings, kinds, rules, limits, prices."""
+"""Sections that the front's settings and a trial's file have in common: offerings, kinds, rules, limits,
+prices."""
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -34,11 +35,18 @@
         effect = node.choice("effect", EFFECTS)
         labelled = effect == "labelled"
         one = Offering(
-            node.title(), node.time("promised-time", least=1), node.time("promised-per-1000-tokens", 0.0),
-            node.time("outer-limit", least=1), node.time("token-time", least=1), node.whole("most-answer", least=1),
-            node.number("credit", 1.0), node.number("late-credit", 0.0, most=1.0), effect,
+            node.title(),
+            node.time("promised-time", least=1),
+            node.time("promised-per-1000-tokens", 0.0),
+            node.time("outer-limit", least=1),
+            node.time("token-time", least=1),
+            node.whole("most-answer", least=1),
+            node.number("credit", 1.0),
+            node.number("late-credit", 0.0, most=1.0),
+            effect,
             node.choice("group", GROUPS, None if labelled else "all"),
-            node.time("remembered", None if labelled else 0.0))
+            node.time("remembered", None if labelled else 0.0),
+        )
         if one.outer_limit < one.promised_time:
             node.complain(f'offering "{one.name}": outer-limit is shorter than promised-time; '
                           "a client does not leave before its answer is due")
@@ -67,7 +75,9 @@
     if not found:
         section.complain("no kind of engine; add at least one section kind")
     elif not any(kind.role == "both" for kind in found) and len({kind.role for kind in found}) < 2:
-        section.complain("no job could be carried: there must be kinds that read and write, or one that does both")
+        section.complain(
+            "no job could be carried: there must be kinds that read and write, or one that does both"
+        )
     return found
 
 
@@ -111,14 +121,32 @@
                     allowed: dict[str, Any], priced: dict[str, float], **place: Any) -> dict[str, Any]:
     """The plain map for the module, with the names that the adapter's `settings_from` uses."""
     return {
-        "offerings": [{
-            "promised_time": one.promised_time, "outer_limit": one.outer_limit, "credit": one.credit,
-            "late_credit": one.late_credit, "effect": one.effect, "group": one.group,
-            "remembered": one.remembered, "promised_per_k": one.promised_per_k, "token_time": one.token_time,
-        } for one in offered],
-        "parties": [], "roles": [kind.role for kind in kinds_of], "kind_memory": [kind.memory for kind in kinds_of],
-        "resume": False, "reports": "inline", "report_fields": [], "far_price": priced["far_price"],
-        "price_late": priced["late_price"], "price_cross": priced["cross_price"],
-        "price_waste": priced["waste_price"], "price_probe": priced["probe_price"],
-        **figures, **allowed, **place,
+        "offerings": [
+            {
+                "promised_time": one.promised_time,
+                "outer_limit": one.outer_limit,
+                "credit": one.credit,
+                "late_credit": one.late_credit,
+                "effect": one.effect,
+                "group": one.group,
+                "remembered": one.remembered,
+                "promised_per_k": one.promised_per_k,
+                "token_time": one.token_time,
+            }
+            for one in offered
+        ],
+        "parties": [],
+        "roles": [kind.role for kind in kinds_of],
+        "kind_memory": [kind.memory for kind in kinds_of],
+        "resume": False,
+        "reports": "inline",
+        "report_fields": [],
+        "far_price": priced["far_price"],
+        "price_late": priced["late_price"],
+        "price_cross": priced["cross_price"],
+        "price_waste": priced["waste_price"],
+        "price_probe": priced["probe_price"],
+        **figures,
+        **allowed,
+        **place,
     }
--- a/worksmux/standins/clients.py
+++ b/worksmux/standins/clients.py
@@ -1,14 +1,15 @@
-"""Client stand-ins: open-loop arrivals, sessions whose prompts grow, patience, retries; every try is journalled.
+"""Client stand-ins: open-loop arrivals, sessions whose prompts grow, patience, retries; every try is
+journalled.
 
-`python -m worksmux.standins.clients SPEC` drives the fronts it is given until its time is up and all is answered.
-A job's credit follows its first try's intended time: promised time to the first token, then the pace of the rest.
+`python -m worksmux.standins.clients SPEC` drives the fronts it is given until its time is up and all is
+answered. A job's credit follows its first try's intended time: promised time to the first token, then the
+pace of the rest.
 """
 from __future__ import annotations
 
 import random
 import sys
 from dataclasses import dataclass, field
-from typing import Any
 
 import msgspec
 
@@ -215,8 +216,10 @@
 
     def _burst(self, name: str) -> Burst | None:
         past = clock.now() - self.spec.start
-        return next((one for one in self.spec.bursts if one.name == name and one.at <= past < one.at + one.length),
-                    None)
+        return next(
+            (one for one in self.spec.bursts if one.name == name and one.at <= past < one.at + one.length),
+            None,
+        )
 
     def _arrive(self) -> None:
         """Sessions begin by a Poisson process; a late timer begins all that are due, each at its own time."""
@@ -236,16 +239,22 @@
             self._maybe_stop()
 
     def _begin(self, intended: float) -> None:
-        one = self.chance.choices(self.spec.offerings, [offering.share for offering in self.spec.offerings])[0]
+        one = self.chance.choices(self.spec.offerings, [offering.share for offering in self.spec.offerings])[
+            0
+        ]
         self.count += 1
         prefix, beginning = "", ""
         hot = self._burst("hot_beginning")
         if hot and self.chance.random() < hot.share:
-            prefix, beginning = f"hot {hot.at}", f"hot {hot.at} " + "quite unseen before " * int(hot.factor / 5)
+            prefix, beginning = (
+                f"hot {hot.at}",
+                f"hot {hot.at} " + "quite unseen before " * int(hot.factor / 5),
+            )
         elif self.shared[one.name] and self.chance.random() < one.beginning_share:
             prefix, beginning = self.chance.choice(self.shared[one.name])
-        session = Session(one, f"s{self.spec.seed}-{self.count}", max(1, round(self._between(one.turns))), beginning,
-                          prefix)
+        session = Session(
+            one, f"s{self.spec.seed}-{self.count}", max(1, round(self._between(one.turns))), beginning, prefix
+        )
         if beginning:
             session.messages.append({"role": "system", "content": beginning})
         self._ask(session, intended)
@@ -270,10 +279,18 @@
         job = ClientJob(f"j{self.spec.seed}-{self.count}", session, intended, prompt, answer,
                         int(self._between(self.spec.retries) + 1), patience,
                         self.chance.random() < self.spec.stream_share, self._next_front())
-        job.body = msgspec.json.encode({
-            "model": one.name, "messages": session.messages, "stream": job.stream, "max_tokens": one.most_answer,
-            "stream_options": {"include_usage": True} if job.stream else None})
-        self.journal.note("job", job=job.id, offering=one.name, intended=intended, prompt=prompt, answer=answer)
+        job.body = msgspec.json.encode(
+            {
+                "model": one.name,
+                "messages": session.messages,
+                "stream": job.stream,
+                "max_tokens": one.most_answer,
+                "stream_options": {"include_usage": True} if job.stream else None,
+            }
+        )
+        self.journal.note(
+            "job", job=job.id, offering=one.name, intended=intended, prompt=prompt, answer=answer
+        )
         self.open += 1
         self._try(job)
 
@@ -295,8 +312,14 @@
         left = min(job.patience, job.session.offering.outer_limit * 4)
         self.journal.note("try", try_id=one.name, job=job.id, offering=job.session.offering.name, left=left,
                           front=self.spec.fronts[job.front].name, effect=job.session.offering.effect)
-        headers = [("Content-Type", "application/json"), (chat.REQUEST_ID, one.name), (chat.LABEL, job.id),
-                   (chat.TIME_LEFT, f"{left:.3f}"), (chat.SESSION, job.session.name), (chat.REPEAT, str(job.tries - 1))]
+        headers = [
+            ("Content-Type", "application/json"),
+            (chat.REQUEST_ID, one.name),
+            (chat.LABEL, job.id),
+            (chat.TIME_LEFT, f"{left:.3f}"),
+            (chat.SESSION, job.session.name),
+            (chat.REPEAT, str(job.tries - 1)),
+        ]
         if job.session.prefix:
             headers += [(chat.PREFIX, job.session.prefix),
                         (chat.PREFIX_TOKENS, str(len(job.session.beginning) / chat.BYTES_A_TOKEN))]
@@ -321,10 +344,17 @@
         pace = (one.last - one.first) / max(1, one.tokens - 1)
         on_time = first <= promised and (pace <= offering.token_time or not job.stream)
         job.ended = ("delivered" if on_time else "late") if how == "delivered" else how
-        self.journal.note("job ended", job=job.id, offering=offering.name, how=job.ended, tries=job.tries,
-                          first=round(first, 2) if one.first else None, credit=offering.credit * (
-                              1.0 if job.ended == "delivered" else offering.late_credit if job.ended == "late" else 0.0),
-                          asked=offering.credit)
+        self.journal.note(
+            "job ended",
+            job=job.id,
+            offering=offering.name,
+            how=job.ended,
+            tries=job.tries,
+            first=round(first, 2) if one.first else None,
+            credit=offering.credit
+            * (1.0 if job.ended == "delivered" else offering.late_credit if job.ended == "late" else 0.0),
+            asked=offering.credit,
+        )
         self.open -= 1
         session = job.session
         if how == "delivered" and session.turns > 0 and not self.over:
--- a/worksmux/standins/engine.py
+++ b/worksmux/standins/engine.py
@@ -1,7 +1,7 @@
 """An engine stand-in in a process of its own: the chat form, the small calls, and faults by a control call.
 
-`python -m worksmux.standins.engine SPEC` takes a `Spec` in JSON, prints its port on standard output and serves until
-it is ended.  Its text is numbered words, so that who reads it can tell a gap or a repeat.
+`python -m worksmux.standins.engine SPEC` takes a `Spec` in JSON, prints its port on standard output and
+serves until it is ended.  Its text is numbered words, so that who reads it can tell a gap or a repeat.
 """
 from __future__ import annotations
 
@@ -119,9 +119,13 @@
         """The load as it was a while ago, where reports are late."""
         now = clock.now()
         late = self.faults.get("late_reports")
-        self.reports = [(at, load) for at, load in self.reports if at > now - 20_000] + [(now, self.model.report())]
+        self.reports = [(at, load) for at, load in self.reports if at > now - 20_000] + [
+            (now, self.model.report())
+        ]
         if late:
-            return next((load for at, load in reversed(self.reports) if at <= now - late.factor), self.reports[0][1])
+            return next(
+                (load for at, load in reversed(self.reports) if at <= now - late.factor), self.reports[0][1]
+            )
         return self.reports[-1][1]
 
     def _control(self, fault: Fault, exchange: Exchange) -> None:
@@ -346,7 +350,8 @@
             exchange.answer(404, b"{}")
 
     def _hand_over(self, exchange: Exchange, pull: Pull) -> None:
-        """The state leaves over the port, or over this engine's part of the cell's link, one after the other."""
+        """The state leaves over the port, or over this engine's part of the cell's link, one after the
+        other."""
         state = self.model.states[pull.job]
         state.asked = True
         near = pull.cell == self.spec.cell
@@ -397,7 +402,9 @@
     reactor = the_reactor()
     engine = EngineProcess(msgspec.json.decode(text, type=Spec), reactor)
     print(engine.start(), flush=True)
-    reactor.callLater(0, lambda: signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(reactor.stop)))
+    reactor.callLater(
+        0, lambda: signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(reactor.stop))
+    )
     reactor.run()
 
 
--- a/worksmux/standins/model.py
+++ b/worksmux/standins/model.py
@@ -1,8 +1,10 @@
-"""How an engine stand-in works, without I/O: slots, a line, memory, speeds, kept text, warm-up and falling over.
+"""How an engine stand-in works, without I/O: slots, a line, memory, speeds, kept text, warm-up and falling
+over.
 
-Work advances with the time that is passed in.  A read costs the tokens that are not kept; answers grow one token a
-step each, and a step takes longer the more of them run.  An engine that has just started is slow and grows faster
-until it is warm; sent more than `fall_multiple` times what it can do for `fall_time`, it falls over and stays down.
+Work advances with the time that is passed in.  A read costs the tokens that are not kept; answers grow one
+token a step each, and a step takes longer the more of them run.  An engine that has just started is slow and
+grows faster until it is warm; sent more than `fall_multiple` times what it can do for `fall_time`, it falls
+over and stays down.
 """
 from __future__ import annotations
 
@@ -120,7 +122,9 @@
 
     def _fits(self, work: Work) -> bool:
         held = work.job in self.places
-        return held or (self.taken_slots < self.spec.slots and self.used + work.prompt + work.most <= self.spec.memory)
+        return held or (
+            self.taken_slots < self.spec.slots and self.used + work.prompt + work.most <= self.spec.memory
+        )
 
     def admit(self, now: float) -> list[Work]:
         """Gives free slots to the line, first come first served; returns what must fetch its state."""
--- a/worksmux/standins/registry.py
+++ b/worksmux/standins/registry.py
@@ -1,4 +1,5 @@
-"""A registry stand-in: pushes lists and changes as JSON lines, late by what it is told, and journals what it said."""
+"""A registry stand-in: pushes lists and changes as JSON lines, late by what it is told, and journals what it
+said."""
 from __future__ import annotations
 
 import random
@@ -42,8 +43,13 @@
         self.registry.fronts.pop(self, None)
 
     def say(self, message: Listing) -> None:
-        self.registry.journal.note("told", front=self.front, serial=message.serial, list=message.scope, engines=[
-            [line.id, line.state, line.started] for line in message.engines])
+        self.registry.journal.note(
+            "told",
+            front=self.front,
+            serial=message.serial,
+            list=message.scope,
+            engines=[[line.id, line.state, line.started] for line in message.engines],
+        )
         cast(Transport, self.transport).write(msgspec.json.encode(message) + b"\n")
 
 
@@ -52,7 +58,9 @@
 
     noisy = False
 
-    def __init__(self, reactor: Reactor, journal: Journal, late: tuple[float, float], ask: bool, seed: int) -> None:
+    def __init__(
+        self, reactor: Reactor, journal: Journal, late: tuple[float, float], ask: bool, seed: int
+    ) -> None:
         self.reactor, self.journal, self.late, self.ask = reactor, journal, late, ask
         self.chance = random.Random(seed)
         self.extra = 0.0
--- a/worksmux/trial/fleet.py
+++ b/worksmux/trial/fleet.py
@@ -8,16 +8,37 @@
 
 
 def spec_of(day: Scenario, place: Place, journal: str, port: int, cold: bool, starts: int) -> Spec:
-    """The stand-in at `place`; its capacity is reckoned from the day's mean job, for falling over when cold."""
+    """The stand-in at `place`; its capacity is reckoned from the day's mean job, for falling over when
+    cold."""
     machine = day.machines[place.kind]
     kind = next(kind for kind in day.kinds if kind.name == place.kind)
     readers = sum(other.cell == place.cell and other.kind == place.kind for other in day.places)
     return Spec(
-        place.id, place.kind, kind.role, place.zone, place.cell, machine.slots, machine.line, kind.memory,
-        machine.read_speed, machine.step, machine.per_stream, day.near, day.far / max(1, readers), day.zone_slower,
-        cold_from=day.cold_from, warm_up=day.warm_up, fall_multiple=day.rules["fall_multiple"],
-        fall_time=day.rules["fall_time"], capacity=capacity(day, place), lease=day.lease, cold=cold, journal=journal,
-        port=port, seed=day.seed * 7919 + hash_of(place.id) + starts)
+        place.id,
+        place.kind,
+        kind.role,
+        place.zone,
+        place.cell,
+        machine.slots,
+        machine.line,
+        kind.memory,
+        machine.read_speed,
+        machine.step,
+        machine.per_stream,
+        day.near,
+        day.far / max(1, readers),
+        day.zone_slower,
+        cold_from=day.cold_from,
+        warm_up=day.warm_up,
+        fall_multiple=day.rules["fall_multiple"],
+        fall_time=day.rules["fall_time"],
+        capacity=capacity(day, place),
+        lease=day.lease,
+        cold=cold,
+        journal=journal,
+        port=port,
+        seed=day.seed * 7919 + hash_of(place.id) + starts,
+    )
 
 
 def hash_of(name: str) -> int:
@@ -29,8 +50,17 @@
     machine = day.machines[place.kind]
     role = next(kind.role for kind in day.kinds if kind.name == place.kind)
     shares = sum(one.share for one in day.traffic)
-    prompt = sum(one.share * (sum(one.new_tokens) / 2 * (1 + sum(one.turns) / 4)
-                              + one.beginning_share * sum(one.beginning_tokens) / 2) for one in day.traffic) / shares
+    prompt = (
+        sum(
+            one.share
+            * (
+                sum(one.new_tokens) / 2 * (1 + sum(one.turns) / 4)
+                + one.beginning_share * sum(one.beginning_tokens) / 2
+            )
+            for one in day.traffic
+        )
+        / shares
+    )
     answer = sum(one.share * sum(one.answer_tokens) / 2 for one in day.traffic) / shares
     reads = machine.read_speed / max(1.0, prompt)
     pace = machine.step + machine.per_stream * machine.slots
@@ -39,7 +69,8 @@
 
 
 def struck(day: Scenario, trouble: Trouble, chance: random.Random) -> list[Place]:
-    """The engines that a trouble strikes: those it names or describes, and of these its part, at least one."""
+    """The engines that a trouble strikes: those it names or describes, and of these its part, at least
+    one."""
     roles = {kind.name: kind.role for kind in day.kinds}
     able = [place for place in day.places
             if (not trouble.names or place.id in trouble.names)
--- a/worksmux/trial/fronts.py
+++ b/worksmux/trial/fronts.py
@@ -3,7 +3,7 @@
 
 import json
 
-from ..settings.shared import Offering
+from ..settings.shared import Kind, Offering
 from .scenario import Scenario
 
 
@@ -31,6 +31,10 @@
 """
 
 
+def _kind(one: Kind) -> str:
+    return f'kind {json.dumps(one.name)} role="{one.role}" memory={one.memory:g}\n'
+
+
 def front_file(day: Scenario, name: str, number: int, zone: str, port: int, watch: int, registry: int,
                policy: str) -> str:
     """The text of the settings; it holds what the day's file says, and the ports."""
@@ -55,7 +59,7 @@
     silence "5s"
 }}
 zones {zones}
-{"".join(f'kind {json.dumps(kind.name)} role="{kind.role}" memory={kind.memory:g}{chr(10)}' for kind in day.kinds)}
+{"".join(map(_kind, day.kinds))}
 {"".join(map(_offering, day.offerings))}
 rules {{
     answer-slack {_ms(rules["answer_slack"])}
--- a/worksmux/trial/processes.py
+++ b/worksmux/trial/processes.py
@@ -55,5 +55,10 @@
 
 def machine() -> dict[str, Any]:
     """What the run ran on, for reports."""
-    return {"cores": os.cpu_count(), "python": sys.version.split()[0],
-            "kernel": subprocess.run(["uname", "-sr"], capture_output=True, text=True, check=False).stdout.strip()}
+    return {
+        "cores": os.cpu_count(),
+        "python": sys.version.split()[0],
+        "kernel": subprocess.run(
+            ["uname", "-sr"], capture_output=True, text=True, check=False
+        ).stdout.strip(),
+    }
--- a/worksmux/trial/runner.py
+++ b/worksmux/trial/runner.py
@@ -1,4 +1,5 @@
-"""Runs a scripted day: starts its processes, brings its troubles about in time, ends it, and has it audited."""
+"""Runs a scripted day: starts its processes, brings its troubles about in time, ends it, and has it
+audited."""
 from __future__ import annotations
 
 import random
@@ -64,10 +65,13 @@
         self.reactor: Any = the_reactor()
         self.chance = random.Random(day.seed)
         self.journal = Journal(folder / "runner.jsonl", "runner")
-        self.registry = Registry(self.reactor, Journal(folder / "registry.jsonl", "registry"), day.list_late, day.ask,
-                                 day.seed)
+        self.registry = Registry(
+            self.reactor, Journal(folder / "registry.jsonl", "registry"), day.list_late, day.ask, day.seed
+        )
         self.engines = {place.id: EngineHandle(place) for place in day.places}
-        self.fronts = [FrontHandle(f"front-{at + 1}", at, day.zones[at % len(day.zones)]) for at in range(day.fronts)]
+        self.fronts = [
+            FrontHandle(f"front-{at + 1}", at, day.zones[at % len(day.zones)]) for at in range(day.fronts)
+        ]
         self.clients: Child | None = None
         self.start = 0.0
         self.error: Exception | None = None
@@ -110,7 +114,9 @@
             port = port_of_engine(text)
             if port is not None:
                 handle.port = port
-                handle.pool = handle.pool or client.Pool(self.reactor, "127.0.0.1", port, 1000.0, 1000.0, 1, 65_536)
+                handle.pool = handle.pool or client.Pool(
+                    self.reactor, "127.0.0.1", port, 1000.0, 1000.0, 1, 65_536
+                )
                 handle.started = clock.wall() if cold else 0.0
                 self._list(handle, "ready", at_once=not cold)
                 self._maybe_fronts()
@@ -125,8 +131,20 @@
 
     def _list(self, handle: EngineHandle, state: Any, at_once: bool = False) -> None:
         place = handle.place
-        self.registry.change(Line(place.id, "127.0.0.1", handle.port, place.kind, state, place.zone, place.cell, 1.0,
-                                  handle.started), at_once)
+        self.registry.change(
+            Line(
+                place.id,
+                "127.0.0.1",
+                handle.port,
+                place.kind,
+                state,
+                place.zone,
+                place.cell,
+                1.0,
+                handle.started,
+            ),
+            at_once,
+        )
 
     def _kill_engine(self, handle: EngineHandle) -> None:
         if handle.child and handle.child.alive:
@@ -142,7 +160,9 @@
     # Fronts.
 
     def _maybe_fronts(self) -> None:
-        if all(handle.port for handle in self.engines.values()) and not any(front.child for front in self.fronts):
+        if all(handle.port for handle in self.engines.values()) and not any(
+            front.child for front in self.fronts
+        ):
             for front in self.fronts:
                 self._start_front(front)
 
@@ -158,8 +178,13 @@
                 if not self.start and all(one.port for one in self.fronts):
                     self._open()
 
-        child = Child(self.reactor, ["-m", "worksmux", "serve", str(path)], self.folder / f"{front.name}.log", line,
-                      lambda code: ended(code))
+        child = Child(
+            self.reactor,
+            ["-m", "worksmux", "serve", str(path)],
+            self.folder / f"{front.name}.log",
+            line,
+            lambda code: ended(code),
+        )
         front.child, front.wanted = child, True
 
         def ended(code: int | None) -> None:
@@ -180,19 +205,63 @@
         self.journal.note("day", name=day.name, start=self.start, policy=self.policy)
         offerings = {one.name: one for one in day.offerings}
         spec = ClientsSpec(
-            str(self.folder / "clients.jsonl"), day.seed, self.start, day.length, day.rate, [OfferingSpec(
-                one.offering, one.share, offering.promised_time, offering.promised_per_k, offering.outer_limit,
-                offering.token_time, offering.most_answer, offering.credit, offering.late_credit, offering.effect,
-                one.new_tokens, one.answer_tokens, one.turns, one.think, one.beginnings, one.beginning_tokens,
-                one.beginning_share) for one in day.traffic for offering in [offerings[one.offering]]],
+            str(self.folder / "clients.jsonl"),
+            day.seed,
+            self.start,
+            day.length,
+            day.rate,
+            [
+                OfferingSpec(
+                    one.offering,
+                    one.share,
+                    offering.promised_time,
+                    offering.promised_per_k,
+                    offering.outer_limit,
+                    offering.token_time,
+                    offering.most_answer,
+                    offering.credit,
+                    offering.late_credit,
+                    offering.effect,
+                    one.new_tokens,
+                    one.answer_tokens,
+                    one.turns,
+                    one.think,
+                    one.beginnings,
+                    one.beginning_tokens,
+                    one.beginning_share,
+                )
+                for one in day.traffic
+                for offering in [offerings[one.offering]]
+            ],
             [FrontSpec(front.name, front.port, front.zone) for front in self.fronts],
-            [Burst(one.kind.replace("-", "_"), one.at, one.length, one.factor, one.share, one.offering, one.how)
-             for one in day.troubles if one.kind in OF_CLIENTS],
-            day.retries, day.wait, day.patience, day.streams, day.notice)
+            [
+                Burst(
+                    one.kind.replace("-", "_"),
+                    one.at,
+                    one.length,
+                    one.factor,
+                    one.share,
+                    one.offering,
+                    one.how,
+                )
+                for one in day.troubles
+                if one.kind in OF_CLIENTS
+            ],
+            day.retries,
+            day.wait,
+            day.patience,
+            day.streams,
+            day.notice,
+        )
         path = self.folder / "clients.json"
         path.write_bytes(msgspec.json.encode(spec))
-        self.clients = Child(self.reactor, ["-m", "worksmux.standins.clients", str(path)], self.folder / "clients.log",
-                             lambda _: None, self._clients_ended)
+        self.clients = Child(
+            self.reactor,
+            ["-m", "worksmux.standins.clients", str(path)],
+            self.folder / "clients.log",
+            lambda _: None,
+            self._clients_ended,
+        )
         for trouble in day.troubles:
             self.reactor.callLater((self.start + trouble.at - clock.now()) / 1000, self._strike, trouble)
         self.reactor.callLater((day.length + day.settle + 1000) / 1000, self._fail_late)
@@ -201,7 +270,9 @@
     def _progress(self) -> None:
         if self.ending:
             return
-        size = (self.folder / "clients.jsonl").stat().st_size if (self.folder / "clients.jsonl").exists() else 0
+        size = (
+            (self.folder / "clients.jsonl").stat().st_size if (self.folder / "clients.jsonl").exists() else 0
+        )
         past = (clock.now() - self.start) / 1000
         self.say(f"{past:5.0f} s of {self.day.length / 1000:.0f}; clients' records {size // 1024} KiB; "
                  f"list {self.registry.serial}")
@@ -220,7 +291,9 @@
         if self.ending:
             return
         self.ending = True
-        for child in [one.child for one in self.fronts] + [one.child for one in self.engines.values()] + [self.clients]:
+        for child in (
+            [one.child for one in self.fronts] + [one.child for one in self.engines.values()] + [self.clients]
+        ):
             if child:
                 child.signal("KILL" if self.error else "TERM")
         self.reactor.callLater(1.0, self._quit)
@@ -293,7 +366,9 @@
                 later(trouble.length / 1000, self._engine_back, handle)
             case "mass-restart":
                 later(self.chance.uniform(0, trouble.every) / 1000, self._kill_engine, handle)
-                later((trouble.length + self.chance.uniform(0, trouble.every)) / 1000, self._engine_back, handle)
+                later(
+                    (trouble.length + self.chance.uniform(0, trouble.every)) / 1000, self._engine_back, handle
+                )
             case "vanish":
                 self._kill_engine(handle)
             case "drain":
@@ -318,8 +393,14 @@
         over = clock.now() >= until
         self._control(handle, Fault("neighbour", on and not over, trouble.share))
         if not over and not self.ending:
-            self.reactor.callLater(trouble.every * self.chance.uniform(0.7, 1.3) / 1000, self._neighbour, handle,
-                                   trouble, until, not on)
+            self.reactor.callLater(
+                trouble.every * self.chance.uniform(0.7, 1.3) / 1000,
+                self._neighbour,
+                handle,
+                trouble,
+                until,
+                not on,
+            )
 
     def _engine_back(self, handle: EngineHandle) -> None:
         if not self.ending and handle.child and not handle.child.alive:
@@ -328,8 +409,14 @@
 
 def figures_of(day: Scenario) -> Figures:
     return Figures(
-        day.rules["answer_slack"], day.rules["drain_grace"], day.rules["release_within"], day.rules["fall_time"],
-        {one.name: one.group for one in day.offerings}, {one.name: one.remembered for one in day.offerings}, day.slack)
+        day.rules["answer_slack"],
+        day.rules["drain_grace"],
+        day.rules["release_within"],
+        day.rules["fall_time"],
+        {one.name: one.group for one in day.offerings},
+        {one.name: one.remembered for one in day.offerings},
+        day.slack,
+    )
 
 
 def play(day: Scenario, policy: str, say: Callable[[str], None], keep: Path | None = None) -> dict[str, Any]:
--- a/worksmux/trial/scenario.py
+++ b/worksmux/trial/scenario.py
@@ -1,4 +1,5 @@
-"""The file of a scripted day, in KDL.  Offerings, rules, limits and transport stand as in a front's settings."""
+"""The file of a scripted day, in KDL.  Offerings, rules, limits and transport stand as in a front's
+settings."""
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -10,18 +11,30 @@
 from ..settings.front import POLICIES, Transport, read_transport
 
 KINDS_OF_TROUBLE = {
-    "crash": "processes die and come back cold", "vanish": "processes die and stay away",
-    "hang": "take jobs and answer none", "fast-errors": "quickly fail a share of their jobs",
-    "offering-fails": "fail or leave unanswered one offering's jobs", "slow": "work slower by a factor",
-    "neighbour": "another program takes a share, on and off", "drop-streams": "break streams half-way",
-    "garbage": "send what makes no sense", "refuse-connections": "take no new connection",
-    "slow-connections": "new connections take longer", "late-reports": "load reports come late",
-    "slow-links": "state that leaves its cell moves slower", "drain": "are listed as draining, then come back cold",
-    "mass-restart": "all at once go down and come back cold", "zone-loss": "die together, with their fronts or not",
-    "list-stale": "the list runs further behind", "list-lost": "the registry goes away",
-    "list-gap": "a change of the list gets lost", "front-crash": "fronts are killed and come back",
-    "front-roll": "fronts are stopped and started, one after the other", "burst": "more jobs a second",
-    "hot-beginning": "many new sessions share a long text not seen before", "heavy-tail": "some prompts are far longer",
+    "crash": "processes die and come back cold",
+    "vanish": "processes die and stay away",
+    "hang": "take jobs and answer none",
+    "fast-errors": "quickly fail a share of their jobs",
+    "offering-fails": "fail or leave unanswered one offering's jobs",
+    "slow": "work slower by a factor",
+    "neighbour": "another program takes a share, on and off",
+    "drop-streams": "break streams half-way",
+    "garbage": "send what makes no sense",
+    "refuse-connections": "take no new connection",
+    "slow-connections": "new connections take longer",
+    "late-reports": "load reports come late",
+    "slow-links": "state that leaves its cell moves slower",
+    "drain": "are listed as draining, then come back cold",
+    "mass-restart": "all at once go down and come back cold",
+    "zone-loss": "die together, with their fronts or not",
+    "list-stale": "the list runs further behind",
+    "list-lost": "the registry goes away",
+    "list-gap": "a change of the list gets lost",
+    "front-crash": "fronts are killed and come back",
+    "front-roll": "fronts are stopped and started, one after the other",
+    "burst": "more jobs a second",
+    "hot-beginning": "many new sessions share a long text not seen before",
+    "heavy-tail": "some prompts are far longer",
     "give-up": "clients come with little time left",
 }
 OF_CLIENTS = frozenset({"burst", "hot-beginning", "heavy-tail", "give-up"})
@@ -128,9 +141,16 @@
     found = []
     for node in root.all("traffic"):
         one = Traffic(
-            node.title(), node.number("share"), node.span("new-tokens"), node.span("answer-tokens"),
-            node.span("turns", (1.0, 1.0)), node.times("think", (1000.0, 1000.0)), node.whole("beginnings", 0),
-            node.span("beginning-tokens", (0.0, 0.0)), node.number("beginning-share", 0.0, most=1.0))
+            node.title(),
+            node.number("share"),
+            node.span("new-tokens"),
+            node.span("answer-tokens"),
+            node.span("turns", (1.0, 1.0)),
+            node.times("think", (1000.0, 1000.0)),
+            node.whole("beginnings", 0),
+            node.span("beginning-tokens", (0.0, 0.0)),
+            node.number("beginning-share", 0.0, most=1.0),
+        )
         if one.offering not in {offering.name for offering in offerings}:
             node.complain(f'traffic "{one.offering}": no such offering; name one of '
                           + ", ".join(offering.name for offering in offerings))
@@ -144,8 +164,14 @@
 def _machines(root: Section, kinds: list[shared.Kind]) -> dict[str, Machine]:
     found = {}
     for node in root.all("machine"):
-        one = Machine(node.title(), node.whole("slots", least=1), node.whole("line"), node.number("read-speed", 0.0),
-                      node.time("step", 20.0, least=0.1), node.time("per-stream", 0.3))
+        one = Machine(
+            node.title(),
+            node.whole("slots", least=1),
+            node.whole("line"),
+            node.number("read-speed", 0.0),
+            node.time("step", 20.0, least=0.1),
+            node.time("per-stream", 0.3),
+        )
         node.end()
         found[one.kind] = one
     for kind in kinds:
@@ -160,7 +186,11 @@
     for number, node in enumerate(root.all("cell")):
         name, zone = node.title(), node.choice("zone", zones)
         for group in node.all("engines"):
-            if len(group.args) != 2 or group.args[0] not in machines or not isinstance(group.args[1], (int, float)):
+            if (
+                len(group.args) != 2
+                or group.args[0] not in machines
+                or not isinstance(group.args[1], (int, float))
+            ):
                 group.complain('engines: expected a kind and how many, such as engines "decode" 2')
                 continue
             kind, count = str(group.args[0]), int(group.args[1])
@@ -204,15 +234,39 @@
     links, cold, load_ = root.only("links"), root.only("cold"), root.only("load")
     clients, registry = root.only("clients"), root.only("registry")
     scenario = Scenario(
-        name, length, settle, seed, zones, count, policy, offerings, _traffic(root, offerings), kinds, machines,
-        places, links.number("near", least=1), links.number("far", least=1), links.number("zone-slower", 2.0),
-        links.time("lease", 8_000.0), cold.number("from", least=0.01, most=1.0), cold.time("warm-up"),
-        load_.number("jobs-per-second", least=0.01), clients.span("retries", (0.0, 0.0)),
-        clients.times("wait", (100.0, 500.0)), clients.span("patience", (1.0, 1.0)),
-        clients.number("streams", 1.0, most=1.0), clients.time("notice", 1500.0), registry.times("late"),
+        name,
+        length,
+        settle,
+        seed,
+        zones,
+        count,
+        policy,
+        offerings,
+        _traffic(root, offerings),
+        kinds,
+        machines,
+        places,
+        links.number("near", least=1),
+        links.number("far", least=1),
+        links.number("zone-slower", 2.0),
+        links.time("lease", 8_000.0),
+        cold.number("from", least=0.01, most=1.0),
+        cold.time("warm-up"),
+        load_.number("jobs-per-second", least=0.01),
+        clients.span("retries", (0.0, 0.0)),
+        clients.times("wait", (100.0, 500.0)),
+        clients.span("patience", (1.0, 1.0)),
+        clients.number("streams", 1.0, most=1.0),
+        clients.time("notice", 1500.0),
+        registry.times("late"),
         registry.choice("changes", ["pushed", "asked-for"], "pushed") == "asked-for",
-        _troubles(root, zones, len(places)), shared.rules(root), shared.limits(root), shared.prices(root),
-        read_transport(root), slack)
+        _troubles(root, zones, len(places)),
+        shared.rules(root),
+        shared.limits(root),
+        shared.prices(root),
+        read_transport(root),
+        slack,
+    )
     for node in (links, cold, load_, clients, registry, root):
         node.end()
     if root.complaints:
