Prove the audit by wrong modules and fronts; let go of places that come too late

The front now lets go of a place whose answer comes late or is lost; an engine does not hold a place for a job whose trip has come; a trip waits for the state that its place is pulling. End-to-end tests run registry, engines, fronts and clients in one process on a reactor of their own.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -26,8 +26,9 @@
     """A front that knows an engine for each (kind, zone, cell), and those engines."""
     front = Front(settings(**changes), seed)
     engines = [i.Engine(bytes([at]), at + 1) for at in range(len(places))]
-    front.decide(NOW, [i.Listed("full", [i.Entry(engine, "ready", 0.0, zone, cell, kind, 1.0)
-                                         for engine, (kind, zone, cell) in zip(engines, places, strict=True)])])
+    entries = [i.Entry(engine, "ready", 0.0, zone, cell, kind, 1.0)
+               for engine, (kind, zone, cell) in zip(engines, places, strict=True)]
+    front.decide(NOW, [i.Listed("full", entries)])
     return front, engines
 
 
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,232 @@
+"""A small day within one process: registry, engines, fronts and clients on loopback, on a reactor of its
+own."""
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from twisted.internet.epollreactor import EPollReactor
+
+from worksmux.api import engine as calls
+from worksmux.api.fleet import Line
+from worksmux.audit.records import Records, load
+from worksmux.audit.rules import Figures
+from worksmux.door import Maker
+from worksmux.front.serve import FrontProcess
+from worksmux.net import client, clock
+from worksmux.settings.document import parse
+from worksmux.settings.front import FrontSettings, read_front
+from worksmux.standins.clients import Clients, ClientsSpec, FrontSpec, OfferingSpec
+from worksmux.standins.engine import EngineProcess, Fault
+from worksmux.standins.journal import Journal
+from worksmux.standins.model import Spec
+from worksmux.standins.registry import Registry
+
+SETTINGS = """
+front "a" {
+    listen "127.0.0.1:0"
+    zone "north"
+    fronts 1
+    turn "2ms"
+    seed 5
+}
+registry {
+    address "127.0.0.1:1"
+    least-pause "20ms"
+    most-pause "200ms"
+    longest-line "1MiB"
+    silence "5s"
+}
+zones "north" "south"
+kind "prefill" role="read" memory=100000
+kind "decode" role="write" memory=100000
+kind "mixed" role="both" memory=100000
+offering "hint" {
+    promised-time "1s"
+    outer-limit "3s"
+    token-time "60ms"
+    most-answer 60
+    effect "redoable"
+}
+offering "mark" {
+    promised-time "1s"
+    outer-limit "3s"
+    token-time "60ms"
+    most-answer 60
+    effect "irreversible"
+}
+offering "note" {
+    promised-time "1s"
+    outer-limit "3s"
+    token-time "60ms"
+    most-answer 60
+    effect "labelled"
+    group "cell"
+    remembered "2s"
+}
+rules {
+    answer-slack "8ms"
+    drain-grace "250ms"
+    release-within "300ms"
+    cold-share 0.3
+    warm-up "4s"
+    fall-multiple 3
+    fall-time "1s"
+}
+limits {
+    trips 5
+    hold true
+}
+transport {
+    connect-time-out "250ms"
+    keep-alive "5s"
+    stream-silence "500ms"
+    call-time-out "250ms"
+    answer-margin "30ms"
+    body "64KiB"
+    head "16KiB"
+    reply "64KiB"
+    open-jobs 1000
+    drain-time "3s"
+}
+"""
+FIGURES = Figures(8.0, 250.0, 300.0, 1000.0, {"note": "cell"}, {"note": 2000.0})
+
+
+class Rig:
+    """`engines` are (kind, cell) pairs in zone north; engine k is called e<k>."""
+
+    def __init__(self, folder: Path, engines: list[tuple[str, int]], make: Maker | None = None,
+                 text: str = SETTINGS, **spec: Any) -> None:
+        self.folder, self.make, self.text, self.spec = folder, make, text, spec
+        self.reactor: Any = EPollReactor()
+        self.registry = Registry(
+            self.reactor, Journal(folder / "registry.jsonl", "registry"), (0.0, 0.0), False, 1
+        )
+        self.registry.start()
+        self.engines: list[EngineProcess] = []
+        for kind, cell in engines:
+            self.add(kind, cell)
+        self.fronts: list[FrontProcess] = []
+        self.clients: Clients | None = None
+        self.failed: BaseException | None = None
+
+    def add(self, kind: str, cell: int = 0, cold: bool = False, listed: bool = True) -> EngineProcess:
+        role = {"prefill": "read", "decode": "write", "mixed": "both"}[kind]
+        name = f"e{len(self.engines)}"
+        spec = Spec(name, kind, role, "north", cell, 16, 16, 100_000.0, 40_000.0, 4.0, 0.1, cold=cold,
+                    warm_up=4000.0, fall_time=1000.0, journal=str(self.folder / f"engine-{name}.jsonl"))
+        engine = EngineProcess(msgspec.structs.replace(spec, **self.spec), self.reactor)
+        engine.start()
+        self.engines.append(engine)
+        if listed:
+            self.list(engine, "ready", clock.wall() if cold else 0.0)
+        return engine
+
+    def list(self, engine: EngineProcess, state: Any, started: float = 0.0) -> None:
+        spec = engine.spec
+        self.registry.change(
+            Line(spec.id, "127.0.0.1", engine.port, spec.kind, state, spec.zone, spec.cell, 1.0, started),
+            at_once=True,
+        )
+
+    def settings(self) -> FrontSettings:
+        return read_front(parse(self.text.replace("127.0.0.1:1\"", f"127.0.0.1:{self.registry.port}\"")))
+
+    def front(self) -> FrontProcess:
+        front = FrontProcess(self.settings(), self.reactor, self.make)
+        front.start()
+        self.fronts.append(front)
+        return front
+
+    def fault(self, engine: EngineProcess, name: str, on: bool = True, **more: Any) -> None:
+        pool = client.Pool(self.reactor, "127.0.0.1", engine.port, 500.0, 100.0, 0, 65_536)
+        body = msgspec.json.encode(Fault(name, on, **more))
+        pool.call("POST", calls.CONTROL, client.Whole(65_536, lambda *_: None), (), body)
+
+    def at(self, ms: float, call: Callable[..., Any], *args: Any) -> None:
+        """Runs `call` that long after the clients' start."""
+        self.reactor.callLater((ms + 200) / 1000, call, *args)
+
+    def day(
+        self,
+        offering: str = "hint",
+        length: float = 1500.0,
+        rate: float = 20.0,
+        retries: float = 0.0,
+        patience: float = 1.0,
+        answer: tuple[float, float] = (5, 15),
+        effect: str = "redoable",
+    ) -> Records:
+        """Clients ask one offering until all is answered; then a second for what is held, and the records."""
+        if not self.fronts:
+            self.front()
+        one = OfferingSpec(
+            offering,
+            1.0,
+            1000.0,
+            0.0,
+            3000.0,
+            60.0,
+            60,
+            1.0,
+            0.1,
+            effect,
+            (20, 60),
+            answer,
+            (1, 1),
+            (100, 200),
+            3,
+            (100, 200),
+            0.8,
+        )
+        spec = ClientsSpec(
+            str(self.folder / "clients.jsonl"),
+            3,
+            clock.now() + 200,
+            length,
+            rate,
+            [one],
+            [FrontSpec(front.settings.name, front.port, "north") for front in self.fronts],
+            [],
+            (retries, retries),
+            (50.0, 150.0),
+            (patience, patience),
+            0.7,
+            500.0,
+        )
+        self.clients = Clients(spec, self.reactor)
+        stop = self.reactor.stop
+        self.reactor.stop = lambda: self.reactor.callLater(0.6, stop)
+        self.clients.start()
+        self.run()
+        return load(self.folder)
+
+    def run(self, within: float = 30.0) -> None:
+        """Runs until something stops the reactor; fails after `within` seconds."""
+        def late() -> None:
+            self.failed = TimeoutError(f"not over within {within} s")
+            self.reactor.crash()
+
+        timer = self.reactor.callLater(within, late)
+        self.reactor.run(installSignalHandlers=False)
+        if timer.active():
+            timer.cancel()
+        if self.failed:
+            raise self.failed
+
+    def ask(
+        self,
+        body: bytes,
+        on_end: Callable[[int, dict[str, str], bytes, Any], None],
+        method: str = "POST",
+        path: str = "/v1/chat/completions",
+        **headers: str,
+    ) -> client.Call:
+        """One call to the first front."""
+        front = self.fronts[0]
+        pool = client.Pool(self.reactor, "127.0.0.1", front.port, 500.0, 100.0, 0, 65_536)
+        named = [(name.replace("_", "-"), value) for name, value in headers.items()]
+        return pool.call(method, path, client.Whole(2**20, on_end), named, body)
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,441 @@
+"""The running front on loopback: the five rules, each with the fault that tempts it, and the audit's own
+proof."""
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from rig import FIGURES, Rig
+
+from worksmux import interface as i
+from worksmux.audit.rules import check
+from worksmux.front.core import Core
+from worksmux.net import clock
+from worksmux.rules import Front
+
+PAIR = [("prefill", 0), ("decode", 0)]
+FLEET = [("prefill", 0), ("decode", 0), ("decode", 0), ("prefill", 1), ("decode", 1), ("mixed", 1)]
+
+
+def broken(records: Any) -> list[int]:
+    return [verdict.rule for verdict in check(records, FIGURES) if not verdict.kept]
+
+
+def ends(records: Any) -> set[str]:
+    return {job["how"] for job in records.jobs}
+
+
+def test_quiet_day_delivers_all_whole_and_streamed(tmp_path: Path) -> None:
+    records = Rig(tmp_path, FLEET).day()
+    assert len(records.jobs) > 10 and ends(records) == {"delivered"} and broken(records) == []
+    assert any(trip.role == "read" for trip in records.trips)
+
+
+def test_drain_told_while_reads_are_out_is_kept(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, FLEET, read_speed=1500.0)
+    rig.at(500, rig.list, rig.engines[1], "draining")
+    rig.at(500, rig.list, rig.engines[2], "draining")
+    records = rig.day(length=2000.0)
+    told = records.told["a", "e1"].times[-1]
+    assert broken(records) == [] and len(records.jobs) > 20
+    assert not [trip for trip in records.trips if trip.engine in ("e1", "e2") and trip.got > told + 250]
+
+
+def test_cold_engines_under_load_are_not_pushed_over(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, FLEET, capacity=6.0)
+    rig.at(300, rig.add, "decode", 0, True)
+    rig.at(300, rig.add, "prefill", 1, True)
+    records = rig.day(length=2500.0, rate=30.0)
+    assert broken(records) == [] and not records.falls
+    assert any(trip.engine in ("e6", "e7") for trip in records.trips)
+
+
+def test_writer_lost_with_irreversible_jobs_begun_is_not_repeated(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, FLEET)
+    for engine in rig.engines[1:]:
+        rig.at(400, rig.fault, engine, "drop_streams", True)
+    records = rig.day("mark", length=1500.0, answer=(20, 40), effect="irreversible")
+    assert broken(records) == [] and "broken off" in ends(records)
+
+
+def test_silent_engines_bring_an_answer_before_the_outer_limit(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, PAIR)
+    rig.at(300, rig.fault, rig.engines[1], "hang")
+    records = rig.day("mark", length=800.0, patience=0.4, effect="irreversible")
+    assert broken(records) == [] and ends(records) <= {"delivered", "broken off", "deferred", "late"}
+    assert "broken off" in ends(records)
+
+
+def test_state_held_when_its_client_leaves_is_let_go(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, PAIR, read_speed=300.0)      # reads last longer than the clients stay
+    front = rig.front()
+    heard: list[Any] = []
+
+    def leave() -> None:
+        bodies = [json.dumps({"model": "hint", "messages": [{"role": "user", "content": f"{at} " * 400}]})
+                  for at in range(6)]
+        calls = [rig.ask(body.encode(), lambda *end: heard.append(end)) for body in bodies]
+        for at, call in enumerate(calls):
+            rig.reactor.callLater(0.1 + 0.04 * at, call.abandon)
+        rig.reactor.callLater(1.2, rig.reactor.stop)
+
+    rig.at(0, leave)
+    rig.run()
+    from worksmux.audit.records import load
+    records = load(tmp_path)
+    assert records.trips and broken(records) == [] and not front.core.cases and not heard
+    assert not rig.engines[0].model.states and rig.engines[0].model.used == 0
+
+
+def test_engine_that_sends_nonsense_or_vanishes_costs_its_trips_and_no_more(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, FLEET)
+    rig.at(200, rig.fault, rig.engines[1], "garbage")
+    rig.at(200, rig.fault, rig.engines[4], "fail_fast")
+    rig.at(500, rig.fault, rig.engines[3], "refuse")
+    records = rig.day(length=1500.0, retries=2.0)
+    assert broken(records) == [] and ends(records) <= {"delivered", "late"}
+
+
+def test_registry_that_goes_away_leaves_the_last_list_in_force(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, FLEET)
+    rig.at(300, rig.registry.cut)
+    rig.at(900, rig.registry.back)
+    rig.at(1200, rig.list, rig.engines[2], "draining")
+    records = rig.day(length=2500.0)
+    assert ends(records) == {"delivered"} and broken(records) == []
+    told = records.told["a", "e2"]
+    assert told.states[-1][0] == "draining"
+
+
+# The audit is proven by modules and fronts that are wrong on purpose.
+
+class Repeats(Front):
+    """Sends again whatever happened, and promises that it was harmless."""
+
+    def _may_send(self, job: i.Job, engine: i.Engine) -> bool:
+        return engine.state == "ready" and not job.out and self._trips_left(job) > 0
+
+    def _may_defer(self, job: i.Job) -> bool:
+        return True
+
+
+class Deaf(Front):
+    """Does not hear of drains."""
+
+    def _list(self, event: i.Listed) -> None:
+        for entry in event.entries:
+            entry.state = "ready"
+        super()._list(event)
+
+
+class Pusher(Front):
+    """Takes every engine for warm."""
+
+    def _cold(self, engine: i.Engine) -> bool:
+        return False
+
+
+class Hoarder(Front):
+    """Never lets go, and leaves read state lying."""
+
+    def decide(self, now: float, events: list[i.Event]) -> list[i.Action]:
+        actions = super().decide(now, events)
+        return [action for action in actions if not isinstance(action, i.Release)]
+
+
+class Late(Front):
+    """Sends for a job after its answer."""
+
+    def decide(self, now: float, events: list[i.Event]) -> list[i.Action]:
+        actions = super().decide(now, events)
+        for action in list(actions):
+            if isinstance(action, i.Defer) and self.hosts:
+                trip = i.Trip(action.job, self.hosts[0], len(action.job.trips), now, True)
+                action.job.trips.append(trip)
+                actions.append(i.Send(trip))
+        return actions
+
+
+def test_audit_names_a_repeat_of_what_may_have_run(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, FLEET, Repeats)
+    for engine in rig.engines[1:3]:
+        rig.at(100, rig.fault, engine, "fail_fast", True)
+    assert broken(rig.day("mark", effect="irreversible")) == [2]
+
+
+def test_audit_names_a_send_to_a_draining_engine(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, FLEET, Deaf)
+    rig.at(300, rig.list, rig.engines[1], "draining")
+    assert broken(rig.day()) == [3]
+
+
+def test_audit_names_a_cold_engine_pushed_over(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, PAIR, Pusher, capacity=4.0)
+    rig.at(300, rig.add, "decode", 0, True)
+    rig.at(300, rig.add, "decode", 0, True)
+    assert 4 in broken(rig.day(length=2000.0, rate=80.0))
+
+
+def test_audit_names_state_left_pinned(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, PAIR, Hoarder)
+    rig.at(300, rig.fault, rig.engines[1], "hang")
+    assert 5 in broken(rig.day(length=800.0, patience=0.4))
+
+
+def test_audit_names_a_job_without_its_one_answer(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    send = Core._send
+
+    def wrong(self: Core, action: i.Send) -> None:
+        """A front that sends for jobs which are over."""
+        case = self.cases.get(action.trip.job)
+        if case and case.answered:
+            case.answered, kept = "", case.answered
+            self.reactor.callLater(0.2, send, self, action)
+            case.answered = kept
+            case.out[action.trip] = None
+            case.answered = ""
+        else:
+            send(self, action)
+
+    monkeypatch.setattr(Core, "_send", wrong)
+    rig = Rig(tmp_path, [("prefill", 0)], Late)      # no writer: every job is deferred
+    assert 1 in broken(rig.day(length=600.0, patience=0.4))
+
+
+def test_audit_names_a_client_that_saw_no_answer(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Core, "_final", lambda *_: None)
+    monkeypatch.setattr(Core, "_overdue", lambda *_: None)
+    rig = Rig(tmp_path, [("prefill", 0)])
+    assert broken(rig.day(length=400.0, patience=0.3)) == [1]
+
+
+# What the front promises its module.
+
+class Scripted:
+    """A module that does what a test tells it, and remembers what it was told."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        self.told: list[i.Event] = []
+        self.batches: list[list[i.Event]] = []
+        self.engines: dict[bytes, i.Engine] = {}
+
+    def decide(self, now: float, events: list[i.Event]) -> list[i.Action]:
+        self.told += events
+        self.batches.append(events)
+        for event in events:
+            if isinstance(event, i.Listed):
+                self.engines |= {entry.engine.id: entry.engine for entry in event.entries}
+            if isinstance(event, i.Ended):
+                event.trip.outcome = event.outcome
+        return [action for event in events for action in self.react(now, event)]
+
+    def react(self, now: float, event: i.Event) -> list[i.Action]:
+        return []
+
+    def send(self, job: i.Job, name: bytes, now: float, reading: bool) -> i.Send:
+        trip = i.Trip(job, self.engines[name], len(job.trips), now, reading)
+        job.trips.append(trip)
+        return i.Send(trip)
+
+
+class Chooser(Scripted):
+    """Probes e1, reads at e0 with a place held at e2, writes there; e3 is left out."""
+
+    def react(self, now: float, event: i.Event) -> list[i.Action]:
+        if isinstance(event, i.Arrived):
+            return [self.send(event.job, b"e0", now, True), i.Hold(event.job, self.engines[b"e2"]),
+                    i.Probe(self.engines[b"e1"])]
+        if isinstance(event, i.Ended) and event.outcome is i.Outcome.READ:
+            event.trip.job.holder = event.trip.engine
+            return [self.send(event.trip.job, b"e2", now, False)]
+        return []
+
+
+def test_a_scripted_modules_choices_appear_on_the_sockets_as_made(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, [("prefill", 0), ("prefill", 0), ("decode", 0), ("decode", 0)], Chooser)
+    records = rig.day(length=500.0)
+    module: Any = rig.fronts[0].core.door.module
+    assert records.jobs and ends(records) == {"delivered"}
+    assert {trip.engine for trip in records.trips} == {"e0", "e2"}
+    assert {engine for _, engine, _, _ in records.asked_places} == {"e2"}
+    kinds = [type(event).__name__ for event in module.told]
+    assert {"Listed", "Arrived", "Began", "Ended", "Probed", "Placed"} <= set(kinds)
+    jobs = len(records.jobs)
+    assert kinds.count("Began") == jobs and kinds.count("Ended") == 2 * jobs and kinds.count("Probed") == jobs
+    assert all(event.outcome is i.Outcome.DELIVERED for event in module.told if isinstance(event, i.Probed))
+
+
+class OneAction(Scripted):
+    """Answers each job at once in the way it was made for."""
+
+    how: type[Any] = i.Defer
+
+    def react(self, now: float, event: i.Event) -> list[i.Action]:
+        return [self.how(event.job)] if isinstance(event, i.Arrived) else []
+
+
+class Deferring(OneAction):
+    def react(self, now: float, event: i.Event) -> list[i.Action]:
+        return [i.Defer(event.job, 1500.0)] if isinstance(event, i.Arrived) else []
+
+
+class Breaking(OneAction):
+    how = i.BreakOff
+
+
+BODY = json.dumps({"model": "hint", "messages": [{"role": "user", "content": "why?"}]}).encode()
+
+
+def answer_of(rig: Rig, body: bytes = BODY, **more: Any) -> tuple[int, dict[str, str], bytes]:
+    """One call's whole answer."""
+    if not rig.fronts:
+        rig.front()
+    heard: list[Any] = []
+
+    def end(status: int, headers: dict[str, str], reply: bytes, trouble: Any) -> None:
+        heard.append((status, headers, reply))
+        rig.reactor.callLater(0.05, rig.reactor.stop)
+
+    rig.reactor.callLater(0.15, lambda: rig.ask(body, end, **more))
+    rig.run()
+    return heard[0]
+
+
+def test_deferred_is_told_from_broken_off(tmp_path: Path) -> None:
+    status, headers, body = answer_of(Rig(tmp_path, PAIR, Deferring))
+    assert status == 503 and headers["retry-after"] == "2" and headers["x-worksmux-answer"] == "deferred"
+    assert json.loads(body)["error"]["code"] == "deferred"
+
+
+def test_broken_off_promises_nothing(tmp_path: Path) -> None:
+    status, headers, body = answer_of(Rig(tmp_path, PAIR, Breaking))
+    assert (
+        status == 502 and "retry-after" not in headers and json.loads(body)["error"]["code"] == "broken_off"
+    )
+
+
+class Silent(Scripted):
+    """Never answers."""
+
+
+def test_module_that_lets_time_pass_is_covered_for_and_told(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, PAIR, Silent)
+    status, _, _ = answer_of(rig, x_worksmux_time_left_ms="300")
+    module: Any = rig.fronts[0].core.door.module
+    assert status == 504 and any(isinstance(event, i.Left) for event in module.told)
+
+
+class Faulty(Scripted):
+    def react(self, now: float, event: i.Event) -> list[i.Action]:
+        if isinstance(event, i.Arrived):
+            raise ZeroDivisionError("a fault of the module")
+        return []
+
+
+def test_module_that_fails_breaks_its_jobs_off_and_ends_the_front(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, PAIR, Faulty)
+    ended: list[bool] = []
+    rig.front().core.on_fault = lambda: ended.append(True)
+    status, _, _ = answer_of(rig)
+    assert status == 502 and ended == [True] and rig.fronts[0].core.failed
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "code"),
+    [
+        (b"{", 400, None),
+        (b"[]", 400, None),
+        (b'{"model": "hint", "messages": []}', 400, None),
+        (b'{"model": "none", "messages": [{"role": "user", "content": "x"}]}', 404, "model_not_found"),
+        (b'{"model": "hint", "n": 2, "messages": [{"role": "user", "content": "x"}]}', 400, None),
+        (b'{"model": "hint", "max_tokens": 0, "messages": [{"role": "user", "content": "x"}]}', 400, None),
+        (
+            b'{"model": "hint", "messages": [{"role": "user", "content": "' + b"x" * 70_000 + b'"}]}',
+            413,
+            "body_too_long",
+        ),
+        (b'{"model": "hint", "messages": [{"role": "user", "content": "\xff"}]}', 400, None),
+    ],
+)
+def test_bad_jobs_are_refused_in_the_apis_form_and_the_front_goes_on(
+        tmp_path: Path, body: bytes, status: int, code: str | None) -> None:
+    rig = Rig(tmp_path, PAIR)
+    got, _, reply = answer_of(rig, body)
+    assert got == status and json.loads(reply)["error"]["code"] == code
+    assert not rig.fronts[0].core.cases and not rig.fronts[0].core.failed
+
+
+def test_answer_whole_holds_text_and_usage(tmp_path: Path) -> None:
+    status, _, body = answer_of(Rig(tmp_path, PAIR), json.dumps({
+        "model": "hint", "max_tokens": 7, "messages": [{"role": "user", "content": "why?"}]}).encode())
+    told = json.loads(body)
+    assert status == 200 and told["choices"][0]["message"]["content"].split() == [f"w{at}" for at in range(7)]
+    assert told["usage"]["completion_tokens"] == 7 and told["choices"][0]["finish_reason"] == "stop"
+
+
+def test_models_and_wrong_paths(tmp_path: Path) -> None:
+    status, _, body = answer_of(
+        Rig(tmp_path / "a" if (tmp_path / "a").mkdir() is None else tmp_path, PAIR),
+        b"",
+        method="GET",
+        path="/v1/models",
+    )
+    assert status == 200 and [one["id"] for one in json.loads(body)["data"]] == ["hint", "mark", "note"]
+    (tmp_path / "b").mkdir()
+    status, headers, _ = answer_of(Rig(tmp_path / "b", PAIR), b"", method="GET")
+    assert status == 405 and headers["allow"] == "POST"
+
+
+def test_stop_finishes_what_is_out_and_takes_no_new_job(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, PAIR, step=30.0)
+    front = rig.front()
+    heard: list[tuple[int, float]] = []
+    body = json.dumps(
+        {"model": "hint", "max_tokens": 20, "messages": [{"role": "user", "content": "x"}]}
+    ).encode()
+    ended: list[float] = []
+    front.on_end = lambda: (ended.append(clock.now()), rig.reactor.callLater(0.05, rig.reactor.stop))
+    rig.at(0, rig.ask, body, lambda status, *_: heard.append((status, clock.now())))
+    rig.at(200, front.stop)
+    rig.run()
+    assert [status for status, _ in heard] == [200] and ended and ended[0] >= heard[0][1] - 50
+
+
+def test_reload_keeps_the_old_settings_when_the_new_are_wrong(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, PAIR)
+    front = rig.front()
+    good = rig.text.replace("127.0.0.1:1\"", f"127.0.0.1:{rig.registry.port}\"")
+    path = tmp_path / "front.kdl"
+    path.write_text(good.replace('keep-alive "5s"', 'keep-alive "7s"'))
+    front.reload(str(path))
+    assert front.settings.transport.keep_alive == 7000.0
+    for wrong in (good[:len(good) // 2], good.replace("trips 5", "trips 6"), ""):
+        path.write_text(wrong)
+        front.reload(str(path))
+        assert front.settings.transport.keep_alive == 7000.0
+    rig.reactor.callLater(0, rig.reactor.stop)
+    rig.run()
+
+
+def test_health_and_metrics_on_their_own_address(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, PAIR)
+    front = rig.front()
+    heard: dict[str, tuple[int, bytes]] = {}
+    from worksmux.net import client
+    pool = client.Pool(rig.reactor, "127.0.0.1", front.watch_port, 500.0, 100.0, 4, 65_536)
+
+    def look(path: str) -> None:
+        pool.call(
+            "GET", path, client.Whole(2**20, lambda status, _, body, __: heard.update({path: (status, body)}))
+        )
+
+    look("/health")
+    rig.at(0, look, "/metrics")
+    rig.at(0, look, "/ready")
+    rig.at(200, rig.reactor.stop)
+    rig.run()
+    assert heard["/ready"][0] == 200 and b"worksmux_engines_ready 2.0" in heard["/metrics"][1]
+    assert msgspec.json.encode(heard["/health"][0]) in (b"200", b"503")
--- a/worksmux/audit/records.py
+++ b/worksmux/audit/records.py
@@ -164,6 +164,9 @@
             _close(holdings, who, line["job"], "state", time, line.get("why", "pulled"))
         case "unplaced":
             _close(holdings, who, line["job"], "place", time, line["why"])
+        case "release":                              # the front has let go, whatever the engine makes of it
+            _close(holdings, who, line["job"], "state", time, "release")
+            _close(holdings, who, line["job"], "place", time, "release")
         case "place asked":
             found.asked_places.append((time, who, line["front"], line["job"]))
         case "fell":
--- a/worksmux/audit/rules.py
+++ b/worksmux/audit/rules.py
@@ -87,8 +87,12 @@
             if trip.role == "read":
                 continue
             if ran and not _repeat_allowed(one, ran, trip, figures):
-                verdict.find(f"{one.effect} try {one.id}: sent to {trip.engine}, but {ran[0].engine} may have run it "
-                             f"({ran[0].how or 'no end'})", one.id, trip.job)
+                verdict.find(
+                    f"{one.effect} try {one.id}: sent to {trip.engine}, but {ran[0].engine} may have "
+                    f"run it ({ran[0].how or 'no end'})",
+                    one.id,
+                    trip.job,
+                )
             if trip.may_have_run:
                 ran.append(trip)
             if trip.made:
@@ -126,7 +130,8 @@
         when, state, _ = last
         late = time - when - figures.drain_grace - figures.slack
         if state != "ready" and late > 0:
-            verdict.find(f"job {job}: {front} sent to {engine}, told '{state}' {time - when:.0f} ms before", job)
+            verdict.find(f"job {job}: {front} sent to {engine}, told '{state}' {time - when:.0f} ms before",
+                         job)
     return verdict
 
 
@@ -142,8 +147,8 @@
             last = told.at(trip.got) if told else None
             knew += bool(last and last[2] > 0)
         if window and knew >= 2 / 3 * len(window):
-            verdict.find(f"engine {engine} fell over: {len(window)} trips in {figures.fall_time:.0f} ms, {knew} "
-                         "of them from fronts that knew of its start", engine)
+            verdict.find(f"engine {engine} fell over: {len(window)} trips in {figures.fall_time:.0f} ms, "
+                         f"{knew} of them from fronts that knew of its start", engine)
     return verdict
 
 
--- a/worksmux/commands/main.py
+++ b/worksmux/commands/main.py
@@ -43,8 +43,11 @@
         settings = load_front(file)
     except SettingsError as error:
         raise _refuse(error) from error
-    typer.echo(f"{file}: front {settings.name}, {len(settings.offerings)} offerings, {len(settings.kinds)} kinds "
-               f"of engine, list from {settings.source.address[0]}:{settings.source.address[1]}: no fault")
+    host, port = settings.source.address
+    typer.echo(
+        f"{file}: front {settings.name}, {len(settings.offerings)} offerings, {len(settings.kinds)} kinds of "
+        f"engine, list from {host}:{port}: no fault"
+    )
 
 
 @app.command()
--- a/worksmux/drill/instance.py
+++ b/worksmux/drill/instance.py
@@ -118,7 +118,8 @@
 
     def _report(self, load: list[float]) -> dict[str, float] | None:
         count, *figures = load
-        return dict(zip(self.settings["report_fields"], figures[:int(count)], strict=False)) if count else None
+        fields = self.settings["report_fields"]
+        return dict(zip(fields, figures[:int(count)], strict=False)) if count else None
 
     def _record(self, action: i.Action) -> Record:
         name, values = self._words(action)
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -122,10 +122,14 @@
             if trip.began or trip.job.began:
                 carrier.cancel()
 
-    def _overdue(self, case: Case) -> None:
-        """Guards against a module that lets a job's time pass: the client is told, and the fault is
-        counted."""
-        if not case.answered and not case.first_at:
+    def _overdue(self, case: Case, again: bool = False) -> None:
+        """Guards against a module that lets a job's time pass: the client is told, and the fault is counted.
+
+        Where the reactor itself was late, the module first hears what has come up to now.
+        """
+        if self._due and not again:
+            self.reactor.callLater(0, self._overdue, case, True)
+        elif not case.answered and not case.first_at:
             LOG.error("a job's time passed without an answer", job=case.key)
             self.metrics.overdue()
             case.timed_out = True
@@ -338,9 +342,18 @@
         case.held[engine] = None
 
         def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
-            if reading is None or reading.outcome is not None or trouble is not None or status != 200:
-                return
-            self.tell(i.Placed(reading, engine, reply.replace(b" ", b"") == b'{"held":true}'))
+            answered = trouble is None and status == 200
+            held = answered and reply.replace(b" ", b"") == b'{"held":true}'
+            if (held or not answered) and (case.answered or case.first_at or case.place is not engine):
+                # Guards against a place that is held after its job has gone by: the call was slow, or its
+                # answer is lost and it may yet be carried out.
+                release = chat.ENCODE.encode(calls.Release(case.key))
+                self._call_release(engine, release, 1)
+                if not answered:
+                    pause = self.settings.module["release_within"] / 2
+                    self.reactor.callLater(pause / 1000, self._call_release, engine, release, 1)
+            if answered and reading is not None and reading.outcome is None and reading in case.out:
+                self.tell(i.Placed(reading, engine, held))
 
         body = chat.ENCODE.encode(calls.Place(case.key, job.prompt, reader))
         self._small(engine, "POST", calls.PLACE, body, ended)
@@ -363,8 +376,10 @@
         """Guards against a release that gets lost, which would leave state pinned: it is harmless to
         repeat."""
         def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
-            if status != 200 and tries < self.settings.transport.release_tries:
-                self._call_release(engine, body, tries + 1)
+            most = self.settings.transport.release_tries
+            if status != 200 and tries < most:
+                pause = self.settings.module["release_within"] / (2 * most)      # a refusal comes at once
+                self.reactor.callLater(pause / 1000, self._call_release, engine, body, tries + 1)
 
         self._small(engine, "POST", calls.RELEASE, body, ended)
         self.metrics.release()
--- a/worksmux/settings/document.py
+++ b/worksmux/settings/document.py
@@ -173,7 +173,9 @@
         return self.args[0]
 
     def texts(self, key: str) -> list[str]:
-        node = self.only(key)
+        """One or more names, given as a child or, if it is one, as a property."""
+        node = Section(key, self.line, [self.props[key]]) if key in self.props else self.only(key)
+        self.known.add(key)
         if not node.args or not all(isinstance(arg, str) and arg for arg in node.args):
             self.complain(f"{key}: expected one or more names in quotes", node.line)
             return [""]
--- a/worksmux/standins/engine.py
+++ b/worksmux/standins/engine.py
@@ -97,7 +97,7 @@
             if path == calls.CONTROL:
                 self._control(msgspec.json.decode(exchange.body(), type=Fault), exchange)
             elif "hang" in self.faults:
-                self.journal.note("hung", path=path, job=exchange.header(calls.JOB))
+                self._hung(path, exchange)
             elif path == calls.CHAT:
                 self._chat(exchange)
             elif path == calls.PROBE:
@@ -115,6 +115,18 @@
         except msgspec.DecodeError as error:
             exchange.answer(400, errors.error(str(error), "invalid_request_error"))
 
+    def _hung(self, path: str, exchange: Exchange) -> None:
+        """Takes what comes and answers nothing; what was sent is written down all the same."""
+        if path == calls.CHAT:
+            facts = self._facts(exchange, msgspec.json.decode(exchange.body(), type=Job))
+            self.journal.note("got", **facts)
+            exchange.on_gone = lambda: self.journal.note("end", how="hung", **facts)
+        elif path == calls.RELEASE:
+            self.journal.note("release", job=msgspec.json.decode(exchange.body(), type=calls.Release).job)
+        elif path == calls.PLACE:
+            wanted = msgspec.json.decode(exchange.body(), type=calls.Place)
+            self.journal.note("place asked", job=wanted.job, front=exchange.header(calls.FRONT) or "")
+
     def _report(self) -> dict[str, float]:
         """The load as it was a while ago, where reports are late."""
         now = clock.now()
@@ -375,20 +387,31 @@
 
     def _place(self, wanted: calls.Place, exchange: Exchange) -> None:
         self.journal.note("place asked", job=wanted.job, front=exchange.header(calls.FRONT) or "")
-        held = "drain" not in self.faults and self.model.place(wanted.job, wanted.tokens * 1.2, clock.now())
+        known = any(work.job == wanted.job for work in self.works.values())     # it came after its job's trip
+        held = not known and "drain" not in self.faults and self.model.place(
+            wanted.job, wanted.tokens * 1.2, clock.now())
         if held:
             self.journal.note("placed", job=wanted.job, front=exchange.header(calls.FRONT) or "")
             self._tick_on()
             if wanted.reader is not None:
-                handle = {"remote_host": wanted.reader.remote_host, "remote_port": wanted.reader.remote_port}
+                self._pull_ahead(wanted.job, wanted.reader)
+        exchange.answer(200, msgspec.json.encode(calls.Placed(held)))
 
-                def pulled(status: int, headers: dict[str, str], body: bytes, trouble: Any) -> None:
-                    place = self.model.places.get(wanted.job)
-                    if place and trouble is None and status == 200:
-                        place.asked = True
+    def _pull_ahead(self, job: str, reader: chat.KvParams) -> None:
+        """The state comes as soon as it is read; a trip that arrives meanwhile waits for it."""
+        self.model.places[job].pulling = True
 
-                self._ask(handle, wanted.job, True, pulled)
-        exchange.answer(200, msgspec.json.encode(calls.Placed(held)))
+        def pulled(status: int, headers: dict[str, str], body: bytes, trouble: client.Trouble | None) -> None:
+            here = trouble is None and status == 200
+            place, work = self.model.places.get(job), self.model.attached.pop(job, None)
+            if place:
+                place.pulling, place.asked = False, here
+            elif work in self.model.fetching and here:
+                self.model.fetched(work)
+            elif work in self.model.fetching:
+                self._fetch(work)
+
+        self._ask({"remote_host": reader.remote_host, "remote_port": reader.remote_port}, job, True, pulled)
 
     def _release(self, job: str) -> None:
         self.journal.note("release", job=job)
--- a/worksmux/standins/model.py
+++ b/worksmux/standins/model.py
@@ -70,7 +70,8 @@
     """A read prompt that waits for a writer, or a place held for one."""
     tokens: float
     since: float
-    asked: bool = False              # a writer is pulling it
+    asked: bool = False              # of a state: a writer is pulling it; of a place: the state has come
+    pulling: bool = False            # of a place: the state is on its way
 
 
 class EngineModel:
@@ -82,6 +83,7 @@
         self.answering: dict[Work, None] = {}
         self.states: dict[str, State] = {}
         self.places: dict[str, State] = {}
+        self.attached: dict[str, Work] = {}          # wait for the state that their place is pulling
         self.texts: OrderedDict[int, float] = OrderedDict()
         self.used = 0.0
         self.slow = self.taken = 0.0                 # times slower, part taken by a neighbour
@@ -137,6 +139,9 @@
             if place and place.asked:                # its state was pulled ahead
                 work.ready = True
                 self.answering[work] = None
+            elif place and place.pulling and work.state is not None:
+                self.fetching[work] = None
+                self.attached[work.job] = work
             elif work.state is not None:
                 self.fetching[work] = None
                 fetch.append(work)
--- a/worksmux/trial/scenario.py
+++ b/worksmux/trial/scenario.py
@@ -207,7 +207,7 @@
         kind = node.title()
         if kind not in KINDS_OF_TROUBLE:
             node.complain(f'unknown trouble "{kind}"; known: {", ".join(sorted(KINDS_OF_TROUBLE))}')
-        names = tuple(node.texts("names")) if node.maybe("names") else ()
+        names = tuple(node.texts("names")) if "names" in node.props or node.maybe("names") else ()
         found.append(Trouble(
             kind, node.time("at"), node.time("for", 1000.0), node.number("part", 0.0, most=1.0),
             node.choice("role", ["", *shared.ROLES], ""), node.choice("zone", ["", *scenario_zones], ""),
