--- /dev/null
+++ b/benchmarks/module_by_size.py
@@ -0,0 +1,69 @@
+"""Time of the decision module for a job, by the number of engines: `python -m benchmarks.module_by_size`.
+
+A job arrives, is read, written and delivered; 200 jobs are out at any moment.  No sockets, one process.
+"""
+from __future__ import annotations
+
+import random
+import time
+from collections import deque
+
+from worksmux import interface as i
+from worksmux.rules import Front
+from worksmux.settings.front import read_front
+from worksmux.settings.document import load
+
+JOBS, OUT = 3000, 200
+
+
+def settings() -> i.Settings:
+    return read_front(load("benchmarks/front.kdl")).module
+
+
+def fleet(count: int) -> list[i.Entry]:
+    """Half readers, half writers, in cells of five over two zones."""
+    engines = [i.Engine(f"e{at}".encode(), at + 1) for at in range(count)]
+    return [i.Entry(engine, "ready", 0.0, at // 5 % 2, at // 5, at % 2, 1.0) for at, engine in enumerate(engines)]
+
+
+def milliseconds_a_job(engines: int) -> float:
+    """Mean time in the module for one job with all its events."""
+    chance, front, now = random.Random(1), Front(settings(), 1), 100_000.0
+    front.decide(now, [i.Listed("full", fleet(engines))])
+    line: deque[tuple[float, i.Trip]] = deque()
+    spent, begun = 0.0, 0
+    while begun < JOBS or line:
+        events: list[i.Event] = []
+        if begun < JOBS and len(line) < OUT:
+            begun += 1
+            events.append(i.Arrived(i.Job(begun, 0, begun % 997 + 1, begun % 50 + 1, 1000.0, 500.0, 100.0, now,
+                                          now + 4000.0)))
+        while line and (line[0][0] <= now or len(line) >= OUT or begun >= JOBS):
+            due, trip = line.popleft()
+            if trip.reading:
+                events.append(i.Ended(trip, i.Outcome.READ, 50.0, False))
+            elif not trip.began:
+                events.append(i.Began(trip, 30.0))
+                line.append((now + 200.0, trip))
+            else:
+                events.append(i.Ended(trip, i.Outcome.DELIVERED, 230.0, True))
+            now = max(now, due)
+        start = time.perf_counter()
+        actions = front.decide(now, events)
+        spent += time.perf_counter() - start
+        line.extend((now + 50.0 * chance.uniform(0.9, 1.1), action.trip) for action in actions
+                    if isinstance(action, i.Send))
+        now += 1.0
+    return 1000 * spent / JOBS
+
+
+def main() -> None:
+    base = milliseconds_a_job(14)
+    print(f"{14:6d} engines: {base:.3f} ms a job")
+    for count in (70, 280, 1120):
+        cost = milliseconds_a_job(count)
+        print(f"{count:6d} engines: {cost:.3f} ms a job, {cost / base:.1f} times that of 14")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,93 @@
+"""Settings: every fault is named with its line, all at once."""
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from rig import SETTINGS
+
+from worksmux.settings.document import SettingsError, load, parse
+from worksmux.settings.front import read_front
+from worksmux.trial.scenario import load_scenario, read_scenario
+
+
+def faults(text: str) -> list[str]:
+    with pytest.raises(SettingsError) as caught:
+        read_front(parse(text, "f.kdl"))
+    return [str(one) for one in caught.value.complaints]
+
+
+def line_of(part: str, text: str = SETTINGS) -> int:
+    return text[:text.index(part)].count("\n") + 1
+
+
+def test_module_gets_the_names_that_the_bench_uses() -> None:
+    from helpers import settings
+    module = read_front(parse(SETTINGS)).module
+    assert settings().keys() <= module.keys()
+    assert module["offerings"][1]["effect"] == "irreversible" and module["roles"] == ["read", "write", "both"]
+    assert settings()["offerings"][0].keys() == module["offerings"][0].keys()
+
+
+def test_all_faults_are_told_at_once_with_line_and_remedy() -> None:
+    text = SETTINGS.replace('outer-limit "3s"', 'outer-limit "0.5s"', 1).replace("trips 5", "tripps 5")
+    text = text.replace('effect "irreversible"', 'effect "once"').replace('keep-alive "5s"', "keep-alive 5")
+    told = faults(text)
+    offering, effect, kept = (line_of(part, text) for part in ('offering "hint"', 'effect "once"', "keep-alive 5"))
+    assert any(one.startswith(f"f.kdl:{offering}: ") and "outer-limit" in one for one in told)
+    assert any("unknown key tripps; did you mean trips?" in one for one in told)
+    assert any("trips is missing" in one for one in told)
+    assert any(one.startswith(f"f.kdl:{effect}: ") and "redoable, labelled" in one for one in told)
+    assert any(one.startswith(f"f.kdl:{kept}: ") and 'such as "250ms"' in one for one in told)
+    assert told == sorted(told, key=lambda one: int(one.split(":")[1]))
+
+
+@pytest.mark.parametrize(("old", "new", "words"), [
+    ('zone "north"', 'zone "east"', "not among the zones"),
+    ("fronts 1", "fronts 1\n    number 1", "must be below fronts"),
+    ('listen "127.0.0.1:0"', 'listen "here"', "expected an address"),
+    ('remembered "2s"', "", "remembered is missing"),
+    ('cold-share 0.3', 'cold-share 1.3', "from 0 to 1"),
+    ('most-pause "200ms"', 'most-pause "2ms"', "swap them"),
+    ("hold true", "hold 1", "expected true or false"),
+    ('offering "mark"', 'offering "hint"', "is given twice"),
+    ('kind "prefill" role="read" memory=100000', "", "no job could be carried")
+])
+def test_contradictory_and_missing_figures_are_refused(old: str, new: str, words: str) -> None:
+    text = SETTINGS.replace(old, new)
+    if "could be carried" in words:
+        text = text.replace('kind "mixed" role="both" memory=100000', "")
+    assert any(words in one for one in faults(text))
+
+
+@pytest.mark.parametrize("text", ["a {", 'a "', "a }", "{", "a 1 2 ]", "\x00", "front {}{"])
+def test_what_is_not_kdl_is_one_fault(text: str) -> None:
+    assert len(faults(text)) >= 1
+
+
+@given(st.integers(0, len(SETTINGS)))
+def test_half_a_file_is_refused_or_whole(cut: int) -> None:
+    text = SETTINGS[:cut]
+    try:
+        read_front(parse(text))
+    except SettingsError as error:
+        assert error.complaints
+    else:
+        assert text.rstrip("\n") == SETTINGS.rstrip("\n")
+
+
+def test_unreadable_file_is_a_fault(tmp_path: object) -> None:
+    with pytest.raises(SettingsError, match="cannot be read"):
+        load(f"{tmp_path}/none.kdl")
+
+
+def test_example_days_can_be_read() -> None:
+    assert load_scenario("examples/bad-day.kdl").fronts == 3
+    assert load_scenario("examples/short-day.kdl").troubles
+
+
+def test_day_with_an_unknown_trouble_lists_the_known() -> None:
+    with open("examples/short-day.kdl", encoding="utf-8") as file:
+        text = file.read().replace('trouble "crash"', 'trouble "krash"')
+    with pytest.raises(SettingsError, match="unknown trouble"):
+        read_scenario(parse(text))
