--- a/benchmarks/front_against_relay.py
+++ b/benchmarks/front_against_relay.py
@@ -1,9 +1,9 @@
 """A front against a bare relay, side by side: `python -m benchmarks.front_against_relay`.
 
-The relay is the same HTTP server and client without any decision: it passes each job to one engine and the bytes back.
-Engines answer at once with a short stream.  Closed loop, one process each for load, engines, relay and front.
-Printed: jobs a second, delay at one job at a time, the module's part of the front's CPU, and memory for each of 2,000
-open streams.
+The relay is the same HTTP server and client without any decision: it passes each job to one engine and the
+bytes back. Engines answer at once with a short stream.  Closed loop, one process each for load, engines,
+relay and front. Printed: jobs a second, delay at one job at a time, the module's part of the front's CPU, and
+memory for each of 2,000 open streams.
 """
 from __future__ import annotations
 
@@ -220,14 +220,19 @@
                 ones[what] = load(port, 1, seconds)
             for what, found_rates in rates.items():
                 rate = statistics.median(found_rates)
-                print(f"{what:>11}: {rate:6.0f} jobs a second ({rate / statistics.median(rates['relay']):.2f} of the relay)"
-                      f", delay at one at a time p50 {ones[what]['p50']:.2f} ms, p99 {ones[what]['p99']:.2f} ms"
-                      f" ({ones[what]['p50'] / ones['relay']['p50']:.2f} and "
-                      f"{ones[what]['p99'] / ones['relay']['p99']:.2f} times the relay's)")
+                print(
+                    f"{what:>11}: {rate:6.0f} jobs a second ({rate / statistics.median(rates['relay']):.2f} of the relay)"
+                    f", delay at one at a time p50 {ones[what]['p50']:.2f} ms, p99 {ones[what]['p99']:.2f} ms"
+                    f" ({ones[what]['p50'] / ones['relay']['p50']:.2f} and "
+                    f"{ones[what]['p99'] / ones['relay']['p99']:.2f} times the relay's)"
+                )
             print(f"the module takes {inside / used:.2f} of the front's CPU")
             before = memory(held[1].pid)
-            child = subprocess.Popen([sys.executable, "-m", __spec__.name, "load", str(held_port), "2000", "8", "1"],
-                                     stdout=subprocess.PIPE, text=True)
+            child = subprocess.Popen(
+                [sys.executable, "-m", __spec__.name, "load", str(held_port), "2000", "8", "1"],
+                stdout=subprocess.PIPE,
+                text=True,
+            )
             peak = before
             while child.poll() is None:
                 peak = max(peak, memory(held[1].pid))
--- a/benchmarks/module_by_size.py
+++ b/benchmarks/module_by_size.py
@@ -23,7 +23,9 @@
 def fleet(count: int) -> list[i.Entry]:
     """Half readers, half writers, in cells of five over two zones."""
     engines = [i.Engine(f"e{at}".encode(), at + 1) for at in range(count)]
-    return [i.Entry(engine, "ready", 0.0, at // 5 % 2, at // 5, at % 2, 1.0) for at, engine in enumerate(engines)]
+    return [
+        i.Entry(engine, "ready", 0.0, at // 5 % 2, at // 5, at % 2, 1.0) for at, engine in enumerate(engines)
+    ]
 
 
 def milliseconds_a_job(engines: int) -> float:
@@ -31,15 +33,18 @@
     chance, front, now = random.Random(1), Front(settings(), 1), 100_000.0
     front.decide(now, [i.Listed("full", fleet(engines))])
     line: deque[tuple[float, i.Trip]] = deque()
-    spent, begun = 0.0, 0
+    spent, begun, ended = 0.0, 0, 0
     while begun < JOBS or line:
         events: list[i.Event] = []
-        if begun < JOBS and len(line) < OUT:
+        if begun < JOBS and begun - ended < OUT:
             begun += 1
-            events.append(i.Arrived(i.Job(begun, 0, begun % 997 + 1, begun % 50 + 1, 1000.0, 500.0, 100.0, now,
-                                          now + 4000.0)))
-        while line and (line[0][0] <= now or len(line) >= OUT or begun >= JOBS):
-            due, trip = line.popleft()
+            events.append(
+                i.Arrived(
+                    i.Job(begun, 0, begun % 997 + 1, begun % 50 + 1, 1000.0, 500.0, 100.0, now, now + 4000.0)
+                )
+            )
+        while line and line[0][0] <= now:
+            _, trip = line.popleft()
             if trip.reading:
                 events.append(i.Ended(trip, i.Outcome.READ, 50.0, False))
             elif not trip.began:
@@ -47,10 +52,11 @@
                 line.append((now + 200.0, trip))
             else:
                 events.append(i.Ended(trip, i.Outcome.DELIVERED, 230.0, True))
-            now = max(now, due)
+                ended += 1
         start = time.perf_counter()
         actions = front.decide(now, events)
         spent += time.perf_counter() - start
+        ended += sum(isinstance(action, (i.Defer, i.BreakOff)) for action in actions)
         line.extend((now + 50.0 * chance.uniform(0.9, 1.1), action.trip) for action in actions
                     if isinstance(action, i.Send))
         now += 1.0
--- a/tests/test_wire_forms.py
+++ b/tests/test_wire_forms.py
@@ -49,7 +49,9 @@
         self.aborted = True
 
 
-def talk(reply: bytes, sizes: list[int] | None = None, closes: bool = False) -> tuple[Heard, client.Connection, Wire]:
+def talk(
+    reply: bytes, sizes: list[int] | None = None, closes: bool = False
+) -> tuple[Heard, client.Connection, Wire]:
     """One call whose reply comes in pieces of the given sizes."""
     pool = client.Pool(None, "h", 1, 100.0, 100.0, 4, 2000)  # type: ignore[arg-type]
     connection, wire, heard = client.Connection(pool), Wire(), Heard()
@@ -97,7 +99,12 @@
 
 def test_what_comes_after_the_end_closes_the_connection_and_harms_no_call() -> None:
     heard, connection, wire = talk(LENGTH + b"HTTP/1.1 500 no\r\n\r\n")
-    assert heard.end == "done" and heard.body == b"hello" and wire.aborted and connection not in connection.pool.idle
+    assert (
+        heard.end == "done"
+        and heard.body == b"hello"
+        and wire.aborted
+        and connection not in connection.pool.idle
+    )
 
 
 def test_continue_is_passed_over() -> None:
@@ -105,8 +112,10 @@
     assert heard.body == b"hello" and heard.status == 200
 
 
-@given(st.lists(st.binary(max_size=20).filter(lambda data: b"\n" not in data and b"\r" not in data), min_size=1),
-       st.data())
+@given(
+    st.lists(st.binary(max_size=20).filter(lambda data: b"\n" not in data and b"\r" not in data), min_size=1),
+    st.data(),
+)
 def test_events_survive_any_cut(texts: list[bytes], data: st.DataObject) -> None:
     stream = b"".join(event(text) for text in texts)
     events, found = Events(1000), []
@@ -127,19 +136,32 @@
 # Jobs.
 
 def asked(headers: dict[str, str] | None = None, **fields: Any) -> chat.Asked:
-    body = {"model": "hint", "messages": [{"role": "system", "content": "s" * 40}, {"role": "user", "content": "q"}]}
+    body = {
+        "model": "hint",
+        "messages": [{"role": "system", "content": "s" * 40}, {"role": "user", "content": "q"}],
+    }
     return chat.asked(json.dumps({**body, **fields}).encode(), (headers or {}).get, {"hint": 0}, [50])
 
 
 def test_defaults_come_from_the_offering_and_the_first_message() -> None:
-    one, other = asked(), asked(messages=[{"role": "system", "content": "s" * 40}, {"role": "user", "content": "z"}])
-    assert one.most == 50 and one.prefix == other.prefix != 0 and one.prefix_tokens == 10 and one.time_left is None
+    one, other = (
+        asked(),
+        asked(messages=[{"role": "system", "content": "s" * 40}, {"role": "user", "content": "z"}]),
+    )
+    assert (
+        one.most == 50
+        and one.prefix == other.prefix != 0
+        and one.prefix_tokens == 10
+        and one.time_left is None
+    )
     assert asked(max_tokens=7).most == 7 and asked(max_completion_tokens=9, max_tokens=7).most == 9
     assert asked({chat.RETRY_COUNT: "2"}).repeat and not asked({chat.RETRY_COUNT: "0"}).repeat
     assert asked({chat.PREFIX: "lab"}).prefix != one.prefix and asked(stream=None).stream is False
 
 
-@pytest.mark.parametrize("headers", [{chat.TIME_LEFT: "soon"}, {chat.TIME_LEFT: "-1"}, {chat.PREFIX_TOKENS: "nan"}])
+@pytest.mark.parametrize(
+    "headers", [{chat.TIME_LEFT: "soon"}, {chat.TIME_LEFT: "-1"}, {chat.PREFIX_TOKENS: "nan"}]
+)
 def test_headers_that_are_no_figures_are_refused(headers: dict[str, str]) -> None:
     with pytest.raises(BadJob):
         asked(headers)
@@ -149,9 +171,14 @@
     one = asked(temperature=0.5, logit_bias={"7": 1}, stream=True)
     told = json.loads(chat.to_writer(one, chat.KvParams("e", "h", 1, [3], "j")))
     assert told["temperature"] == 0.5 and told["logit_bias"] == {"7": 1} and told["stream"] is True
-    assert told["kv_transfer_params"]["remote_engine_id"] == "e" and told["kv_transfer_params"]["remote_port"] == 1
+    assert (
+        told["kv_transfer_params"]["remote_engine_id"] == "e"
+        and told["kv_transfer_params"]["remote_port"] == 1
+    )
     read = json.loads(chat.to_reader(one))
-    assert read["max_tokens"] == 1 and read["stream"] is False and read["kv_transfer_params"]["do_remote_decode"]
+    assert (
+        read["max_tokens"] == 1 and read["stream"] is False and read["kv_transfer_params"]["do_remote_decode"]
+    )
 
 
 @given(st.binary(max_size=200))
@@ -194,23 +221,35 @@
 LAST = event(chat.chunk("c", "hint", finish="stop"))
 
 
-@pytest.mark.parametrize(("status", "pieces", "outcome", "note"), [
-    (200, [CHUNK, LAST, DONE], i.Outcome.DELIVERED, 0), (200, [CHUNK, LAST, DONE, b"data: {junk\n\n"],
-                                                         i.Outcome.DELIVERED, 0),
-    (200, [CHUNK, LAST], i.Outcome.ERROR, 0), (200, [DONE], i.Outcome.ERROR, 0), (200, [LAST, DONE], i.Outcome.ERROR, 0),
-    (200, [b"data: {\n\n"], i.Outcome.ERROR, 0), (200, [CHUNK, b'data: {"error": {"message": "x"}}\n\n'],
-                                                  i.Outcome.ERROR, 0),
-    (200, [b"data: " + b"x" * 400], i.Outcome.ERROR, 0), (500, [b"{}"], i.Outcome.ERROR, 0),
-    (429, [b'{"error":{"message":"","type":"","code":"state_lost"}}'], i.Outcome.FULL, 1),
-    (429, [b"{}"], i.Outcome.FULL, 0), (503, [b"x" * 400], i.Outcome.ERROR, 0), (204, [], i.Outcome.ERROR, 0),
-])
-def test_each_outcome_comes_about_in_one_way(status: int, pieces: list[bytes], outcome: i.Outcome, note: int) -> None:
+@pytest.mark.parametrize(
+    ("status", "pieces", "outcome", "note"),
+    [
+        (200, [CHUNK, LAST, DONE], i.Outcome.DELIVERED, 0),
+        (200, [CHUNK, LAST, DONE, b"data: {junk\n\n"], i.Outcome.DELIVERED, 0),
+        (200, [CHUNK, LAST], i.Outcome.ERROR, 0),
+        (200, [DONE], i.Outcome.ERROR, 0),
+        (200, [LAST, DONE], i.Outcome.ERROR, 0),
+        (200, [b"data: {\n\n"], i.Outcome.ERROR, 0),
+        (200, [CHUNK, b'data: {"error": {"message": "x"}}\n\n'], i.Outcome.ERROR, 0),
+        (200, [b"data: " + b"x" * 400], i.Outcome.ERROR, 0),
+        (500, [b"{}"], i.Outcome.ERROR, 0),
+        (429, [b'{"error":{"message":"","type":"","code":"state_lost"}}'], i.Outcome.FULL, 1),
+        (429, [b"{}"], i.Outcome.FULL, 0),
+        (503, [b"x" * 400], i.Outcome.ERROR, 0),
+        (204, [], i.Outcome.ERROR, 0),
+    ],
+)
+def test_each_outcome_comes_about_in_one_way(
+    status: int, pieces: list[bytes], outcome: i.Outcome, note: int
+) -> None:
     one, listener = carrier(Writing)
     one.head(status, {"content-type": "text/event-stream" if status == 200 else "application/json"})
     for data in pieces:
         one.piece(data)
     one.done()
-    assert listener.heard[-1] == (outcome, note) and sum(isinstance(told, tuple) for told in listener.heard) == 1
+    assert (
+        listener.heard[-1] == (outcome, note) and sum(isinstance(told, tuple) for told in listener.heard) == 1
+    )
 
 
 @pytest.mark.parametrize(("trouble", "outcome"), [
@@ -290,20 +329,28 @@
     again = one.take(9000.0, full(2, line("a", started=900.0))).event
     later = one.take(9000.0, full(3, line("a", started=990.0))).event
     assert first and again and later
-    assert first.entries[0].started == again.entries[0].started == 4900.0 and later.entries[0].started == 8990.0
+    assert (
+        first.entries[0].started == again.entries[0].started == 4900.0 and later.entries[0].started == 8990.0
+    )
 
 
 def test_unknown_kind_leaves_out_that_engine_alone() -> None:
     one = keeper()
     told = one.take(0.0, full(1, line("a"), line("b", kind="new")))
-    assert told.event and [entry.engine.id for entry in told.event.entries] == [b"a"] and "no kind new" in told.notes[0]
+    assert (
+        told.event
+        and [entry.engine.id for entry in told.event.entries] == [b"a"]
+        and "no kind new" in told.notes[0]
+    )
     told = one.take(0.0, delta(2, line("a", kind="new")))
     assert told.event and told.event.entries[0].state == "gone"
 
 
 @given(st.lists(st.tuples(st.booleans(), st.integers(1, 12), st.sampled_from("abc"),
                           st.sampled_from(["ready", "draining", "gone"])), max_size=30))
-def test_what_the_module_is_told_always_agrees_with_what_is_known(steps: list[tuple[bool, int, str, str]]) -> None:
+def test_what_the_module_is_told_always_agrees_with_what_is_known(
+    steps: list[tuple[bool, int, str, str]],
+) -> None:
     one, believed = keeper(), {}  # type: ListKeeper, dict[bytes, str]
     for whole, serial, name, state in steps:
         told = one.take(0.0, full(serial, line(name, state)) if whole else delta(serial, line(name, state)))
--- a/worksmux/audit/report.py
+++ b/worksmux/audit/report.py
@@ -37,6 +37,7 @@
             sum(job["asked"] for job in records.jobs if job["offering"] == name)) for name in offerings},
         "first_ms": {f"p{at:g}": firsts.get_value_at_percentile(at) for at in (50, 90, 99)},
         "trips_a_job": _part(len(records.trips), len(records.jobs)),
+        "drain_last_send_ms": drain_last_send(records),
         "moved_out_of_cell": _part(len(out), len(moved)), "engines_fallen": len(records.falls),
         "fronts_killed": sum(map(len, records.killed_fronts.values())),
         "rules": [_verdict(records, verdict) for verdict in verdicts],
@@ -44,6 +45,17 @@
     }
 
 
+def drain_last_send(records: Records) -> float:
+    """The longest time from telling a front of a drain to its last new trip there, in milliseconds."""
+    longest = 0.0
+    for trip in records.trips:
+        told = records.told.get((trip.front, trip.engine))
+        last = told.at(trip.got) if told else None
+        if last and last[1] == "draining":
+            longest = max(longest, trip.got - last[0])
+    return round(longest, 1)
+
+
 def _part(part: float, whole: float) -> float:
     return round(part / whole, 4) if whole else 0.0
 
