--- a/benchmarks/front_against_relay.py
+++ b/benchmarks/front_against_relay.py
@@ -30,9 +30,12 @@
 
 TOKENS = 8
 BODY = json.dumps({"model": "hint", "stream": True, "max_tokens": TOKENS, "messages": [
-    {"role": "system", "content": "guide " * 80}, {"role": "user", "content": "why does it fall? " * 20}]}).encode()
+    {"role": "system", "content": "guide " * 80},
+    {"role": "user", "content": "why does it fall? " * 20}]}).encode()
 CHUNKS = b"".join(event(chat.chunk("c", "hint", f"w{at} ")) for at in range(TOKENS))
-END = event(chat.chunk("c", "hint", finish="stop")) + event(chat.chunk("c", "hint", usage=chat.Usage(9, 8, 17))) + DONE
+END = (event(chat.chunk("c", "hint", finish="stop"))
+       + event(chat.chunk("c", "hint", usage=chat.Usage(9, 8, 17))) + DONE)
+JSON = [("Content-Type", "application/json")]
 
 
 def engine(reader: bool, slow: bool) -> None:
@@ -80,7 +83,7 @@
     pool = client.Pool(reactor, "127.0.0.1", port, 500.0, 60_000.0, 64, 65_536)
 
     def answer(exchange: Exchange) -> None:
-        pool.call("POST", calls.CHAT, Passing(exchange), [("Content-Type", "application/json")], exchange.body())
+        pool.call("POST", calls.CHAT, Passing(exchange), JSON, exchange.body())
 
     _, own = listen(reactor, ("127.0.0.1", 0), Server(answer, 2**20, 65_536, 120_000.0, reactor))
     print(own, flush=True)
@@ -154,7 +157,8 @@
     text = Path("benchmarks/front.kdl").read_text().replace("127.0.0.1:7000", f"127.0.0.1:{port}")
     path = folder / f"front-{port}.kdl"
     path.write_text(text)
-    child = subprocess.Popen([sys.executable, "-m", "worksmux", "serve", str(path)], stderr=subprocess.PIPE, text=True)
+    child = subprocess.Popen([sys.executable, "-m", "worksmux", "serve", str(path)], stderr=subprocess.PIPE,
+                             text=True)
     assert child.stderr
     while True:
         ports = ports_of_front(child.stderr.readline().encode())
@@ -187,7 +191,8 @@
     """Seconds that the front says it spent in its module."""
     from urllib.request import urlopen
     text = urlopen(f"http://127.0.0.1:{watch}/metrics").read().decode()
-    return float(next(line.split()[1] for line in text.splitlines() if line.startswith("worksmux_turn_seconds_sum")))
+    wanted = "worksmux_turn_seconds_sum"
+    return float(next(line.split()[1] for line in text.splitlines() if line.startswith(wanted)))
 
 
 def main() -> None:
@@ -221,7 +226,8 @@
             for what, found_rates in rates.items():
                 rate = statistics.median(found_rates)
                 print(
-                    f"{what:>11}: {rate:6.0f} jobs a second ({rate / statistics.median(rates['relay']):.2f} of the relay)"
+                    f"{what:>11}: {rate:6.0f} jobs a second "
+                    f"({rate / statistics.median(rates['relay']):.2f} of the relay)"
                     f", delay at one at a time p50 {ones[what]['p50']:.2f} ms, p99 {ones[what]['p99']:.2f} ms"
                     f" ({ones[what]['p50'] / ones['relay']['p50']:.2f} and "
                     f"{ones[what]['p99'] / ones['relay']['p99']:.2f} times the relay's)"
