--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -11,6 +11,7 @@
 from rig import FIGURES, Rig
 
 from worksmux import interface as i
+from worksmux.audit.records import load
 from worksmux.audit.rules import check
 from worksmux.front.core import Core
 from worksmux.net import clock
@@ -84,7 +85,6 @@
 
     rig.at(0, leave)
     rig.run()
-    from worksmux.audit.records import load
     records = load(tmp_path)
     assert records.trips and broken(records) == [] and not front.core.cases and not heard
     assert not rig.engines[0].model.states and rig.engines[0].model.used == 0
@@ -268,6 +268,49 @@
     assert all(event.outcome is i.Outcome.DELIVERED for event in module.told if isinstance(event, i.Probed))
 
 
+class Doer(Scripted):
+    """Asks for the list both ways, sets an alarm, reads, calls off, releases, closes and logs."""
+
+    def react(self, now: float, event: i.Event) -> list[i.Action]:
+        match event:
+            case i.Arrived(job):
+                self.job = job
+                return [i.Watch(True), i.Fetch(), i.Log("here"), self.send(job, b"e0", now, True),
+                        i.Alarm(40.0, 9)]
+            case i.Rang(9):
+                return [i.Cancel(self.job.trips[0]), i.Close(self.engines[b"e0"])]
+            case i.Ended():
+                return [i.Release(self.job), i.Defer(self.job)]
+        return []
+
+
+def test_alarm_cancel_release_watch_fetch_close_and_log_are_carried_out(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, PAIR, Doer, read_speed=1.0)
+    status, _, _ = answer_of(rig)
+    module: Any = rig.fronts[0].core.door.module
+    told = [event for event in module.told if isinstance(event, i.Ended)]
+    assert status == 503 and [event.outcome for event in told] == [i.Outcome.CANCELLED]
+    assert sum(isinstance(event, i.Listed) for event in module.told) == 3      # at first, watched, fetched
+    lines = [line for line in load(tmp_path).lines if line["who"] == "e0"]
+    assert {"release"} <= {line["what"] for line in lines}
+    assert next(line for line in lines if line["what"] == "end")["how"] == "cut"
+
+
+def test_client_that_goes_before_its_time_leaves_and_is_not_answered(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, PAIR, Silent)
+    front = rig.front()
+
+    def leave() -> None:
+        call = rig.ask(BODY, lambda *_: None)
+        rig.reactor.callLater(0.1, call.abandon)
+        rig.reactor.callLater(0.3, rig.reactor.stop)
+
+    rig.at(0, leave)
+    rig.run()
+    module: Any = front.core.door.module
+    assert sum(isinstance(event, i.Left) for event in module.told) == 1 and not front.core.cases
+
+
 class OneAction(Scripted):
     """Answers each job at once in the way it was made for."""
 
--- a/worksmux/trial/runner.py
+++ b/worksmux/trial/runner.py
@@ -361,6 +361,10 @@
     def _strike_engine(self, trouble: Trouble, handle: EngineHandle) -> None:
         later = self.reactor.callLater
         match trouble.kind:
+            case "zone-loss" if trouble.how == "silent":
+                self._fault(handle, trouble, "hang")
+                later(trouble.length / 1000, self._kill_engine, handle)
+                later((trouble.length + trouble.every) / 1000, self._engine_back, handle)
             case "crash" | "zone-loss":
                 self._kill_engine(handle)
                 later(trouble.length / 1000, self._engine_back, handle)
