Count prompts at the front: pieces, kept counts, a desk that decides, workers, identities of beginnings

Prompts are cut where the tokenizer cannot merge across, kept pieces are looked up in a cache bounded in bytes with admission by frequency, and the rest is counted by worker processes as a module free of I/O decides: wait, go on by a bound that no count exceeds, refuse, defer. Chained block hashes give shared beginnings. Engine stand-ins count whole prompts and the audit compares.

--- /dev/null
+++ b/tests/test_tokens.py
@@ -0,0 +1,480 @@
+"""Counting: equal to the reference on every text and cut, kept within its bound, decided in time."""
+from __future__ import annotations
+
+import json
+import os
+import signal
+from array import array
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from rig import SETTINGS, Rig
+from twisted.internet.epollreactor import EPollReactor
+
+from worksmux.net import clock
+from worksmux.settings.front import Counting
+from worksmux.tokens.blocks import Shared, chain
+from worksmux.tokens.cache import Frequent, Recent, cost
+from worksmux.tokens.desk import Ask, Desk, Verdict
+from worksmux.tokens.pieces import Cuts, cut, render
+from worksmux.tokens.samples import SAMPLES
+from worksmux.tokens.service import Result, TokenService
+from worksmux.tokens.sketch import Sketch
+from worksmux.tokens.vocabulary import BadTokenizer, load, tokens
+
+VOCABULARIES = [load(f"examples/tokenizers/{name}.json") for name in ("lab-1", "lab-2")]
+OPENED = [one.open() for one in VOCABULARIES]
+BOUNDS = Counting(1 << 20, 1, 1, 20_000, 1 << 20, 200, 16, 10_000, 2, 5_000.0)
+TEXT = st.one_of(
+    st.text(max_size=300),
+    st.lists(
+        st.sampled_from(
+            ["\n", "\n\n", " ", "a", "'s", "1", "ä", "水", "🔥", "\t", "x\ny", "<|im_end|>", "-"]
+        ),
+        max_size=60,
+    ).map("".join),
+    st.sampled_from(list(SAMPLES.values())),
+)
+MESSAGES = st.lists(st.tuples(st.sampled_from(["system", "user", "assistant", "tool"]), TEXT), max_size=5)
+
+
+def in_pieces(which: int, messages: list[tuple[str, str]], longest: int) -> bytes:
+    return b"".join(
+        tokens(OPENED[which], one.text) for one in cut(messages, VOCABULARIES[which].cuts, longest)
+    )
+
+
+@pytest.mark.parametrize("which", [0, 1])
+@pytest.mark.parametrize("name", SAMPLES)
+def test_count_equals_the_reference_on_every_sample(which: int, name: str) -> None:
+    messages = [("system", SAMPLES[name]), ("user", SAMPLES[name] * 20)]
+    assert VOCABULARIES[which].cuts is Cuts.LINES
+    for longest in (1, 30, 500, 10**9):
+        assert in_pieces(which, messages, longest) == tokens(OPENED[which], render(messages))
+
+
+@settings(max_examples=300, deadline=None)
+@given(MESSAGES, st.integers(1, 50), st.integers(0, 1))
+def test_pieces_are_exact_on_any_text_and_cut(
+    messages: list[tuple[str, str]], longest: int, which: int
+) -> None:
+    assert in_pieces(which, messages, longest) == tokens(OPENED[which], render(messages))
+    assert "".join(one.text for one in cut(messages, Cuts.LINES, longest)) == render(messages)
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(["user", "assistant"]), TEXT), min_size=2, max_size=6), st.data())
+def test_next_turn_has_the_pieces_of_the_one_before(
+    messages: list[tuple[str, str]], data: st.DataObject
+) -> None:
+    turn = data.draw(st.integers(1, len(messages) - 1))
+    before = [one.key for one in cut(messages[:turn], Cuts.LINES, 40)][:-1]
+    assert [one.key for one in cut(messages, Cuts.LINES, 40)][:len(before)] == before
+
+
+@settings(max_examples=100, deadline=None)
+@given(TEXT, st.integers(0, 1))
+def test_bounds_hold_around_every_count(text: str, which: int) -> None:
+    size = len(text.encode("utf-8", "surrogatepass"))
+    ask = Ask(0, size, 10**9, VOCABULARIES[which].longest_token, 1000.0, 0.0)
+    count = len(tokens(OPENED[which], text)) // 4
+    assert ask.least <= count <= ask.most
+
+
+def test_file_that_is_no_whole_tokenizer_is_refused_with_a_reason(tmp_path: Path) -> None:
+    text = Path("examples/tokenizers/lab-1.json").read_text()
+    for name, content, words in (("half", text[:len(text) // 2], "no whole"), ("empty", "", "no whole"),
+                                 ("bare", text.replace("<|im_end|>", "<|other|>"), "has no token")):
+        path = tmp_path / f"{name}.json"
+        path.write_text(content)
+        with pytest.raises(BadTokenizer, match=words):
+            load(path)
+    with pytest.raises(BadTokenizer, match="cannot be read"):
+        load(tmp_path / "none.json")
+
+
+def test_tokenizer_that_merges_across_lines_is_cut_at_markers_only(tmp_path: Path) -> None:
+    form = json.loads(Path("examples/tokenizers/lab-1.json").read_text())
+    form["pre_tokenizer"] = None                     # nothing splits the text before merging
+    path = tmp_path / "merging.json"
+    path.write_text(json.dumps(form))
+    assert load(path).cuts is Cuts.MARKERS
+    for token in form["added_tokens"]:
+        token["lstrip"] = True
+    path.write_text(json.dumps(form))
+    assert load(path).cuts is Cuts.NONE
+
+
+# Beginnings.
+
+@given(st.lists(st.integers(0, 5), max_size=40), st.lists(st.integers(0, 5), max_size=40), st.integers(1, 5))
+def test_equal_blocks_mean_equal_beginnings(one: list[int], other: list[int], block: int) -> None:
+    a, b = (chain(array("I", ids).tobytes(), block, 3) for ids in (one, other))
+    for at, (x, y) in enumerate(zip(a, b, strict=False)):
+        assert (x == y) == (one[:(at + 1) * block] == other[:(at + 1) * block])
+
+
+def test_beginning_is_shared_once_two_sessions_have_shown_it() -> None:
+    shared = Shared(100)
+    assert shared.show([1, 2, 3], 7) == 0 and shared.show([1, 2, 3, 4], 7) == 0
+    assert shared.show([1, 2, 9], 8) == 2 and shared.show([1, 2, 3], 7) == 2
+    for number in range(200):
+        shared.show([1000 + number], number)
+    assert len(shared.seen) == 100 and shared.show([1, 2], 9) == 0
+
+
+# The cache.
+
+@given(st.lists(st.tuples(st.integers(0, 30), st.integers(0, 400)), max_size=200), st.integers(2_000, 20_000))
+def test_bytes_kept_never_pass_the_bound(steps: list[tuple[int, int]], bound: int) -> None:
+    for cache in (Recent(bound), Frequent(bound, 256)):
+        for key, size in steps:
+            ids = bytes(size)
+            found = cache.get(key)
+            assert found is None or isinstance(found, bytes)
+            if found is None:
+                cache.put(key, ids)
+            assert cache.used <= bound
+
+
+def test_kept_ids_are_those_that_were_put() -> None:
+    for cache in (Recent(50_000), Frequent(50_000, 256)):
+        for key in range(60):
+            cache.put(key, bytes([key]) * key)
+            cache.get(key)
+        assert all(ids in (None, bytes([key]) * key) for key in range(60) for ids in [cache.get(key)])
+        assert any(cache.get(key) for key in range(1, 60))
+
+
+def hits(cache: Any, trace: list[int]) -> float:
+    found = 0
+    for key in trace:
+        if cache.get(key) is not None:
+            found += 1
+        else:
+            cache.put(key, bytes(600))
+    return found / len(trace)
+
+
+def test_scan_of_prompts_that_come_once_leaves_the_shared_ones_in_place() -> None:
+    import random
+    chance, trace = random.Random(3), []
+    for at in range(20_000):
+        trace.append(chance.randrange(60) if chance.random() < 0.4 else 1000 + at)
+    size = 50 * cost(bytes(600))
+    assert hits(Frequent(size, 256), trace) > 1.3 * hits(Recent(size), trace)
+
+
+def test_sketch_counts_and_forgets() -> None:
+    sketch = Sketch(64)
+    for _ in range(30):
+        sketch.add(5)
+    assert sketch.count(5) >= 15 and sketch.count(6) <= 1
+    for key in range(2000):
+        sketch.add(100 + key)
+    assert sketch.count(5) < 15
+
+
+# The desk.
+
+def ask(missing: int, known: int = 0, limit: int = 10**9, now: float = 0.0, promised: float = 1000.0) -> Ask:
+    return Ask(known, missing, limit, 8, promised, now)
+
+
+def desk(line: int = 10_000, long: int = 1000) -> Desk:
+    return Desk(long, line, 1, 1, 5000.0)
+
+
+def test_kept_prompt_is_counted_and_one_surely_too_long_is_refused_unread() -> None:
+    one = desk()
+    assert one.arrive(ask(0, 50)) is Verdict.COUNTED
+    assert one.arrive(ask(801, limit=100)) is Verdict.TOO_LONG and one.refused == 1
+    assert one.arrive(ask(800, limit=100)) is Verdict.WAIT
+
+
+def test_full_line_goes_on_by_bounds_and_defers_what_may_be_too_long() -> None:
+    one = desk(line=500)
+    assert one.arrive(ask(400)) is Verdict.WAIT
+    assert one.arrive(ask(200)) is Verdict.BOUND and one.arrive(ask(200, limit=150)) is Verdict.DEFER
+    first = one.next(False)
+    assert first
+    one.begin(first, 5.0)
+    one.done(first, 10.0)
+    assert one.arrive(ask(200)) is not Verdict.DEFER and one.lanes[False].bytes == 200
+
+
+def test_short_prompts_have_workers_of_their_own_and_the_first_promised_is_next() -> None:
+    one = desk()
+    late, long, soon = ask(10, promised=900.0), ask(5000), ask(20, promised=300.0)
+    for each in (late, long, soon):
+        one.arrive(each)
+    assert (
+        one.next(False) is soon and one.next(True) is long and one.next(False) is late and not one.next(False)
+    )
+
+
+def test_wait_for_a_count_ends_within_the_promised_time() -> None:
+    one = desk()
+    sure, unsure = ask(100), ask(100, limit=90)
+    assert one.arrive(sure) is one.arrive(unsure) is Verdict.WAIT
+    at = one.next_deadline()
+    assert at is not None and at < 200
+    assert one.late(at) == [(sure, Verdict.BOUND)] and one.late(at) == []
+    last = one.next_deadline()
+    assert last is not None and last <= 500 and one.late(last) == [(unsure, Verdict.DEFER)]
+
+
+def test_expected_wait_decides_before_the_line_is_full() -> None:
+    one = desk()
+    slow = ask(100)
+    one.arrive(slow)
+    one.next(False)
+    one.begin(slow, 0.0)
+    one.done(slow, 1000.0)                           # ten milliseconds a byte
+    assert one.arrive(ask(100, now=1000.0)) is Verdict.BOUND
+    assert one.arrive(ask(100, limit=90, now=1000.0)) is Verdict.DEFER
+
+
+def test_prompt_that_costs_two_workers_goes_on_by_its_bound() -> None:
+    one, poison = desk(), ask(100)
+    one.arrive(poison)
+    one.next(False)
+    assert one.lost(poison, 1.0) is Verdict.WAIT and one.next(False) is poison
+    assert one.lost(poison, 2.0) is Verdict.BOUND and one.lanes[False].bytes == 0 and poison.over
+
+
+class DeskMachine(RuleBasedStateMachine):
+    """Bytes in the line are those of what is in it, never over the bound; nobody waits past his time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.desk, self.now = desk(2000, 300), 0.0
+        self.queued: list[Ask] = []
+        self.out: list[Ask] = []
+
+    @rule(size=st.integers(0, 900), limit=st.sampled_from([50, 400, 10**9]), promised=st.floats(10, 2000))
+    def arrive(self, size: int, limit: int, promised: float) -> None:
+        one = ask(size, limit=limit, now=self.now, promised=promised)
+        verdict = self.desk.arrive(one)
+        if verdict is Verdict.WAIT or verdict is Verdict.BOUND and one.wait_until:
+            self.queued.append(one)
+        if verdict is Verdict.BOUND:
+            assert one.most <= limit
+
+    @rule(long=st.booleans())
+    def serve(self, long: bool) -> None:
+        found = self.desk.next(long)
+        if found:
+            self.queued.remove(found)
+            self.out.append(found)
+            assert self.desk.begin(found, self.now) > 0
+
+    @precondition(lambda self: self.out)
+    @rule(how=st.sampled_from(["done", "lost", "gone"]))
+    def end(self, how: str) -> None:
+        one = self.out.pop()
+        if how == "lost":
+            if self.desk.lost(one, self.now) is Verdict.WAIT:
+                self.queued.append(one)
+        elif how == "done":
+            self.desk.done(one, self.now)
+        else:
+            self.desk.gone(one)
+
+    @rule(step=st.floats(0, 500))
+    def wait(self, step: float) -> None:
+        self.now += step
+        for one, verdict in self.desk.late(self.now):
+            assert verdict is (Verdict.BOUND if one.most <= one.limit else Verdict.DEFER)
+        assert all(not one.waits or one.wait_until > self.now for one in self.queued + self.out)
+
+    @invariant()
+    def line_is_what_is_in_it(self) -> None:
+        total = sum(lane.bytes for lane in self.desk.lanes.values())
+        assert total == sum(one.missing for one in self.queued + self.out) <= 2000
+
+
+TestDesk = DeskMachine.TestCase
+TestDesk.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
+
+
+# The service with real workers.
+
+class Bench:
+    """A service on a reactor of its own."""
+
+    def __init__(self, bounds: Counting = BOUNDS, offerings: int = 1) -> None:
+        self.reactor: Any = EPollReactor()
+        self.service = TokenService(self.reactor, bounds, [VOCABULARIES[0]] * offerings)
+        self.told: list[Result] = []
+
+    def ask(self, text: str, limit: int = 10**9, promised: float = 20_000.0, offering: int = 0,
+            session: int = 0) -> Any:
+        return self.service.count([("user", text)], offering, limit, promised, session, self.told.append)
+
+    def run(self, until: Any, within: float = 20.0) -> None:
+        end = clock.now() + within * 1000
+
+        def look() -> None:
+            if until() or clock.now() > end:
+                self.service.stop()
+                self.reactor.stop()
+            else:
+                self.reactor.callLater(0.005, look)
+
+        self.reactor.callLater(0, look)
+        self.reactor.run(installSignalHandlers=False)
+        assert until(), "not over in time"
+
+    def start(self) -> None:
+        self.service.start()
+
+
+def exact(text: str, which: int = 0) -> int:
+    return len(tokens(OPENED[which], render([("user", text)]))) // 4
+
+
+def test_service_counts_as_the_reference_and_keeps_what_it_counted() -> None:
+    bench = Bench()
+    bench.start()
+    for text in SAMPLES.values():
+        bench.ask(text)
+    bench.run(lambda: len(bench.told) == len(SAMPLES))
+    assert sorted(one.prompt for one in bench.told) == sorted(map(exact, SAMPLES.values()))
+    counted = bench.service.bytes_counted
+    bench.ask(SAMPLES["finnish"])  # kept: told before the call returns, though no worker lives
+    assert bench.told[-1].exact and bench.service.bytes_counted == counted
+
+
+def test_killed_and_stopped_workers_are_replaced_and_no_prompt_is_lost() -> None:
+    bench = Bench(Counting(1 << 20, 1, 1, 20_000, 1 << 20, 200, 16, 10_000, 2, 400.0))
+    bench.start()
+    struck: list[int] = []
+
+    def strike() -> None:
+        busy = [worker for worker in bench.service.workers.workers if worker.process and worker.process.pid]
+        if not busy:
+            bench.reactor.callLater(0.005, strike)
+            return
+        for at, worker in enumerate(busy):
+            struck.append(worker.process.pid)
+            os.kill(worker.process.pid, signal.SIGSTOP if at else signal.SIGKILL)
+        for text in SAMPLES.values():
+            bench.ask(text)
+        bench.ask("line of a log\n" * 3000)          # long: its lane's worker is the one that hangs
+
+    bench.reactor.callLater(0.05, strike)
+    bench.run(lambda: len(bench.told) >= len(SAMPLES) + 1 and bench.service.workers.replaced >= 2)
+    assert len(struck) == 2 and all(one.verdict is Verdict.COUNTED for one in bench.told)
+
+
+def test_no_count_of_an_old_version_is_told_after_a_change() -> None:
+    bench = Bench()
+    bench.start()
+    texts = [f"{name} {at} {text}" for at in range(30) for name, text in SAMPLES.items()]
+    told_under: list[tuple[int, Result, str]] = []
+    for text in texts:
+        bench.service.count(
+            [("user", text)],
+            0,
+            10**9,
+            60_000.0,
+            0,
+            lambda result, text=text: told_under.append(
+                (bench.service.vocabularies[0].version, result, text)
+            ),
+        )
+
+    def change(left: int) -> None:
+        bench.service.use([VOCABULARIES[left % 2]])
+        if left:
+            bench.reactor.callLater(0.02, change, left - 1)
+
+    bench.reactor.callLater(0.1, change, 21)
+    bench.run(lambda: len(told_under) == len(texts))
+    versions = {one.version: at for at, one in enumerate(VOCABULARIES)}
+    assert all(now == result.version for now, result, _ in told_under) and bench.service.recounted > 0
+    assert all(result.prompt == exact(text, versions[result.version]) for _, result, text in told_under)
+
+
+def test_two_versions_side_by_side_do_not_share_counts() -> None:
+    bench = Bench(offerings=2)
+    bench.service.vocabularies = VOCABULARIES
+    bench.start()
+    bench.ask(SAMPLES["russian"])
+    bench.ask(SAMPLES["russian"], offering=1)
+    bench.run(lambda: len(bench.told) == 2)
+    assert {one.prompt for one in bench.told} == {exact(SAMPLES["russian"]), exact(SAMPLES["russian"], 1)}
+
+
+def test_client_that_leaves_takes_its_prompt_out_of_the_line() -> None:
+    bench = Bench()
+    gone = [bench.ask("x\n" * 400) for _ in range(3)]
+    for one in gone:
+        bench.service.cancel(one)
+    assert not bench.service.open and sum(lane.bytes for lane in bench.service.desk.lanes.values()) == 0
+
+
+# The front with a tokenizer.
+
+TOKENS = SETTINGS.replace('effect "redoable"', 'effect "redoable"\n    most-prompt 400').replace(
+    "    most-answer 60\n", '    most-answer 60\n    tokenizer "lab"\n') + """
+tokenizer "lab" file="examples/tokenizers/lab-1.json"
+counting {
+    cache "1MiB"
+    workers 1
+    long-workers 1
+    long-from "8KiB"
+    line "256KiB"
+    piece 500
+    block 16
+    shared-blocks 10000
+    shared-sessions 2
+    time-limit "2s"
+}
+"""
+
+
+@settings(suppress_health_check=[HealthCheck.function_scoped_fixture])
+@given(st.just(0))
+def test_settings_of_counting_are_checked(_: int) -> None:
+    from worksmux.settings.document import SettingsError, parse
+    from worksmux.settings.front import read_front
+    assert read_front(parse(TOKENS)).counting
+    for old, new, words in (
+        ('tokenizer "lab"\n', 'tokenizer "labb"\n', "is not given"),
+        ('line "256KiB"', 'line "1KiB"', "no long prompt"),
+        ("block 16", "", "block is missing"),
+    ):
+        with pytest.raises(SettingsError, match=words):
+            read_front(parse(TOKENS.replace(old, new, 1)))
+
+
+def test_front_counts_refuses_too_long_and_tells_engines_the_count(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, [("prefill", 0), ("decode", 0)], text=TOKENS,
+              tokenizer="examples/tokenizers/lab-1.json")
+    rig.front()
+    heard: list[tuple[int, bytes]] = []
+
+    def body(text: str) -> bytes:
+        return json.dumps({"model": "hint", "messages": [{"role": "user", "content": text}]}).encode()
+
+    def end(status: int, headers: dict[str, str], reply: bytes, trouble: Any) -> None:
+        heard.append((status, reply))
+        if len(heard) == 3:
+            rig.reactor.callLater(0.1, rig.reactor.stop)
+
+    rig.at(300, rig.ask, body(SAMPLES["finnish"]), end)
+    rig.at(300, rig.ask, body("why so cold? " * 2000), end)      # surely too long
+    rig.at(300, rig.ask, body("kylmä " * 300), end)              # known to be too long once it is counted
+    rig.run()
+    assert sorted(status for status, _ in heard) == [200, 400, 400]
+    codes = {json.loads(reply)["error"]["code"] for status, reply in heard if status == 400}
+    assert codes == {"context_length_exceeded"}
+    from worksmux.audit.records import load as records
+    found = records(tmp_path)
+    assert len(found.trips) == 2 and found.counts and all(front == own for _, front, own in found.counts)
--- a/worksmux/api/chat.py
+++ b/worksmux/api/chat.py
@@ -121,6 +121,9 @@
     repeat: bool
     label: str
     request_id: str
+    parts: list[tuple[str, str]]     # role and text of each message
+    named: bool                      # the client told its shared beginning itself
+    exact: bool = False              # the prompt's length is counted, not guessed
     answer_id: str = field(default_factory=lambda: "chatcmpl-" + secrets.token_hex(12))
 
 
@@ -141,13 +144,11 @@
     return (xxhash.xxh3_64_intdigest(text.encode("utf-8", "surrogatepass")) or 1) if text else 0
 
 
-def _length(content: Text) -> int:
-    """Bytes of a message's text."""
-    if content is None:
-        return 0
-    if isinstance(content, str):
-        return len(content.encode("utf-8", "surrogatepass"))
-    return sum(len(str(part.get("text", "")).encode("utf-8", "surrogatepass")) for part in content)
+def text_of(content: Text) -> str:
+    """A message's text; of a list of parts, those that are text."""
+    if isinstance(content, list):
+        return "".join(str(part.get("text", "")) for part in content)
+    return content or ""
 
 
 def asked(
@@ -169,10 +170,11 @@
     longest = known.max_completion_tokens if known.max_completion_tokens is not None else known.max_tokens
     if longest is not None and longest < 1:
         raise BadJob("max_tokens must be at least 1", "max_tokens")
-    lengths = [_length(message.content) for message in known.messages]
+    parts = [(message.role, text_of(message.content)) for message in known.messages]
+    lengths = [len(text.encode("utf-8", "surrogatepass")) for _, text in parts]
     first = known.messages[0]
     named = header(PREFIX) or known.prompt_cache_key
-    shared = named or (str(first.content) if first.role in ("system", "developer") and lengths[0] else None)
+    shared = named or (parts[0][1] if first.role in ("system", "developer") and lengths[0] else None)
     prefix_tokens = _figure(header(PREFIX_TOKENS), PREFIX_TOKENS)
     repeats = _figure(header(REPEAT) or header(RETRY_COUNT), REPEAT)
     return Asked(
@@ -190,6 +192,8 @@
         bool(repeats),
         header(LABEL) or "",
         header(REQUEST_ID) or "",
+        parts,
+        bool(named),
     )
 
 
--- a/worksmux/audit/records.py
+++ b/worksmux/audit/records.py
@@ -83,6 +83,7 @@
     holdings: list[Holding] = field(default_factory=list)
     asked_places: list[tuple[float, str, str, str]] = field(default_factory=list)   # time, engine, front, job
     told: dict[tuple[str, str], Told] = field(default_factory=lambda: defaultdict(Told))
+    counts: list[tuple[str, int, int]] = field(default_factory=list)     # job, tokens by front and by engine
     falls: list[tuple[float, str]] = field(default_factory=list)
     killed_fronts: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     end: float = 0.0
@@ -169,6 +170,8 @@
             _close(holdings, who, line["job"], "place", time, "release")
         case "place asked":
             found.asked_places.append((time, who, line["front"], line["job"]))
+        case "counted":
+            found.counts.append((line["job"], line["by_front"], line["own"]))
         case "fell":
             found.falls.append((time, who))
             _close_all(who, time, holdings, open_trips)
--- a/worksmux/audit/report.py
+++ b/worksmux/audit/report.py
@@ -37,6 +37,7 @@
             sum(job["asked"] for job in records.jobs if job["offering"] == name)) for name in offerings},
         "first_ms": {f"p{at:g}": firsts.get_value_at_percentile(at) for at in (50, 90, 99)},
         "trips_a_job": _part(len(records.trips), len(records.jobs)),
+        "counts": len(records.counts), "counts_wrong": sum(front != own for _, front, own in records.counts),
         "drain_last_send_ms": drain_last_send(records),
         "moved_out_of_cell": _part(len(out), len(moved)), "engines_fallen": len(records.falls),
         "fronts_killed": sum(map(len, records.killed_fronts.values())),
--- a/worksmux/commands/main.py
+++ b/worksmux/commands/main.py
@@ -29,20 +29,30 @@
 def serve(file: File) -> None:
     """Run one front until SIGTERM; SIGHUP reloads its settings."""
     from ..front.serve import run
+    from ..tokens.vocabulary import BadTokenizer
     try:
         sys.exit(run(file))
     except SettingsError as error:
         raise _refuse(error) from error
+    except BadTokenizer as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(BAD_CALL) from error
 
 
 @app.command()
 def check(file: File) -> None:
     """Check a front's settings and name every fault, with line and remedy."""
+    from ..front.serve import vocabularies
     from ..settings.front import load_front
+    from ..tokens.vocabulary import BadTokenizer
     try:
         settings = load_front(file)
+        vocabularies(settings)
     except SettingsError as error:
         raise _refuse(error) from error
+    except BadTokenizer as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(BAD_CALL) from error
     host, port = settings.source.address
     typer.echo(
         f"{file}: front {settings.name}, {len(settings.offerings)} offerings, {len(settings.kinds)} kinds of "
--- a/worksmux/commands/trials.py
+++ b/worksmux/commands/trials.py
@@ -33,6 +33,7 @@
     rows += [("trips a job", [f"{run['trips_a_job']:.2f}" for run in told]),
              ("state moved out of its cell", [f"{run['moved_out_of_cell']:.3f}" for run in told]),
              ("last send after a drain was told, ms", [f"{run['drain_last_send_ms']:.1f}" for run in told]),
+             ("prompts counted, and wrongly", [f"{run['counts']}, {run['counts_wrong']}" for run in told]),
              ("engines fallen over", [str(run["engines_fallen"]) for run in told]),
              ("fronts killed or stopped", [str(run["fronts_killed"]) for run in told])]
     for name, cells in rows:
--- a/worksmux/front/clients.py
+++ b/worksmux/front/clients.py
@@ -13,7 +13,10 @@
 from ..api import chat, errors
 from ..api.chat import Asked, Usage
 from ..api.events import DONE, event
+from ..net import clock
 from ..net.server import Exchange
+from ..tokens.desk import Verdict
+from ..tokens.service import Prompt, Result, TokenService
 from .case import Case
 from .core import Core
 
@@ -99,12 +102,14 @@
 class ClientSide:
     """Takes the calls of clients; `stopping` turns new jobs away while the front finishes what is out."""
 
-    def __init__(self, core: Core) -> None:
+    def __init__(self, core: Core, tokens: TokenService | None = None) -> None:
         self.core = core
         names = [one.name for one in core.settings.offerings]
         self.offerings = {name: at for at, name in enumerate(names)}
         self.most = [one.most_answer for one in core.settings.offerings]
         self.models = chat.models(names)
+        self.tokens = tokens
+        self.counting: dict[Counting, None] = {}     # their prompts are being counted
         self.stopping = False
 
     def __call__(self, exchange: Exchange) -> None:
@@ -131,16 +136,90 @@
             return self._no(
                 exchange, 503, "the front is stopping; try another", "server_error", "deferred", away
             )
-        if len(self.core.cases) >= self.core.settings.transport.open_jobs:
+        if len(self.core.cases) + len(self.counting) >= self.core.settings.transport.open_jobs:
             self.core.metrics.turned_away("too many open")
             return self._no(
                 exchange, 503, "the front holds as many jobs as it may", "server_error", "deferred", away
             )
+        arrived = clock.now()
         try:
             asked = chat.asked(exchange.body(), exchange.header, self.offerings, self.most)
         except errors.BadJob as bad:
             self.core.metrics.turned_away("bad job")
-            return exchange.answer(bad.status, bad.body)
+            exchange.answer(bad.status, bad.body)
+            return
+        if self.tokens is None:
+            self._take(exchange, asked, arrived)
+        else:
+            Counting(self, self.tokens, exchange, asked, arrived).start()
+
+    def _take(self, exchange: Exchange, asked: Asked, arrived: float) -> Case:
+        """From here on the job is the module's."""
         side = ChatClient(exchange, asked)
-        case = side.case = self.core.arrived(asked, side)
+        case = side.case = self.core.arrived(asked, side, arrived)
         exchange.on_gone = lambda: self.core.left(case)
+        return case
+
+
+class Counting:
+    """A job whose prompt is being counted: no trip has been sent, and what it becomes is the desk's to
+    say."""
+
+    def __init__(self, side: ClientSide, tokens: TokenService, exchange: Exchange, asked: Asked,
+                 arrived: float) -> None:
+        self.side, self.tokens, self.exchange, self.asked = side, tokens, exchange, asked
+        self.arrived = arrived
+        self.prompt: Prompt | None = None
+        self.case: Case | None = None
+
+    def start(self) -> None:
+        asked = self.asked
+        offering = self.side.core.settings.offerings[asked.offering]
+        promised = min(offering.promised_time, offering.promised_time if asked.time_left is None
+                       else asked.time_left)
+        self.side.counting[self] = None
+        self.exchange.on_gone = self._gone
+        self.prompt = self.tokens.count(asked.parts, asked.offering, offering.most_prompt, promised,
+                                        asked.session, self._result)
+
+    def _gone(self) -> None:
+        """The client hung up before its job was taken."""
+        if self.prompt is not None:
+            self.tokens.cancel(self.prompt)
+        self._over()
+
+    def _over(self) -> None:
+        self.side.counting.pop(self, None)
+        if self.side.core.on_empty:
+            self.side.core.on_empty()
+
+    def _result(self, told: Result) -> None:
+        asked, core = self.asked, self.side.core
+        core.metrics.counted(told.verdict.value, clock.now() - self.arrived)
+        asked.prompt, asked.exact = max(1.0, told.prompt), told.exact
+        if told.exact and not asked.named:
+            asked.prefix, asked.prefix_tokens = told.prefix, told.prefix_tokens
+        if self.case is not None:                    # it went on by its bound
+            if not self.case.answered:
+                core.corrected(self.case)
+            return
+        match told.verdict:
+            case Verdict.TOO_LONG:
+                limit = core.settings.offerings[asked.offering].most_prompt
+                number = f"{told.least}" if told.exact else f"at least {told.least}"
+                core.metrics.turned_away("prompt too long")
+                self.exchange.answer(
+                    400,
+                    errors.error(
+                        f"the prompt has {number} tokens; {asked.name} takes {limit} at most; shorten it",
+                        "invalid_request_error",
+                        "messages",
+                        "context_length_exceeded",
+                    ),
+                )
+            case Verdict.DEFER:
+                core.metrics.turned_away("counting overloaded")
+                ChatClient(self.exchange, asked).deferred(1000.0)
+            case _:
+                self.case = self.side._take(self.exchange, asked, self.arrived)
+        self._over()
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -84,35 +84,35 @@
 
     # Clients.
 
-    def arrived(self, asked: chat.Asked, client_side: Client) -> Case:
-        """A job is taken; from here on it is owed one answer."""
+    def arrived(self, asked: chat.Asked, client_side: Client, arrived: float) -> Case:
+        """A job that came at `arrived` is told to the module; from here on it is owed one answer."""
         now = clock.now()
         offering = self.settings.offerings[asked.offering]
         limit = offering.outer_limit + 2 * offering.promised_per_k * asked.prompt / 1000
         left = max(0.0, min(limit, asked.time_left if asked.time_left is not None else limit)
                    - self.settings.transport.answer_margin)
         self.number += 1
-        job = i.Job(
-            self.number,
-            asked.offering,
-            asked.session,
-            asked.prefix,
-            asked.prompt,
-            asked.prefix_tokens,
-            float(asked.most),
-            now,
-            now + left,
-            repeat=asked.repeat,
-        )
+        job = i.Job(self.number, asked.offering, asked.session, asked.prefix, asked.prompt,
+                    asked.prefix_tokens, float(asked.most), arrived, arrived + left, repeat=asked.repeat)
         case = Case(job, asked, client_side, f"{self.name}.{job.id}")
         asked.label = asked.label or case.key
         slack = float(self.settings.module["answer_slack"])
-        case.guard = self.reactor.callLater((left + slack) / 1000, self._overdue, case)
+        case.guard = self.reactor.callLater(
+            max(0.0, arrived + left + slack - now) / 1000, self._overdue, case
+        )
         self.cases[job] = case
         self.metrics.arrived(asked.name)
         self.tell(self.door.arrived(job))
         return case
 
+    def corrected(self, case: Case) -> None:
+        """The prompt of a job that went on by a bound is counted; its beginning counts until its first
+        trip."""
+        job, asked = case.job, case.asked
+        job.prompt = asked.prompt
+        if not job.trips:
+            job.prefix, job.prefix_tokens = asked.prefix, asked.prefix_tokens
+
     def left(self, case: Case) -> None:
         """The client hung up; a stream that nobody reads ends."""
         if not case.answered:
@@ -276,6 +276,8 @@
             self._let_go(case, case.place)           # a send to another writer gives the place up
         headers = [("Content-Type", "application/json"), (chat.REQUEST_ID, f"{case.key}.{trip.number}"),
                    (calls.JOB, case.key), (calls.FRONT, self.settings.name), (chat.LABEL, case.asked.label)]
+        if case.asked.exact:
+            headers.append((calls.PROMPT_TOKENS, str(int(case.asked.prompt))))
         if case.asked.request_id:
             headers.append((calls.TRY, case.asked.request_id))
         state = case.state if job.holder is not None else None
--- a/worksmux/front/metrics.py
+++ b/worksmux/front/metrics.py
@@ -1,8 +1,13 @@
 """Plain metrics of one front, in the Prometheus text form."""
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+if TYPE_CHECKING:
+    from ..tokens.service import TokenService
+
 SECONDS = (0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0)
 TURNS = (0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3)
 
@@ -33,6 +38,23 @@
         self._turn = Histogram("worksmux_turn_seconds", "Time in the module, a turn", buckets=TURNS,
                                registry=self.registry)
         self._events = Counter("worksmux_events", "Events told to the module", registry=self.registry)
+        self._counted = Counter("worksmux_prompts", "Prompts, by what the desk made of them", ["verdict"],
+                                registry=self.registry)
+        self._counting = Histogram("worksmux_counting_seconds", "Time that counting added to a job",
+                                   buckets=(*TURNS, 1.0, 3.0), registry=self.registry)
+        self._cache_bytes = Gauge("worksmux_tokens_cache_bytes", "Kept pieces with their overhead",
+                                  registry=self.registry)
+        self._pieces_kept = Gauge("worksmux_tokens_pieces_kept", "Pieces that were found kept",
+                                  registry=self.registry)
+        self._pieces_counted = Gauge("worksmux_tokens_pieces_missed", "Pieces that were not",
+                                     registry=self.registry)
+        self._workers_replaced = Gauge("worksmux_tokens_workers_replaced", "Workers that died or hung",
+                                       registry=self.registry)
+        self._recounted = Gauge("worksmux_tokens_recounted", "Prompts begun anew after a change of version",
+                                registry=self.registry)
+        self._line = Gauge(
+            "worksmux_tokens_line_bytes", "Bytes that wait to be counted", registry=self.registry
+        )
         self.open = Gauge("worksmux_open_jobs", "Jobs taken and not closed", registry=self.registry)
         self.engines = Gauge("worksmux_engines_ready", "Engines listed as ready", registry=self.registry)
         self.serial = Gauge("worksmux_list_serial", "Number of the list in force", registry=self.registry)
@@ -53,6 +75,19 @@
         if first_ms is not None:
             self._first.labels(offering).observe(first_ms / 1000)
 
+    def counted(self, verdict: str, ms: float) -> None:
+        self._counted.labels(verdict).inc()
+        self._counting.observe(ms / 1000)
+
+    def tokens(self, service: TokenService) -> None:
+        """The state of counting, when the metrics are asked for."""
+        self._cache_bytes.set(service.cache.used)
+        self._pieces_kept.set(service.hits)
+        self._pieces_counted.set(service.misses)
+        self._workers_replaced.set(service.workers.replaced)
+        self._recounted.set(service.recounted)
+        self._line.set(sum(lane.bytes for lane in service.desk.lanes.values()))
+
     def turned_away(self, why: str) -> None:
         self._turned_away.labels(why).inc()
 
--- a/worksmux/front/serve.py
+++ b/worksmux/front/serve.py
@@ -15,6 +15,9 @@
 from ..net.server import Exchange, Server
 from ..settings.document import SettingsError
 from ..settings.front import FrontSettings, load_front
+from ..tokens.service import TokenService
+from ..tokens.vocabulary import BadTokenizer, Vocabulary
+from ..tokens.vocabulary import load as load_vocabulary
 from .clients import ClientSide
 from .core import Core
 from .fleet import Fleet
@@ -24,6 +27,12 @@
 LOG = structlog.get_logger()
 
 
+def vocabularies(settings: FrontSettings) -> list[Vocabulary]:
+    """Each offering's tokenizer, each file read once; raises BadTokenizer."""
+    read = {name: load_vocabulary(path) for name, path in settings.tokenizers.items()}
+    return [read[one.tokenizer] for one in settings.offerings]
+
+
 class FrontProcess:
     """One front with its sockets; `stop` takes no new job, finishes what is out, then calls `on_end`."""
 
@@ -36,7 +45,10 @@
         self.fleet = Fleet(settings.source, self.core, reactor)
         self.core.fleet = self.fleet
         self.core.on_empty = self._emptied
-        self.clients = ClientSide(self.core)
+        self.tokens: TokenService | None = None
+        if settings.counting:
+            self.tokens = TokenService(reactor, settings.counting, vocabularies(settings))
+        self.clients = ClientSide(self.core, self.tokens)
         transport = settings.transport
         self.client_server = Server(
             self.clients, transport.body, transport.head, transport.keep_alive, reactor
@@ -54,6 +66,8 @@
         self.ports.append(port)
         port, self.watch_port = listen(self.reactor, self.settings.watch, self.watch_server)
         self.ports.append(port)
+        if self.tokens:
+            self.tokens.start()
         self.core.tell_start()
         self.fleet.start()
         LOG.info("serving", port=self.port, watch=self.watch_port, policy=self.settings.policy)
@@ -62,6 +76,8 @@
         path = exchange.path.decode("latin-1")
         if path == "/metrics":
             self.metrics.lines_lost.set(self.writer.lost if self.writer else 0)
+            if self.tokens:
+                self.metrics.tokens(self.tokens)
             exchange.answer(200, self.metrics.text(), "text/plain; version=0.0.4; charset=utf-8")
         elif path == "/live":
             exchange.answer(200, b"running\n", "text/plain")
@@ -84,7 +100,7 @@
         self._emptied()
 
     def _emptied(self) -> None:
-        if self.stopping and not self.core.cases:
+        if self.stopping and not self.core.cases and not self.clients.counting:
             self.reactor.callLater(0, self._end)
 
     def _end(self) -> None:
@@ -103,6 +119,8 @@
 
     def close(self) -> None:
         self.fleet.stop()
+        if self.tokens:
+            self.tokens.stop()
         for port in self.ports:
             port.stopListening()
         for pool in self.core.pools.values():
@@ -128,7 +146,6 @@
                 "turn",
                 "policy",
                 "zones",
-                "offerings",
                 "kinds",
                 "module",
                 "source",
@@ -136,10 +153,25 @@
             )
             if getattr(old, name) != getattr(fresh, name)
         ]
+        if [one.name for one in old.offerings] != [one.name for one in fresh.offerings]:
+            fixed.append("offerings")
+        if (old.counting is None) != (fresh.counting is None):
+            fixed.append("counting")
         if fixed:
             LOG.error("the settings were not reloaded: these need a restart", sections=fixed)
             return
+        if self.tokens:
+            try:
+                told = vocabularies(fresh)
+            except BadTokenizer as error:
+                LOG.error("the settings were not reloaded: the tokenizers at work stay", why=str(error))
+                return
+            changed = sum(new.version != one.version
+                          for new, one in zip(told, self.tokens.vocabularies, strict=True))
+            self.tokens.use(told)
+            LOG.info("tokenizers read again", offerings_changed=changed)
         self.settings = self.core.settings = fresh
+        self.clients.most = [one.most_answer for one in fresh.offerings]
         for server, bound in (
             (self.client_server, fresh.transport.body),
             (self.watch_server, fresh.transport.head),
@@ -157,12 +189,12 @@
 def run(path: str) -> int:
     """Serves by the settings at `path` until SIGTERM; the exit code is 1 if the module failed.
 
-    Raises SettingsError.
+    Raises SettingsError and BadTokenizer.
     """
     settings = load_front(path)
     reactor = the_reactor()
-    writer = set_up(settings.log_format, settings.log_level, front=settings.name)
     front = FrontProcess(settings, reactor)
+    writer = set_up(settings.log_format, settings.log_level, front=settings.name)
     front.writer = writer
     status = 0
 
--- a/worksmux/settings/front.py
+++ b/worksmux/settings/front.py
@@ -40,6 +40,21 @@
     silence: float                   # without any line: the connection is given up
 
 
+@dataclass(frozen=True)
+class Counting:
+    """Bounds of counting prompts; bytes, characters, tokens and milliseconds."""
+    cache: int
+    workers: int
+    long_workers: int
+    long: int                        # bytes from which a prompt is long
+    line: int                        # bytes that may wait
+    piece: int                       # characters of a piece, about
+    block: int                       # tokens
+    shared_blocks: int
+    shared_sessions: int
+    time_limit: float
+
+
 @dataclass(frozen=True)
 class FrontSettings:
     name: str
@@ -53,6 +68,8 @@
     kinds: list[shared.Kind]
     transport: Transport
     source: ListSource
+    tokenizers: dict[str, str]       # name: file
+    counting: Counting | None
     log_format: str
     log_level: str
     module: dict[str, Any]           # what the decision module is given
@@ -82,6 +99,37 @@
     return found
 
 
+def read_counting(root: Section, offered: list[shared.Offering]) -> tuple[dict[str, str], Counting | None]:
+    """The tokenizers by name, and how prompts are counted; none where no tokenizer is given."""
+    files = {}
+    for node in root.all("tokenizer"):
+        files[node.title()] = node.text("file")
+        node.end()
+    for one in offered:
+        if (one.tokenizer or files) and one.tokenizer not in files:
+            root.complain(f'offering "{one.name}": tokenizer "{one.tokenizer}" is not given; name one of '
+                          f"{', '.join(files) or 'none, add a section tokenizer'}")
+    if not files:
+        return {}, None
+    node = root.only("counting")
+    found = Counting(
+        node.size("cache"),
+        node.whole("workers", least=1, most=64),
+        node.whole("long-workers", least=1, most=64),
+        node.size("long-from"),
+        node.size("line"),
+        node.whole("piece", least=64),
+        node.whole("block", least=1),
+        node.whole("shared-blocks", least=1),
+        node.whole("shared-sessions", least=2),
+        node.time("time-limit", least=1),
+    )
+    if found.line < found.long:
+        node.complain("counting: line is shorter than long-from; no long prompt would ever be counted")
+    node.end()
+    return files, found
+
+
 def read_front(root: Section) -> FrontSettings:
     """All settings of a front; raises SettingsError with every complaint at once."""
     node = root.only("front")
@@ -100,6 +148,7 @@
     offered, kinds = shared.offerings(root), shared.kinds(root)
     figures, allowed, priced = shared.rules(root), shared.limits(root), shared.prices(root)
     transport, source = read_transport(root), _source(root)
+    tokenizers, counting = read_counting(root, offered)
     log = root.maybe("log") or Section("log", root.line, complaints=root.complaints)
     log_format, level = log.choice("format", ["json", "console"], "json"), log.choice(
         "level", ["debug", "info", "warning", "error"], "info")
@@ -113,7 +162,7 @@
         offered, kinds, figures, allowed, priced, me=number, fronts=fronts, zone=zones.index(zone), tick=turn,
         connect_time_out=transport.connect_time_out, ask_for_list=source.ask)
     return FrontSettings(name, listen, watch, turn, None if seed < 0 else seed, policy, zones, offered, kinds,
-                         transport, source, log_format, level, module)
+                         transport, source, tokenizers, counting, log_format, level, module)
 
 
 def load_front(path: str | Path) -> FrontSettings:
--- a/worksmux/settings/shared.py
+++ b/worksmux/settings/shared.py
@@ -26,6 +26,8 @@
     effect: str
     group: str
     remembered: float
+    tokenizer: str = ""              # its name; none: lengths are guessed from bytes
+    most_prompt: int = 10**9         # tokens
 
 
 def offerings(section: Section) -> list[Offering]:
@@ -46,7 +48,7 @@
             effect,
             node.choice("group", GROUPS, None if labelled else "all"),
             node.time("remembered", None if labelled else 0.0),
-        )
+            node.value("tokenizer", str, "", ""), node.whole("most-prompt", 10**9, least=1))
         if one.outer_limit < one.promised_time:
             node.complain(f'offering "{one.name}": outer-limit is shorter than promised-time; '
                           "a client does not leave before its answer is due")
--- a/worksmux/standins/engine.py
+++ b/worksmux/standins/engine.py
@@ -19,6 +19,8 @@
 from ..net import client, clock
 from ..net.loop import Reactor, listen, the_reactor
 from ..net.server import Exchange, Server
+from ..tokens.pieces import render
+from ..tokens.vocabulary import load, tokens
 from .journal import Journal
 from .model import EngineModel, Spec, Work
 
@@ -71,6 +73,7 @@
         self.port_object: Any = None
         self.port = 0
         self.ticking = False
+        self.tokenizer = load(spec.tokenizer).open() if spec.tokenizer else None
 
     def start(self) -> int:
         self.port_object, self.port = listen(self.reactor, ("127.0.0.1", self.spec.port), self.server)
@@ -205,6 +208,14 @@
             length += len(text.encode()) / chat.BYTES_A_TOKEN
             keys.append(chain.intdigest())
             parts.append(length)
+        if self.tokenizer is not None:               # counted whole, as the reference for the front's count
+            whole = render([(message.role, chat.text_of(message.content)) for message in job.messages])
+            scale = prompt
+            prompt = float(len(tokens(self.tokenizer, whole)) // 4)
+            parts = [part * prompt / scale for part in parts]
+            told = exchange.header(calls.PROMPT_TOKENS)
+            if told is not None:
+                self.journal.note("counted", job=facts["job"], by_front=int(told), own=int(prompt))
         wanted = texts[-1].rpartition(ANSWER + "=")[2].split(" ", 1)[0]
         answer = min(job.max_tokens, int(wanted)) if wanted.isdigit() else job.max_tokens
         state = job.kv_transfer_params if job.kv_transfer_params and not job.kv_transfer_params.get(
--- a/worksmux/standins/model.py
+++ b/worksmux/standins/model.py
@@ -42,6 +42,7 @@
     journal: str = ""
     port: int = 0
     seed: int = 1
+    tokenizer: str = ""              # a file; none: lengths are guessed from bytes
 
 
 @dataclass(eq=False)
--- /dev/null
+++ b/worksmux/tokens/__init__.py
@@ -0,0 +1,1 @@
+"""Counting prompts in tokens, and the identity of what they begin with."""
--- a/worksmux/trial/fleet.py
+++ b/worksmux/trial/fleet.py
@@ -38,6 +38,7 @@
         journal=journal,
         port=port,
         seed=day.seed * 7919 + hash_of(place.id) + starts,
+        tokenizer=next(iter(day.tokenizers.values()), ""),
     )
 
 
--- a/worksmux/trial/fronts.py
+++ b/worksmux/trial/fronts.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import json
+from pathlib import Path
 
 from ..settings.shared import Kind, Offering
 from .scenario import Scenario
@@ -27,6 +28,8 @@
     effect "{one.effect}"
     group "{one.group}"
     remembered {_ms(one.remembered)}
+    tokenizer {json.dumps(one.tokenizer)}
+    most-prompt {one.most_prompt}
 }}
 """
 
@@ -35,6 +38,27 @@
     return f'kind {json.dumps(one.name)} role="{one.role}" memory={one.memory:g}\n'
 
 
+def _counting(day: Scenario) -> str:
+    one = day.counting
+    if one is None:
+        return ""
+    files = "".join(f"tokenizer {json.dumps(name)} file={json.dumps(str(Path(file).resolve()))}\n"
+                    for name, file in day.tokenizers.items())
+    return f"""{files}counting {{
+    cache "{one.cache}B"
+    workers {one.workers}
+    long-workers {one.long_workers}
+    long-from "{one.long}B"
+    line "{one.line}B"
+    piece {one.piece}
+    block {one.block}
+    shared-blocks {one.shared_blocks}
+    shared-sessions {one.shared_sessions}
+    time-limit {_ms(one.time_limit)}
+}}
+"""
+
+
 def front_file(day: Scenario, name: str, number: int, zone: str, port: int, watch: int, registry: int,
                policy: str) -> str:
     """The text of the settings; it holds what the day's file says, and the ports."""
@@ -97,4 +121,4 @@
     drain-time {_ms(bounds.drain_time)}
 }}
 log format="json" level="info"
-"""
+{_counting(day)}"""
--- a/worksmux/trial/scenario.py
+++ b/worksmux/trial/scenario.py
@@ -8,7 +8,7 @@
 
 from ..settings import shared
 from ..settings.document import Section, SettingsError, load
-from ..settings.front import POLICIES, Transport, read_transport
+from ..settings.front import POLICIES, Counting, Transport, read_counting, read_transport
 
 KINDS_OF_TROUBLE = {
     "crash": "processes die and come back cold",
@@ -128,6 +128,8 @@
     limits: dict[str, Any]
     prices: dict[str, float]
     transport: Transport
+    tokenizers: dict[str, str]
+    counting: Counting | None
     slack: float
 
     def module_settings(self, number: int, zone: str) -> dict[str, Any]:
@@ -264,9 +266,7 @@
         shared.rules(root),
         shared.limits(root),
         shared.prices(root),
-        read_transport(root),
-        slack,
-    )
+        read_transport(root), *read_counting(root, offerings), slack)
     for node in (links, cold, load_, clients, registry, root):
         node.end()
     if root.complaints:
