--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -454,6 +454,39 @@
             read_front(parse(TOKENS.replace(old, new, 1)))
 
 
+def test_change_of_version_under_load_leaves_no_stale_count(tmp_path: Path) -> None:
+    versions = [Path(f"examples/tokenizers/lab-{at}.json").read_text() for at in (1, 2)]
+    file = tmp_path / "lab.json"
+    file.write_text(versions[0])
+    text = TOKENS.replace("examples/tokenizers/lab-1.json", str(file)).replace("most-prompt 400", "")
+    rig = Rig(tmp_path, [("prefill", 0), ("decode", 0), ("mixed", 0)], text=text)
+    front = rig.front()
+    settings_file = tmp_path / "front.kdl"
+    settings_file.write_text(text.replace('127.0.0.1:1"', f'127.0.0.1:{rig.registry.port}"'))
+    assert front.tokens
+    seen: list[tuple[int, int, bool]] = []
+    tell = front.tokens._counted
+
+    def watched(prompt: Any) -> None:
+        over = prompt.over
+        tell(prompt)
+        if not over:
+            total = sum(len(ids) for ids in prompt.ids if ids) // 4
+            now = front.tokens.vocabularies[prompt.offering] if front.tokens else None
+            which = [one.version for one in VOCABULARIES].index(prompt.vocabulary.version)
+            reference = len(tokens(OPENED[which], render(prompt.messages))) // 4
+            seen.append((which, total - reference, now is prompt.vocabulary))
+
+    front.tokens._counted = watched  # type: ignore[method-assign]
+    for at, new in enumerate([versions[1], versions[0], versions[0][:9000], versions[1]]):
+        rig.at(400 + 400 * at, file.write_text, new)
+        rig.at(405 + 400 * at, front.reload, str(settings_file))
+    records = rig.day(length=2500.0, rate=40.0)
+    assert {job["how"] for job in records.jobs} == {"delivered"} and {which for which, _, _ in seen} == {0, 1}
+    assert all(difference == 0 and current for _, difference, current in seen)
+    assert front.tokens.vocabularies[0].version == VOCABULARIES[1].version
+
+
 def test_front_counts_refuses_too_long_and_tells_engines_the_count(tmp_path: Path) -> None:
     rig = Rig(tmp_path, [("prefill", 0), ("decode", 0)], text=TOKENS,
               tokenizer="examples/tokenizers/lab-1.json")
--- a/worksmux/commands/main.py
+++ b/worksmux/commands/main.py
@@ -10,6 +10,7 @@
 import typer
 
 from ..settings.document import SettingsError
+from .tokens import tokens
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
                   help="A router for language-model jobs, read on one engine and answered on another.")
@@ -126,6 +127,9 @@
     raise typer.Exit(0 if told["kept"] else 1)
 
 
+app.add_typer(tokens, name="tokens")
+
+
 @app.command()
 def version() -> None:
     """Print the version."""
--- a/worksmux/front/serve.py
+++ b/worksmux/front/serve.py
@@ -28,7 +28,10 @@
 
 
 def vocabularies(settings: FrontSettings) -> list[Vocabulary]:
-    """Each offering's tokenizer, each file read once; raises BadTokenizer."""
+    """Each offering's tokenizer, each file read once; none where lengths are guessed.  Raises
+    BadTokenizer."""
+    if settings.counting is None:
+        return []
     read = {name: load_vocabulary(path) for name, path in settings.tokenizers.items()}
     return [read[one.tokenizer] for one in settings.offerings]
 
