--- a/worksmux/commands/main.py
+++ b/worksmux/commands/main.py
@@ -74,6 +74,8 @@
     ] = None,
     as_json: Annotated[bool, typer.Option("--json", help="print the report as JSON")] = False,
     keep: Annotated[Path | None, typer.Option(help="an empty folder for all records")] = None,
+    guess: Annotated[bool, typer.Option(
+        "--guess-lengths", help="fronts guess lengths from bytes, whatever the day's file says")] = False,
 ) -> None:
     """Play a scripted day: fronts, engines, registry and clients on loopback sockets, and check the five
     rules.
@@ -90,7 +92,8 @@
     if policy and len(policy) > 1:
         raise typer.Exit(run_all(file, policy, as_json, keep))
     try:
-        told = play(day, policy[0] if policy else day.policy, lambda text: typer.echo(text, err=True), keep)
+        told = play(day, policy[0] if policy else day.policy, lambda text: typer.echo(text, err=True), keep,
+                    not guess)
     except TrialError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(1) from error
--- a/worksmux/standins/clients.py
+++ b/worksmux/standins/clients.py
@@ -18,10 +18,15 @@
 from ..front.clients import ANSWER, CHAT
 from ..net import client, clock
 from ..net.loop import Reactor, the_reactor
+from ..tokens.samples import SAMPLES
 from .engine import ANSWER as TRUE_ANSWER
 from .journal import Journal
 
 
+TEXTS = [SAMPLES[name] for name in ("finnish", "swedish", "english", "arabic", "russian", "chinese", "hindi",
+                                    "code", "lab log")]
+
+
 class OfferingSpec(msgspec.Struct):
     """One offering's traffic; spans are (lowest, highest), times in milliseconds."""
     name: str
@@ -115,6 +120,7 @@
         self.body = bytearray()
         self.first = self.last = 0.0
         self.tokens = self.expect = 0
+        self.prompt = 0              # its length as the engine counted it
         self.code = self.finish = ""
         self.over = False
         self.call: client.Call | None = None
@@ -139,6 +145,8 @@
                 self.code = code
                 continue
             chunk = chat.READ_CHUNK.decode(event)
+            if chunk.usage is not None:
+                self.prompt = chunk.usage.prompt_tokens
             for choice in chunk.choices:
                 self._words(choice.delta.content or "" if choice.delta else "")
 
@@ -162,6 +170,7 @@
         if self.events is None and self.status == 200:
             reply = msgspec.json.decode(bytes(self.body))
             self._words(reply["choices"][0]["message"]["content"])
+            self.prompt = int(reply["usage"]["prompt_tokens"])
             self.finish = "done"
         elif self.status != 200:
             self.code = errors.code_of(bytes(self.body)) or f"status {self.status}"
@@ -209,8 +218,11 @@
         return self.chance.uniform(*span)
 
     def _text(self, name: str, span: tuple[float, float]) -> str:
+        """A text in one of the languages that users write, of about so many tokens by its bytes."""
         length = int(self._between(span) * chat.BYTES_A_TOKEN)
-        return (f"{name} " + "lorem ipsum dolor sit amet " * (1 + length // 27))[:max(8, length)]
+        sample = TEXTS[self.chance.randrange(len(TEXTS))]
+        words = f"{name} " + sample * (1 + length // len(sample))
+        return words.encode()[:max(8, length)].decode("utf-8", "ignore")
 
     def start(self) -> None:
         self.reactor.callLater(max(0.0, self.spec.start - clock.now()) / 1000, self._arrive)
@@ -271,7 +283,7 @@
         self.count += 1
         text = self._text(f"{session.name} {self.count}", tokens) + f" {TRUE_ANSWER}={answer} "
         session.messages.append({"role": "user", "content": text})
-        prompt = sum(len(message["content"]) for message in session.messages) / chat.BYTES_A_TOKEN
+        prompt = sum(len(message["content"].encode()) for message in session.messages) / chat.BYTES_A_TOKEN
         limit = one.outer_limit + 2 * one.promised_per_k * prompt / 1000
         patience = limit * self._between(self.spec.patience)
         hasty, leaves = self._burst("give_up"), False
@@ -341,7 +353,7 @@
             job.front = self._next_front()
             self.reactor.callLater(self._between(self.spec.wait) / 1000, self._try, job)
             return
-        promised = offering.promised_time + offering.promised_per_k * job.prompt / 1000
+        promised = offering.promised_time + offering.promised_per_k * (one.prompt or job.prompt) / 1000
         first = one.first - job.intended
         pace = (one.last - one.first) / max(1, one.tokens - 1)
         on_time = first <= promised and (pace <= offering.token_time or not job.stream)
--- a/worksmux/tokens/pieces.py
+++ b/worksmux/tokens/pieces.py
@@ -8,14 +8,12 @@
 """
 from __future__ import annotations
 
-import re
 from dataclasses import dataclass
 from enum import Enum
 
 import xxhash
 
 START, END = "<|im_start|>", "<|im_end|>"
-CUT = re.compile(r"(?<=\S)\n(?=\S)")
 Parts = list[tuple[str, str]]        # (role, text)
 
 
@@ -35,7 +33,12 @@
 
 
 def piece(text: str) -> Piece:
-    data = text.encode("utf-8", "surrogatepass")
+    """A piece; a lone surrogate, which no tokenizer takes, is replaced as engines do."""
+    try:
+        data = text.encode()
+    except UnicodeEncodeError:
+        data = text.encode("utf-8", "replace")
+        text = data.decode()
     return Piece(text, len(data), xxhash.xxh3_128_intdigest(data))
 
 
@@ -67,13 +70,15 @@
 
 
 def _lines(text: str, longest: int) -> list[str]:
-    """Cuts at the first possible place after each `longest` characters; from the front, so that text which
-    grows at its end keeps its pieces."""
-    parts, start = [], 0
-    while len(text) - start > longest:
-        place = CUT.search(text, start + longest)
-        if place is None:
-            break
-        parts.append(text[start:place.end()])
-        start = place.end()
+    """Cuts at the first possible place after each `longest` characters.
+
+    From the front, so that text which grows at its end keeps its pieces; by plain search, as a text of
+    megabytes without a line feed must not hold the reactor up.
+    """
+    parts, start, place = [], 0, longest - 1
+    while (place := text.find("\n", place + 1)) >= 0:
+        if place + 1 < len(text) and not text[place - 1].isspace() and not text[place + 1].isspace():
+            parts.append(text[start:place + 1])
+            start = place + 1
+            place += longest - 1
     return [*parts, text[start:]]
--- a/worksmux/tokens/pool.py
+++ b/worksmux/tokens/pool.py
@@ -42,11 +42,13 @@
     def tell(self, message: Any) -> None:
         self.process.write(frame(message))
 
-    def count(self, version: int, texts: list[str], patience: float, on_counted: OnCounted) -> None:
+    def count(
+        self, version: int, texts: list[str], most: int, patience: float, on_counted: OnCounted
+    ) -> None:
         self.number += 1
         self.waiting = on_counted
         self.timer = self.pool.reactor.callLater(patience / 1000, self._hung)
-        self.tell(Count(self.number, version, texts))
+        self.tell(Count(self.number, version, texts, most))
 
     def outReceived(self, data: bytes) -> None:
         try:
--- a/worksmux/tokens/service.py
+++ b/worksmux/tokens/service.py
@@ -2,7 +2,6 @@
 decides."""
 from __future__ import annotations
 
-from array import array
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -12,7 +11,7 @@
 from ..net import clock
 from ..net.loop import Reactor
 from ..settings.front import Counting
-from .blocks import Shared, chain
+from .blocks import WIDTH, Shared, chain
 from .cache import Cache, Frequent
 from .desk import Ask, Desk, Verdict
 from .pieces import Parts, Piece, cut
@@ -21,7 +20,7 @@
 from .worker import Counted
 
 LOG = structlog.get_logger()
-WIDTH = array("I").itemsize
+DEEPEST = 1 / 256        # of the blocks kept: how many of one prompt are followed as its beginning
 ODD = 0x9E3779B97F4A7C15F39CC0605CEDC835
 
 
@@ -51,6 +50,7 @@
         self.vocabulary: Vocabulary | None = None
         self.pieces: list[Piece] = []
         self.ids: list[bytes | None] = []
+        self.more: dict[int, int] = {}               # tokens of a piece beyond its ids
         self.ask: Ask | None = None
         self.told = self.over = False
 
@@ -64,6 +64,7 @@
         self.vocabularies = vocabularies
         self.cache = make(bounds.cache)
         self.shared = Shared(bounds.shared_blocks, bounds.shared_sessions)
+        self.deepest = max(1, round(DEEPEST * bounds.shared_blocks))
         self.desk = Desk(bounds.long, bounds.line, bounds.workers, bounds.long_workers, bounds.time_limit)
         self.workers = Workers(reactor, bounds.workers, bounds.long_workers, self._feed)
         self.open: dict[Ask, Prompt] = {}            # counted or waiting
@@ -103,7 +104,7 @@
     def _begin(self, prompt: Prompt) -> None:
         vocabulary = prompt.vocabulary = self.vocabularies[prompt.offering]
         prompt.pieces = cut(prompt.messages, vocabulary.cuts, self.bounds.piece)
-        prompt.ids = [None] * len(prompt.pieces)
+        prompt.ids, prompt.more = [None] * len(prompt.pieces), {}
         self._look_up(prompt)
         known = sum(len(ids) for ids in prompt.ids if ids is not None) // WIDTH
         missing = sum(piece.size for piece, ids in zip(prompt.pieces, prompt.ids, strict=True) if ids is None)
@@ -141,16 +142,24 @@
         if prompt.over:
             return
         prompt.told = prompt.over = True
-        ids = b"".join(one for one in prompt.ids if one is not None)
-        total = len(ids) // WIDTH
+        total = sum(len(one) for one in prompt.ids if one is not None) // WIDTH + sum(prompt.more.values())
         if total > prompt.limit:
             prompt.on_result(Result(Verdict.TOO_LONG, total, True, prompt.vocabulary.version, least=total))
             return
-        hashes = chain(ids, self.bounds.block, prompt.vocabulary.version)
+        hashes = chain(self._beginning(prompt), self.bounds.block, prompt.vocabulary.version)
         depth = self.shared.show(hashes, prompt.session)
         prompt.on_result(Result(Verdict.COUNTED, total, True, prompt.vocabulary.version,
                                 hashes[depth - 1] if depth else 0, float(depth * self.bounds.block), total))
 
+    def _beginning(self, prompt: Prompt) -> bytes:
+        """The ids from the front, as far as a beginning is followed."""
+        found, most = bytearray(), self.deepest * self.bounds.block * WIDTH
+        for at, ids in enumerate(prompt.ids):
+            found += ids or b""
+            if len(found) >= most or prompt.more.get(at):
+                break
+        return bytes(found[:most])
+
     # Workers.
 
     def _feed(self, long: bool) -> None:
@@ -178,15 +187,16 @@
                     LOG.error("a prompt cannot be counted", why=told.error)
                 return self._lost(prompt, ask)
             assert prompt.vocabulary
-            for at, ids in zip(missing, told.ids, strict=True):
-                prompt.ids[at] = ids
-                self.cache.put(self._key(prompt.vocabulary, prompt.pieces[at]), ids)
+            for at, ids, more in zip(missing, told.ids, told.more, strict=True):
+                prompt.ids[at], prompt.more[at] = ids, more
+                if not more:
+                    self.cache.put(self._key(prompt.vocabulary, prompt.pieces[at]), ids)
             self._finish(prompt, ask)
 
         patience = self.desk.begin(ask, clock.now())
-        texts = [prompt.pieces[at].text.encode("utf-8", "replace").decode() for at in missing]
+        texts = [prompt.pieces[at].text for at in missing]
         self.bytes_counted += sum(prompt.pieces[at].size for at in missing)
-        worker.count(ask.version, texts, patience, counted)
+        worker.count(ask.version, texts, self.deepest * self.bounds.block, patience, counted)
 
     def _finish(self, prompt: Prompt, ask: Ask) -> None:
         self.open.pop(ask, None)
--- a/worksmux/tokens/worker.py
+++ b/worksmux/tokens/worker.py
@@ -29,13 +29,15 @@
     number: int
     version: int
     texts: list[str]
+    most: int                        # ids of one text that are wanted back; a giant's are not worth moving
 
 
 class Counted(msgspec.Struct):
-    """The packed ids of each text; empty with an error."""
+    """The packed ids of each text, and how many more it has than were wanted; empty with an error."""
     number: int
     version: int
     ids: list[bytes] = []
+    more: list[int] = []
     error: str = ""
 
 
@@ -76,6 +78,7 @@
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
     from tokenizers import Tokenizer
 
+    from .blocks import WIDTH
     from .vocabulary import tokens
     loaded: dict[int, Tokenizer] = {}
     while len(head := source.read(HEAD)) == HEAD:
@@ -85,9 +88,11 @@
                 loaded[version] = Tokenizer.from_str(text)
             case Forget(version):
                 loaded.pop(version, None)
-            case Count(number, version, texts):
+            case Count(number, version, texts, most):
                 try:
-                    told = Counted(number, version, [tokens(loaded[version], text) for text in texts])
+                    ids = [tokens(loaded[version], text) for text in texts]
+                    more = [max(0, len(one) // WIDTH - most) for one in ids]
+                    told = Counted(number, version, [one[:most * WIDTH] for one in ids], more)
                 except Exception as error:           # the library raises bare exceptions
                     told = Counted(number, version, error=f"{type(error).__name__}: {error}")
                 sink.write(frame(told))
--- a/worksmux/trial/fronts.py
+++ b/worksmux/trial/fronts.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from pathlib import Path
 
 from ..settings.shared import Kind, Offering
@@ -60,8 +61,14 @@
 
 
 def front_file(day: Scenario, name: str, number: int, zone: str, port: int, watch: int, registry: int,
-               policy: str) -> str:
-    """The text of the settings; it holds what the day's file says, and the ports."""
+               policy: str, counting: bool = True) -> str:
+    """The text of the settings; it holds what the day's file says, and the ports.
+
+    Without `counting` the front guesses lengths from bytes.
+    """
+    if not counting:
+        offerings = [replace(one, tokenizer="", most_prompt=10**9) for one in day.offerings]
+        day = replace(day, tokenizers={}, counting=None, offerings=offerings)
     rules, limits, bounds = day.rules, day.limits, day.transport
     zones = " ".join(json.dumps(one) for one in day.zones)
     return f"""front {json.dumps(name)} {{
--- a/worksmux/trial/runner.py
+++ b/worksmux/trial/runner.py
@@ -60,7 +60,9 @@
 
 
 class Trial:
-    def __init__(self, day: Scenario, folder: Path, policy: str, say: Callable[[str], None]) -> None:
+    def __init__(self, day: Scenario, folder: Path, policy: str, say: Callable[[str], None],
+                 counting: bool = True) -> None:
+        self.counting = counting             # fronts count prompts as the day says
         self.day, self.folder, self.policy, self.say = day, folder, policy, say
         self.reactor: Any = the_reactor()
         self.chance = random.Random(day.seed)
@@ -169,7 +171,7 @@
     def _start_front(self, front: FrontHandle) -> None:
         path = self.folder / f"{front.name}.kdl"
         path.write_text(front_file(self.day, front.name, front.number, front.zone, front.port, front.watch,
-                                   self.registry.port, self.policy))
+                                   self.registry.port, self.policy, self.counting))
 
         def line(text: bytes) -> None:
             ports = ports_of_front(text)
@@ -423,13 +425,14 @@
     )
 
 
-def play(day: Scenario, policy: str, say: Callable[[str], None], keep: Path | None = None) -> dict[str, Any]:
+def play(day: Scenario, policy: str, say: Callable[[str], None], keep: Path | None = None,
+         counting: bool = True) -> dict[str, Any]:
     """One day with one policy; its records stay in `keep`, or are removed if all went well."""
     folder = keep or Path(tempfile.mkdtemp(prefix="worksmux-day-"))
     folder.mkdir(parents=True, exist_ok=True)
     if any(folder.glob("*.jsonl")):
         raise TrialError(f"{folder} holds the records of another run; name an empty folder")
-    told = {"day": day.name, "policy": policy, **Trial(day, folder, policy, say).run()}
+    told = {"day": day.name, "policy": policy, **Trial(day, folder, policy, say, counting).run()}
     if keep is None and told["kept"]:
         shutil.rmtree(folder)
     else:
