--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -419,6 +419,89 @@
     assert not bench.service.open and sum(lane.bytes for lane in bench.service.desk.lanes.values()) == 0
 
 
+class FakeWorkers:
+    """Workers that finish when a test says so."""
+
+    def __init__(self) -> None:
+        self.replaced, self.busy, self.idle = 0, [], {False: 1, True: 1}  # type: int, list[Any], dict[bool, int]
+        self.feed: Any = None
+
+    def use(self, vocabularies: Any) -> None: ...
+
+    def take(self, long: bool) -> Any:
+        if not self.idle[long]:
+            return None
+        self.idle[long] -= 1
+        return type("Worker", (), {"long": long, "count": lambda _, *args: self.busy.append((long, *args))})()
+
+    def back(self, worker: Any) -> None:
+        self.idle[worker.long] += 1
+
+    def end(self, at: int, lost: bool) -> None:
+        from worksmux.tokens.worker import Counted
+        long, version, texts, most, _, on_counted = self.busy.pop(at % len(self.busy))
+        which = [one.version for one in VOCABULARIES].index(version)
+        ids = [tokens(OPENED[which], text) for text in texts]
+        more = [max(0, len(one) // 4 - most) for one in ids]
+        told = Counted(0, version, [one[:most * 4] for one in ids], more)
+        on_counted(None if lost else told)
+        self.idle[long] += 1
+        self.feed(long)
+
+
+class VersionMachine(RuleBasedStateMachine):
+    """Whatever the order of arrivals, counts, lost workers and changes of version, no stale count is told."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        timer = type("Timer", (), {"active": lambda _: True, "cancel": lambda _: None})()
+        still: Any = type("Still", (), {"callLater": lambda *_: timer})()
+        self.service = TokenService(still, BOUNDS, [VOCABULARIES[0]])
+        self.workers = FakeWorkers()
+        self.service.workers = self.workers  # type: ignore[assignment]
+        self.workers.feed = self.service._feed
+        self.asked = self.changes = 0
+        self.told: list[int] = []
+
+    @rule(name=st.sampled_from(list(SAMPLES)), times=st.integers(1, 3), limit=st.sampled_from([300, 10**9]))
+    def ask(self, name: str, times: int, limit: int) -> None:
+        number, text = self.asked, f"{self.asked % 4} " + SAMPLES[name] * times
+        self.asked += 1
+
+        def result(what: Result) -> None:
+            self.told.append(number)
+            assert what.version == self.service.vocabularies[0].version
+            which = VOCABULARIES.index(self.service.vocabularies[0])
+            if what.exact:
+                assert what.prompt == exact(text, which)
+                assert (what.verdict is Verdict.TOO_LONG) == (what.prompt > limit)
+            else:
+                assert what.least <= exact(text, which) and (what.verdict is not Verdict.BOUND or (
+                    exact(text, which) <= what.prompt <= limit))
+
+        self.service.count([("user", text)], 0, limit, 1e9, 0, result)
+
+    @precondition(lambda self: self.workers.busy)
+    @rule(at=st.integers(0, 5), lost=st.sampled_from([False, False, False, True]))
+    def end(self, at: int, lost: bool) -> None:
+        self.workers.end(at, lost)
+
+    @rule(which=st.integers(0, 1))
+    def change(self, which: int) -> None:
+        self.changes += 1
+        self.service.use([VOCABULARIES[which]])
+
+    def teardown(self) -> None:
+        while self.workers.busy:
+            self.workers.end(0, False)
+        assert set(self.told) == set(range(self.asked)) and not self.service.open
+        assert sum(lane.bytes for lane in self.service.desk.lanes.values()) == 0
+
+
+TestVersions = VersionMachine.TestCase
+TestVersions.settings = settings(max_examples=40, stateful_step_count=30, deadline=None)
+
+
 # The front with a tokenizer.
 
 TOKENS = SETTINGS.replace('effect "redoable"', 'effect "redoable"\n    most-prompt 400').replace(
