--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -160,8 +160,8 @@
         told = json.loads(done.stdout)
         base = base or told["p99"]
         delay = ", ".join(f"{name} {told[name]:.2f}" for name in ("p50", "p99", "p99.9"))
-    print(f"{len(trace)} pieces of {prompts} prompts, {len(ids)} different; "
-          f"{whole / 2**20:.1f} MiB if all were kept")
+        print(f"{variant:>20}: {told['prompts']} prompts, delay {delay} ms "
+              f"(p99 {told['p99'] / base:.1f} times), "
               f"stall {told['stall']:.1f} ms, kept {told['kept MiB']:.2f} of {CACHE / 2**20:.0f} MiB, "
               f"pieces kept {told['hit rate']:.2f}, memory {told['memory MiB']:.0f} MiB, "
               f"bounds {told['bounds']}, stale {told['stale']}, giants {told['giants']}")
