Weigh a remembered list by age and turnover, free of I/O; shares settled by each front alone

Sure lines are used, likely ones with a cold engine's care, others asked first; drains are kept; contradictions dropped; asking paced so that all fronts together keep to a rate.

Measured: 300 fronts (decision modules in one process) on one list of 50 engines, five ages: each engine asked once by each front, in no second by more than 50 + 5 * sqrt(50) of them at a rate of 50.

--- /dev/null
+++ b/tests/test_trust.py
@@ -0,0 +1,162 @@
+"""A remembered list: trust by age and turnover, no flood, no loop, drains kept."""
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from worksmux.api.fleet import Line
+from worksmux.membership.trust import ASKS, Answer, Beliefs, Saved, Stand, Turnover, trust
+
+HOUR = 3_600_000.0
+
+
+def line(name: str, kind: str = "k", state: str = "ready", started: float = 0.0) -> Line:
+    return Line(name, "127.0.0.1", 1, kind, state, "z", 0, 1.0, started)  # type: ignore[arg-type]
+
+
+def remembered(
+    age: float,
+    count: int = 10,
+    turnover: Turnover | None = None,
+    fronts: int = 1,
+    rate: float = 10.0,
+    whole: bool = True,
+    seed: int = 1,
+    state: str = "ready",
+) -> Beliefs:
+    saved = [Saved(line(f"e{at}", state=state), 10 * HOUR - age) for at in range(count)]
+    return Beliefs(saved, 0.0, 10 * HOUR, turnover or Turnover(), HOUR, fronts, rate, whole, seed)
+
+
+def stands(beliefs: Beliefs) -> set[Stand]:
+    return {belief.stand for belief in beliefs.beliefs.values()}
+
+
+def test_trust_falls_with_age_and_faster_with_the_turnover_seen() -> None:
+    ages = [1000.0, 60_000.0, HOUR, 24 * HOUR]
+    calm, busy = Turnover(100 * HOUR, 1), Turnover(100 * HOUR, 400)
+    for seen in (Turnover(), calm, busy):
+        found = [trust(Saved(line("a"), -age), 0.0, seen, HOUR) for age in ages]
+        assert found == sorted(found, reverse=True)
+    assert (
+        trust(Saved(line("a"), -HOUR), 0.0, calm, HOUR)
+        > 0.9
+        > trust(Saved(line("a"), -HOUR), 0.0, busy, HOUR)
+    )
+    assert trust(Saved(line("a"), HOUR), 0.0, calm, HOUR) == trust(Saved(line("a"), -HOUR), 0.0, calm, HOUR)
+
+
+def test_fresh_is_used_older_with_care_and_weeks_old_only_asked() -> None:
+    assert stands(remembered(1000.0)) == {Stand.SURE}
+    assert stands(remembered(HOUR / 4)) == {Stand.LIKELY}
+    assert stands(remembered(21 * 24 * HOUR)) == {Stand.ASKED}
+    assert stands(remembered(1000.0, whole=False)) == {Stand.LIKELY}
+
+
+def test_drain_that_was_told_outlives_a_restart_and_any_answer() -> None:
+    beliefs = remembered(1000.0, state="draining")
+    assert stands(beliefs) == {Stand.DRAINING} and beliefs.next_time() is None
+    beliefs.answered("e0", Answer("e0", "k", 5.0))
+    beliefs.served("e0")
+    assert stands(beliefs) == {Stand.DRAINING}
+
+
+def test_contradiction_drops_at_once_and_a_new_start_is_cold() -> None:
+    beliefs = remembered(HOUR)
+    assert beliefs.answered("e0", Answer("other", "k", 0.0)).changed[0].stand is Stand.DROPPED
+    assert beliefs.answered("e1", Answer("e1", "writes now", 0.0)).notes
+    step = beliefs.answered("e2", Answer("e2", "k", 99.0))
+    assert step.changed[0].stand is Stand.CONFIRMED and step.changed[0].line.started == 99.0
+    assert beliefs.answered("e3", Answer("e3", "k", 0.0, draining=True)).changed[0].stand is Stand.DRAINING
+    assert not beliefs.answered("e0", Answer("e0", "k", 0.0)).changed
+
+
+def test_silent_engine_is_asked_a_few_times_with_growing_pauses() -> None:
+    beliefs, now, times = remembered(1000.0, count=1), 0.0, []
+    for _ in range(ASKS):
+        at = beliefs.next_time()
+        assert at is not None
+        now = at
+        assert [one.id for one in beliefs.tick(now).ask] == ["e0"]
+        times.append(now)
+        beliefs.refused("e0", now)
+    assert stands(beliefs) == {Stand.DROPPED} and beliefs.next_time() is None
+    pauses = [b - a for a, b in zip(times, times[1:], strict=False)]
+    assert all(pause >= 500 for pause in pauses)
+
+
+def test_hundreds_of_fronts_on_one_list_keep_to_the_rate_together() -> None:
+    for age in (1000.0, 60_000.0, HOUR, 24 * HOUR, 21 * 24 * HOUR):
+        asked: dict[str, list[float]] = {}
+        for seed in range(300):
+            beliefs = remembered(age, count=50, fronts=300, rate=50.0, seed=seed)
+            while (at := beliefs.next_time()) is not None:
+                for one in beliefs.tick(at).ask:
+                    asked.setdefault(one.id, []).append(at)
+        for times in asked.values():
+            times.sort()
+            most = max(sum(start <= time < start + 1000 for time in times) for start in times)
+            assert len(times) == 300 and most <= 50 + 5 * 50 ** 0.5
+
+
+def test_job_that_waits_has_one_of_each_kind_asked_now() -> None:
+    saved = [Saved(line(f"{kind}{at}", kind), 0.0) for kind in "rw" for at in range(5)]
+    beliefs = Beliefs(saved, 0.0, 1000 * HOUR, Turnover(), HOUR, 100, 1.0, True, 2)
+    step = beliefs.urge(0.0, ["r", "w"])
+    assert sorted(one.kind for one in step.ask) == ["r", "w"] and len(beliefs.due) == 8
+    asked = step.ask[0].id
+    beliefs.answered(asked, Answer(asked, step.ask[0].kind, 0.0))
+    assert beliefs.usable(step.ask[0].kind)
+
+
+def test_empty_list_does_not_wipe_a_remembered_fleet() -> None:
+    beliefs = remembered(1000.0)
+    assert not beliefs.listed(empty=True) and not beliefs.over
+    assert beliefs.listed(empty=False) and beliefs.over and beliefs.next_time() is None
+    assert remembered(0.0, count=0).listed(empty=True)
+
+
+class TrustMachine(RuleBasedStateMachine):
+    """A dropped line is never used again, a draining one never becomes ready, no engine is asked without
+    end."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.beliefs, self.now = remembered(HOUR / 4, count=4), 0.0
+        self.beliefs.beliefs["e3"].stand = Stand.DRAINING
+        self.asks: dict[str, int] = {}
+        self.dropped: set[str] = set()
+
+    @rule(step=st.floats(0, 5000))
+    def wait(self, step: float) -> None:
+        self.now += step
+        for one in self.beliefs.tick(self.now).ask:
+            self.asks[one.id] = self.asks.get(one.id, 0) + 1
+
+    @rule(name=st.sampled_from(["e0", "e1", "e2", "e3"]), how=st.sampled_from(
+        ["same", "cold", "other", "drains", "refused", "served"]))
+    def hear(self, name: str, how: str) -> None:
+        started = {"cold": self.now + 1}.get(how, 0.0)
+        match how:
+            case "refused":
+                step = self.beliefs.refused(name, self.now)
+            case "served":
+                step = self.beliefs.served(name)
+            case _:
+                step = self.beliefs.answered(name, Answer(
+                    "x" if how == "other" else name, "k", started, how == "drains"))
+        for belief in step.changed:
+            if belief.stand is Stand.DROPPED:
+                self.dropped.add(belief.line.id)
+
+    @invariant()
+    def what_is_out_stays_out(self) -> None:
+        for name, belief in self.beliefs.beliefs.items():
+            assert name not in self.dropped or belief.stand is Stand.DROPPED
+        assert self.beliefs.beliefs["e3"].stand is Stand.DRAINING
+        assert all(times <= ASKS + 1 for times in self.asks.values())
+
+
+TestTrust = TrustMachine.TestCase
+TestTrust.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
