Start without discovery: a front serves from what it remembers, by age, until the registry speaks

The list is kept on disk as it comes, by a thread; at a start each line is used, used with a cold engine's care, or asked first; engines say who they are when probed; an empty list wipes nothing; seeds serve where nothing is remembered.

--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,140 @@
+"""A front without discovery: it serves from what it remembers, by age, and gives way to the registry."""
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from rig import FIGURES, SETTINGS, Rig
+
+from worksmux.audit.rules import check
+from worksmux.front.memory import Facts
+from worksmux.membership.trust import Saved, Stand, Turnover
+from worksmux.net import clock
+from worksmux.store.database import open_store
+from worksmux.store.records import Table
+
+HOUR = 3_600_000.0
+FLEET = [("prefill", 0), ("decode", 0), ("prefill", 1), ("decode", 1)]
+
+
+def text_with(path: Path, more: str = "") -> str:
+    return SETTINGS + f"""
+memory {{
+    file "{path}"
+    believed-for "1h"
+    probe-rate 20
+    write-pause "10ms"
+{more}
+}}
+"""
+
+
+def remember(rig: Rig, path: Path, age: float, turnover: Turnover | None = None, **changed: Any) -> None:
+    """Writes the list as a front would have, `age` milliseconds ago; `changed` by engine id."""
+    store, wall = open_store(path), clock.wall()
+    lines = {}
+    for name, line in rig.registry.engines.items():
+        one = msgspec.structs.replace(line, **changed.get(name, {}))
+        lines[name] = msgspec.msgpack.encode(Saved(one, wall - age))
+    store.replace("lines", lines.items(), wall - age)
+    facts = Facts(wall - age, 5, turnover or Turnover())
+    store.replace("facts", [("list", msgspec.msgpack.encode(facts))], wall - age)
+    store.close()
+
+
+def made(tmp_path: Path, age: float, dead: bool = True, **changed: Any) -> Rig:
+    rig = Rig(tmp_path, FLEET, text=text_with(tmp_path / "memory"))
+    remember(rig, tmp_path / "memory", age, **changed)
+    if dead:
+        rig.registry.cut()
+    return rig
+
+
+def kept(records: Any) -> bool:
+    return all(verdict.kept for verdict in check(records, FIGURES))
+
+
+def stored(path: Path) -> Table:
+    store = open_store(path)
+    table = store.read("lines")
+    store.close()
+    return table
+
+
+@pytest.mark.parametrize("age", [1000.0, 60_000.0, HOUR, 24 * HOUR, 21 * 24 * HOUR])
+def test_front_serves_from_a_list_of_any_age_while_discovery_is_dead(tmp_path: Path, age: float) -> None:
+    records = made(tmp_path, age).day(length=1500.0, rate=15.0)
+    done = [job["how"] for job in records.jobs]
+    assert kept(records) and done.count("delivered") >= 0.9 * len(done)
+
+
+def test_drained_and_vanished_engines_of_the_list_get_next_to_nothing(tmp_path: Path) -> None:
+    rig = made(tmp_path, 60_000.0, e0={"state": "draining"}, e1={"port": 1})
+    records = rig.day(length=1500.0, rate=15.0)
+    assert kept(records) and not [trip for trip in records.trips if trip.engine == "e0"]
+    beliefs = rig.fronts[0].memory.beliefs  # type: ignore[union-attr]
+    assert beliefs and beliefs.beliefs["e0"].stand is Stand.DRAINING
+    assert beliefs.beliefs["e1"].stand in (Stand.ASKED, Stand.DROPPED)
+    assert {job["how"] for job in records.jobs} <= {"delivered", "late"}
+
+
+def test_engine_that_started_anew_is_taken_for_cold(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, FLEET, text=text_with(tmp_path / "memory"), capacity=6.0)
+    cold = rig.add("decode", 0, cold=True)
+    remember(rig, tmp_path / "memory", HOUR, e4={"started": 1.0})
+    rig.registry.cut()
+    records = rig.day(length=2500.0, rate=20.0)
+    assert kept(records) and not records.falls and cold.spec.id == "e4"
+    known = rig.fronts[0].fleet.keeper.known["e4"]
+    assert clock.now() - known.started < 20_000
+
+
+def test_registry_that_comes_back_takes_over_without_a_gap(tmp_path: Path) -> None:
+    rig = made(tmp_path, 1000.0)
+    rig.list(rig.engines[1], "draining")
+    rig.at(700, rig.registry.back)
+    records = rig.day(length=2000.0, rate=15.0)
+    told = records.told["a", "e1"].times[0]
+    assert kept(records) and {job["how"] for job in records.jobs} == {"delivered"}
+    assert not [trip for trip in records.trips if trip.engine == "e1" and trip.got > told + 250]
+    assert rig.fronts[0].memory and rig.fronts[0].memory.beliefs and rig.fronts[0].memory.beliefs.over
+
+
+def test_empty_list_does_not_wipe_a_serving_fleet(tmp_path: Path) -> None:
+    rig = made(tmp_path, 1000.0, dead=False)
+    rig.registry.listed = {}
+    records = rig.day(length=800.0, rate=15.0)
+    assert {job["how"] for job in records.jobs} == {"delivered"} and rig.fronts[0].core.metrics
+
+
+def test_list_is_kept_as_it_changes_and_what_is_gone_is_forgotten(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, FLEET, text=text_with(tmp_path / "memory"))
+    rig.at(200, rig.list, rig.engines[1], "gone")
+    rig.at(300, rig.list, rig.engines[2], "draining")
+    rig.day(length=600.0)
+    rig.fronts[0].memory.stop()  # type: ignore[union-attr]
+    table = stored(tmp_path / "memory")
+    saved = {name: msgspec.msgpack.decode(data, type=Saved) for name, data in table.values.items()}
+    assert table.whole and set(saved) == {"e0", "e2", "e3"} and saved["e2"].line.state == "draining"
+
+
+def test_seeds_serve_where_nothing_is_remembered(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, FLEET[:2])
+    seeds = "".join(
+        f'    seed "{engine.spec.id}" address="127.0.0.1:{engine.port}" kind="{engine.spec.kind}" zone="north"\n'
+        for engine in rig.engines
+    )
+    rig.text = text_with(tmp_path / "memory", seeds)
+    rig.registry.cut()
+    records = rig.day(length=1000.0, rate=10.0)
+    assert kept(records) and "delivered" in {job["how"] for job in records.jobs}
+
+
+@pytest.mark.parametrize("data", [b"", b"nonsense" * 900])
+def test_broken_memory_is_an_empty_start(tmp_path: Path, data: bytes) -> None:
+    (tmp_path / "memory").write_bytes(data)
+    rig = Rig(tmp_path, FLEET, text=text_with(tmp_path / "memory"))
+    records = rig.day(length=500.0)
+    assert {job["how"] for job in records.jobs} == {"delivered"}
--- a/worksmux/api/engine.py
+++ b/worksmux/api/engine.py
@@ -40,7 +40,12 @@
 
 
 class Probed(msgspec.Struct):
+    """What an engine says of itself; `started` is milliseconds since 1970, 0 for long ago."""
     load: dict[str, float] = {}
+    id: str = ""
+    kind: str = ""
+    started: float = 0.0
+    draining: bool = False
 
 
 class Load(msgspec.Struct):
--- a/worksmux/front/clients.py
+++ b/worksmux/front/clients.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+from collections.abc import Callable
 from math import ceil
 
 import structlog
@@ -109,6 +110,7 @@
         self.most = [one.most_answer for one in core.settings.offerings]
         self.models = chat.models(names)
         self.tokens = tokens
+        self.on_job: Callable[[], None] | None = None
         self.counting: dict[Counting, None] = {}     # their prompts are being counted
         self.stopping = False
 
@@ -155,6 +157,8 @@
 
     def _take(self, exchange: Exchange, asked: Asked, arrived: float) -> Case:
         """From here on the job is the module's."""
+        if self.on_job:
+            self.on_job()
         side = ChatClient(exchange, asked)
         case = side.case = self.core.arrived(asked, side, arrived)
         exchange.on_gone = lambda: self.core.left(case)
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -36,6 +36,7 @@
         self.number = 0
         self.fleet: Any = None                       # the connection to the registry, set by who builds both
         self.on_fault: Any = None                    # called when the module has failed
+        self.on_trip: Any = None                     # called with an engine and an outcome, at a trip's end
         self.on_empty: Any = None                    # called at each end of a job
         self._events: list[i.Event] = []
         self._due = self.failed = False
@@ -196,6 +197,8 @@
         if case is None:                             # the module has failed and all is broken off
             return
         case.out.pop(trip, None)
+        if self.on_trip:
+            self.on_trip(trip.engine, outcome)
         if trip.reading:
             if outcome is i.Outcome.READ:
                 case.state = result
--- a/worksmux/front/fleet.py
+++ b/worksmux/front/fleet.py
@@ -19,6 +19,7 @@
 from ..net.loop import Reactor, Transport
 from ..settings.front import ListSource
 from .core import Core
+from .memory import Memory
 
 LOG = structlog.get_logger()
 
@@ -60,15 +61,16 @@
     def __init__(self, source: ListSource, core: Core, reactor: Reactor) -> None:
         self.source, self.core, self.reactor = source, core, reactor
         settings = core.settings
-        self.keeper = ListKeeper([kind.name for kind in settings.kinds], settings.zones, self._engine)
+        self.keeper = ListKeeper([kind.name for kind in settings.kinds], settings.zones, self.engine)
         self.link: ListLink | None = None
         self.pause = source.least_pause
+        self.memory: Memory | None = None            # set by who builds both
         self.watching = not source.ask
         self.heard = 0.0
         self.stopped = False
         self.timer: Any = None
 
-    def _engine(self, name: str) -> i.Engine:
+    def engine(self, name: str) -> i.Engine:
         address = name.encode()
         return self.core.door.engine(address, int.from_bytes(address[-16:], "big"))
 
@@ -135,6 +137,8 @@
 
     def line(self, line: bytes) -> None:
         self.heard = clock.now()
+        if self.memory is not None and self.keeper.whole:
+            self.memory.alive()
         if not line.strip():                         # a sign of life
             return
         try:
@@ -143,7 +147,12 @@
             LOG.error("a line of the registry makes no sense; the whole list is asked for", why=str(error))
             self.keeper.fetching = True
             return self.fetch()
+        full = message.scope == "full"
+        if full and self.memory is not None and not self.memory.accepts(not message.engines):
+            return
         told = self.keeper.take(clock.now(), message)
+        if self.memory is not None and told.event is not None and message.scope != "failed":
+            self.memory.heard(message.engines, full, message.serial)
         self.pause = self.source.least_pause
         for note in told.notes:
             LOG.warning("list of engines", note=note)
--- a/worksmux/front/serve.py
+++ b/worksmux/front/serve.py
@@ -21,6 +21,7 @@
 from .clients import ClientSide
 from .core import Core
 from .fleet import Fleet
+from .memory import Memory
 from .logbook import Writer, set_up
 from .metrics import Metrics
 
@@ -47,6 +48,11 @@
         self.core = Core(settings, door, reactor, self.metrics, f"{settings.name}-{secrets.token_hex(4)}")
         self.fleet = Fleet(settings.source, self.core, reactor)
         self.core.fleet = self.fleet
+        self.memory: Memory | None = None
+        if settings.memory:
+            self.memory = self.fleet.memory = Memory(settings.memory, self.core, reactor, seed)
+            self.memory.fleet = self.fleet
+            self.core.on_trip = self.memory.trip_ended
         self.core.on_empty = self._emptied
         self.tokens: TokenService | None = None
         if settings.counting:
@@ -72,6 +78,9 @@
         if self.tokens:
             self.tokens.start()
         self.core.tell_start()
+        if self.memory:
+            self.memory.start()
+            self.clients.on_job = self.memory.job_came
         self.fleet.start()
         LOG.info("serving", port=self.port, watch=self.watch_port, policy=self.settings.policy)
 
@@ -124,6 +133,8 @@
         self.fleet.stop()
         if self.tokens:
             self.tokens.stop()
+        if self.memory:
+            self.memory.stop()
         for port in self.ports:
             port.stopListening()
         for pool in self.core.pools.values():
@@ -152,6 +163,7 @@
                 "kinds",
                 "module",
                 "source",
+                "memory",
                 "log_format",
             )
             if getattr(old, name) != getattr(fresh, name)
--- a/worksmux/membership/listing.py
+++ b/worksmux/membership/listing.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from copy import copy
 from dataclasses import dataclass, field
 
 from ..api.fleet import Line, Listing
@@ -124,6 +125,23 @@
         return Entry(known.engine, state, known.started, self.zones.get(line.zone, 0), line.cell,
                      self.kinds.get(line.kind, 0), line.size)
 
+    def remember(self, now: float, wall: float, line: Line, state: str, careful: bool) -> Entry | None:
+        """A line that no registry has told in this life; with `careful` it counts as just started.
+
+        None for a kind or zone that the settings do not know.
+        """
+        if line.kind not in self.kinds or line.zone not in self.zones:
+            return None
+        known = self.known.get(line.id)
+        if known is None:
+            known = self.known[line.id] = Known(self.find(line.id), line)
+        known.started = now if careful else self._started(now, wall, line)
+        known.line = copy(line)
+        known.line.state = state  # type: ignore[assignment]
+        if careful:                                  # so that the first true listing reckons its start anew
+            known.line.started = -1.0
+        return self._entry(known, state)
+
     @property
     def ready(self) -> int:
         return sum(known.line.state == "ready" for known in self.known.values())
--- a/worksmux/settings/front.py
+++ b/worksmux/settings/front.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Any
 
+from ..api.fleet import Line
 from . import shared
 from .document import Section, SettingsError, load
 
@@ -55,6 +56,16 @@
     time_limit: float
 
 
+@dataclass(frozen=True)
+class MemorySettings:
+    """What is kept on disk of the list of engines; milliseconds."""
+    file: str
+    believed_for: float              # before this front has seen any turnover: a line's mean life
+    probe_rate: float                # probes a second that all fronts together may send to one engine
+    write_pause: float               # between two writes
+    seeds: list[Line]                # engines to ask where nothing is remembered
+
+
 @dataclass(frozen=True)
 class FrontSettings:
     name: str
@@ -70,6 +81,7 @@
     source: ListSource
     tokenizers: dict[str, str]       # name: file
     counting: Counting | None
+    memory: MemorySettings | None
     log_format: str
     log_level: str
     module: dict[str, Any]           # what the decision module is given
@@ -130,6 +142,32 @@
     return files, found
 
 
+def _memory(root: Section, kinds: list[shared.Kind], zones: list[str]) -> MemorySettings | None:
+    node = root.maybe("memory")
+    if node is None:
+        return None
+    seeds = []
+    for seed in node.all("seed"):
+        host, port = seed.address("address")
+        seeds.append(
+            Line(
+                seed.title(),
+                host,
+                port,
+                seed.choice("kind", [kind.name for kind in kinds]),
+                "ready",
+                seed.choice("zone", zones),
+                seed.whole("cell", 0),
+            )
+        )
+        seed.end()
+    found = MemorySettings(
+        node.text("file"), node.time("believed-for", least=1), node.number("probe-rate", least=0.001),
+        node.time("write-pause", 500.0), seeds)
+    node.end()
+    return found
+
+
 def read_front(root: Section) -> FrontSettings:
     """All settings of a front; raises SettingsError with every complaint at once."""
     node = root.only("front")
@@ -149,6 +187,7 @@
     figures, allowed, priced = shared.rules(root), shared.limits(root), shared.prices(root)
     transport, source = read_transport(root), _source(root)
     tokenizers, counting = read_counting(root, offered)
+    memory = _memory(root, kinds, zones)
     log = root.maybe("log") or Section("log", root.line, complaints=root.complaints)
     log_format, level = log.choice("format", ["json", "console"], "json"), log.choice(
         "level", ["debug", "info", "warning", "error"], "info")
@@ -162,7 +201,7 @@
         offered, kinds, figures, allowed, priced, me=number, fronts=fronts, zone=zones.index(zone), tick=turn,
         connect_time_out=transport.connect_time_out, ask_for_list=source.ask)
     return FrontSettings(name, listen, watch, turn, None if seed < 0 else seed, policy, zones, offered, kinds,
-                         transport, source, tokenizers, counting, log_format, level, module)
+                         transport, source, tokenizers, counting, memory, log_format, level, module)
 
 
 def load_front(path: str | Path) -> FrontSettings:
--- a/worksmux/standins/engine.py
+++ b/worksmux/standins/engine.py
@@ -73,6 +73,7 @@
         self.port_object: Any = None
         self.port = 0
         self.ticking = False
+        self.began = clock.wall()
         self.tokenizer = load(spec.tokenizer).open() if spec.tokenizer else None
 
     def start(self) -> int:
@@ -104,7 +105,7 @@
             elif path == calls.CHAT:
                 self._chat(exchange)
             elif path == calls.PROBE:
-                exchange.answer(200, msgspec.json.encode(calls.Probed(self._report())),
+                exchange.answer(200, msgspec.json.encode(self._self()),
                                 headers=(calls.load_header(self._report()),))
             elif path == calls.PLACE:
                 self._place(msgspec.json.decode(exchange.body(), type=calls.Place), exchange)
@@ -118,6 +119,17 @@
         except msgspec.DecodeError as error:
             exchange.answer(400, errors.error(str(error), "invalid_request_error"))
 
+    def _self(self) -> calls.Probed:
+        """Who it is, and whether it drains; fronts that have no list ask."""
+        self.journal.note("probed")
+        return calls.Probed(
+            self._report(),
+            self.spec.id,
+            self.spec.kind,
+            self.began if self.spec.cold else 0.0,
+            "drain" in self.faults,
+        )
+
     def _hung(self, path: str, exchange: Exchange) -> None:
         """Takes what comes and answers nothing; what was sent is written down all the same."""
         if path == calls.CHAT:
