--- a/worksmux/commands/main.py
+++ b/worksmux/commands/main.py
@@ -10,6 +10,7 @@
 import typer
 
 from ..settings.document import SettingsError
+from .lists import lists
 from .tokens import tokens
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
@@ -131,6 +132,7 @@
 
 
 app.add_typer(tokens, name="tokens")
+app.add_typer(lists, name="list")
 
 
 @app.command()
--- a/worksmux/front/memory.py
+++ b/worksmux/front/memory.py
@@ -142,7 +142,7 @@
             except (msgspec.DecodeError, UnicodeDecodeError):
                 told = None
             if told is None or not told.id:
-                self._apply(self.beliefs.refused(line.id, clock.now()))
+                self._apply(self.beliefs.silent(line.id, clock.now()))
             else:
                 self._apply(
                     self.beliefs.answered(line.id, Answer(told.id, told.kind, told.started, told.draining))
--- a/worksmux/membership/trust.py
+++ b/worksmux/membership/trust.py
@@ -27,7 +27,8 @@
 LIKELY = 0.5             # to be used with a cold engine's care
 USEFUL = 0.01            # under it a line is an address to ask, after all others
 PAUSE = 0.5  # of the time to ask all, before an engine that was silent is asked again; doubled each time
-ASKS = 4                 # silent answers after which a line is given up
+LEAST_PAUSE = 1000.0     # milliseconds
+DOUBLINGS = 5            # of the pause at most: an engine that is away for long is asked seldom, but asked
 
 
 class Saved(msgspec.Struct):
@@ -53,7 +54,7 @@
     ASKED = "asked first"            # not used until it answers
     DRAINING = "draining"            # told so, and kept so until fresh news
     CONFIRMED = "confirmed"          # it answered, or served, as the line says
-    DROPPED = "dropped"              # contradicted, or silent too often
+    DROPPED = "dropped"              # contradicted: another engine answers there
 
 
 @dataclass(slots=True)
@@ -180,7 +181,7 @@
             if answer.started > line.started:
                 step.notes.append(f"engine {name} has started anew since it was listed")
             line.started = max(line.started, answer.started)
-            belief.stand, belief.trust = Stand.CONFIRMED, 1.0
+            belief.stand, belief.trust, belief.silent = Stand.CONFIRMED, 1.0, 0
         step.changed.append(belief)
         return step
 
@@ -193,19 +194,32 @@
         return Step([belief])
 
     def refused(self, name: str, now: float) -> Step:
-        """It could not be reached: the line is not used any more, and asked again after a pause, a few
-        times."""
+        """A trip could not reach it: it is not used until it answers.  Others that were out tell no more."""
+        belief = self.beliefs.get(name)
+        if belief is None or self.over or belief.stand not in (Stand.SURE, Stand.LIKELY, Stand.CONFIRMED):
+            return Step()
+        belief.stand, belief.trust = Stand.ASKED, 0.0
+        self._ask_again(belief, now)
+        return Step([belief])
+
+    def silent(self, name: str, now: float) -> Step:
+        """It was asked and did not answer: it is asked again after a pause that grows."""
         belief = self.beliefs.get(name)
         if belief is None or self.over or belief.stand in (Stand.DRAINING, Stand.DROPPED):
             return Step()
-        belief.silent += 1
-        if belief.silent >= ASKS:
-            return self._drop(belief, f"it was silent {ASKS} times")
         was, belief.stand, belief.trust = belief.stand, Stand.ASKED, 0.0
-        pause = self.spread * PAUSE * 2 ** belief.silent
-        self._ask_at(now + max(1000.0, pause) * (0.5 + self.chance.share()), name)
+        self._ask_again(belief, now)
         return Step([belief] if was is not Stand.ASKED else [])
 
+    def _ask_again(self, belief: Belief, now: float) -> None:
+        """Guards against a loop of asking, and against two asks of one engine standing in the line."""
+        name = belief.line.id
+        self.due = [entry for entry in self.due if entry[2] != name]
+        heapq.heapify(self.due)
+        pause = max(LEAST_PAUSE, self.spread * PAUSE) * 2 ** min(belief.silent, DOUBLINGS)
+        belief.silent += 1
+        self._ask_at(now + pause * (0.5 + self.chance.share()), name)
+
     def _drop(self, belief: Belief, why: str) -> Step:
         belief.stand, belief.trust = Stand.DROPPED, 0.0
         return Step([belief], notes=[f"engine {belief.line.id} is dropped from the remembered list: {why}"])
--- a/worksmux/trial/fronts.py
+++ b/worksmux/trial/fronts.py
@@ -60,8 +60,20 @@
 """
 
 
+def _memory(day: Scenario, path: Path) -> str:
+    if not day.memory:
+        return ""
+    return f"""memory {{
+    file {json.dumps(str(path.resolve()))}
+    believed-for "1h"
+    probe-rate 20
+    write-pause "100ms"
+}}
+"""
+
+
 def front_file(day: Scenario, name: str, number: int, zone: str, port: int, watch: int, registry: int,
-               policy: str, counting: bool = True) -> str:
+               policy: str, folder: Path, counting: bool = True) -> str:
     """The text of the settings; it holds what the day's file says, and the ports.
 
     Without `counting` the front guesses lengths from bytes.
@@ -128,4 +140,4 @@
     drain-time {_ms(bounds.drain_time)}
 }}
 log format="json" level="info"
-{_counting(day)}"""
+{_counting(day)}{_memory(day, folder / f"{name}.memory")}"""
--- a/worksmux/trial/runner.py
+++ b/worksmux/trial/runner.py
@@ -171,7 +171,7 @@
     def _start_front(self, front: FrontHandle) -> None:
         path = self.folder / f"{front.name}.kdl"
         path.write_text(front_file(self.day, front.name, front.number, front.zone, front.port, front.watch,
-                                   self.registry.port, self.policy, self.counting))
+                                   self.registry.port, self.policy, self.folder, self.counting))
 
         def line(text: bytes) -> None:
             ports = ports_of_front(text)
