--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -154,3 +154,22 @@
         assert not check("t", rows[:at] + rows[at + 1:], manifest).whole
         assert check("t", [*rows[:at], (key, value + b"x", stored), *rows[at + 1:]], manifest).bad == 1
     assert not check("t", rows, manifest[:-1]).whole and not check("t", rows, None).whole
+
+
+def test_file_that_cannot_be_written_is_read_all_the_same(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = made(tmp_path / "s")
+
+    def refused(_: Path) -> sqlite3.Connection:
+        raise sqlite3.OperationalError("attempt to write a readonly database")
+
+    monkeypatch.setattr("worksmux.store.database._connect", refused)
+    store = open_store(path)
+    assert store.read_only and store.read("lines").values == GOOD and "only read" in store.notes[0]
+    with pytest.raises(sqlite3.Error):
+        store.write({"lines": {"engine-1": None}}, 3000.0)
+    store.close()
+    (tmp_path / "other").write_bytes(b"x" * 5000)
+    with pytest.raises(Unusable, match="without memory"):
+        open_store(tmp_path / "other")
--- a/worksmux/front/memory.py
+++ b/worksmux/front/memory.py
@@ -52,7 +52,8 @@
         try:
             store = open_store(self.settings.file)
             saved, whole = self._read(store)
-            self.writer = Writer(store, self.settings.write_pause / 1000, self._store_failed)
+            if not store.read_only:
+                self.writer = Writer(store, self.settings.write_pause / 1000, self._store_failed)
         except Unusable as error:
             LOG.error("no memory", why=str(error))
         source = "the store" if saved else "seeds" if self.settings.seeds else "nothing"
--- a/worksmux/store/database.py
+++ b/worksmux/store/database.py
@@ -33,8 +33,9 @@
 class Store:
     """Opened by `open_store`.  Not for use by several threads at once."""
 
-    def __init__(self, path: Path, database: sqlite3.Connection, notes: list[str]) -> None:
-        self.path, self.database, self.notes = path, database, notes
+    def __init__(self, path: Path, database: sqlite3.Connection, notes: list[str],
+                 read_only: bool = False) -> None:
+        self.path, self.database, self.notes, self.read_only = path, database, notes, read_only
 
     def read(self, table: str) -> Table:
         """A table as far as it can be believed; never raises for what the file holds."""
@@ -150,6 +151,20 @@
     return found
 
 
+def _read_only(path: Path, error: sqlite3.OperationalError) -> Store:
+    """A file that cannot be written may still be read: what it holds is served from, and kept no further."""
+    try:
+        database = sqlite3.connect(f"file:{path}?mode=ro&immutable=1", uri=True, isolation_level=None,
+                                   check_same_thread=False, timeout=1.0)
+        mark = database.execute("PRAGMA application_id").fetchone()[0]
+        version = database.execute("PRAGMA user_version").fetchone()[0]
+    except sqlite3.Error:
+        mark = version = 0
+    if mark != OURS or version > VERSION:
+        raise Unusable(f"{path} cannot be opened or written ({error}); the front goes on without memory")
+    return Store(path, database, [f"{path} cannot be written ({error}); it is only read"], read_only=True)
+
+
 def open_store(path: str | Path) -> Store:
     """Opens or makes the store; raises Unusable where the file must be left alone.
 
@@ -161,9 +176,7 @@
     try:
         return Store(path, _connect(path), notes)
     except sqlite3.OperationalError as error:
-        raise Unusable(
-            f"{path} cannot be opened or written ({error}); the front goes on without memory"
-        ) from error
+        return _read_only(path, error)
     except (sqlite3.DatabaseError, UnicodeError) as error:
         saved = _salvage(path)
         try:
