Leave out a list of the registry that is older than the remembered one

A full list with a lower number is left out where the registry's clock is behind what was seen, in this life or the last; belief in the remembered list goes on. Tests for the keeper and for a front with an old list.

--- a/benchmarks/without_discovery.py
+++ b/benchmarks/without_discovery.py
@@ -33,7 +33,7 @@
         one = msgspec.structs.replace(line, port=1) if at in gone else line
         lines[name] = msgspec.msgpack.encode(Saved(one, wall - age))
     store.replace("lines", lines.items(), wall - age)
-    facts = Facts(wall - age, 5, Turnover())
+    facts = Facts(wall - age, 5, wall - age, Turnover())
     store.replace("facts", [("list", msgspec.msgpack.encode(facts))], wall - age)
     store.close()
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -39,7 +39,7 @@
         one = msgspec.structs.replace(line, **changed.get(name, {}))
         lines[name] = msgspec.msgpack.encode(Saved(one, wall - age))
     store.replace("lines", lines.items(), wall - age)
-    facts = Facts(wall - age, 5, turnover or Turnover())
+    facts = Facts(wall - age, 5, wall - age, turnover or Turnover())
     store.replace("facts", [("list", msgspec.msgpack.encode(facts))], wall - age)
     store.close()
 
@@ -110,6 +110,20 @@
     assert {job["how"] for job in records.jobs} == {"delivered"}
 
 
+def test_list_older_than_the_remembered_one_is_left_out(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    rig = made(tmp_path, 1000.0, dead=False)
+    rig.registry.serial = 3
+    monkeypatch.setattr("worksmux.standins.registry.clock.wall", lambda: 5000.0)
+    rig.registry.listed = dict(list(rig.registry.listed.items())[:1])
+    records = rig.day(length=500.0, rate=15.0)
+    assert {job["how"] for job in records.jobs} == {"delivered"}
+    assert len({trip.engine for trip in records.trips}) > 1
+    memory = rig.fronts[0].memory
+    assert memory and memory.beliefs and not memory.beliefs.over
+
+
 def test_list_is_kept_as_it_changes_and_what_is_gone_is_forgotten(tmp_path: Path) -> None:
     rig = Rig(tmp_path, FLEET, text=text_with(tmp_path / "memory"))
     rig.at(200, rig.list, rig.engines[1], "gone")
--- a/tests/test_wire_forms.py
+++ b/tests/test_wire_forms.py
@@ -321,6 +321,11 @@
     one.connected()
     told = one.take(0.0, full(1, line("a")))
     assert told.event and one.serial == 1
+    one.take(0.0, full(7, line("a")))
+    one.connected()
+    old = full(3, line("b"))
+    old.now = 900.0                                  # its clock is behind: an old copy of the registry
+    assert one.take(0.0, old).event is None and one.serial == 7
 
 
 def test_start_is_reckoned_once_so_that_listing_again_is_no_restart() -> None:
--- a/worksmux/front/fleet.py
+++ b/worksmux/front/fleet.py
@@ -148,7 +148,8 @@
             self.keeper.fetching = True
             return self.fetch()
         full = message.scope == "full"
-        if full and self.memory is not None and not self.memory.accepts(not message.engines):
+        if (full and self.memory is not None and not self.keeper.older(message)
+                and not self.memory.accepts(not message.engines)):
             return
         told = self.keeper.take(clock.now(), message)
         if self.memory is not None and told.event is not None and message.scope != "failed":
--- a/worksmux/front/memory.py
+++ b/worksmux/front/memory.py
@@ -28,6 +28,7 @@
     """What is kept of the list as a whole; milliseconds since 1970."""
     alive: float = 0.0               # when the registry was last heard
     serial: int = 0
+    theirs: float = 0.0              # on the registry's clock
     turnover: Turnover = msgspec.field(default_factory=Turnover)
 
 
@@ -56,6 +57,7 @@
                 self.writer = Writer(store, self.settings.write_pause / 1000, self._store_failed)
         except Unusable as error:
             LOG.error("no memory", why=str(error))
+        self.fleet.keeper.serial, self.fleet.keeper.theirs = self.facts.serial, self.facts.theirs
         source = "the store" if saved else "seeds" if self.settings.seeds else "nothing"
         if not saved:
             saved = [Saved(line, 0.0) for line in self.settings.seeds]   # an age of decades: addresses to ask
@@ -215,7 +217,7 @@
         if whole and self.beliefs is not None:
             for name in self.beliefs.beliefs.keys() - named:
                 self._put(LINES, name, None)
-        self.facts.serial = serial
+        self.facts.serial, self.facts.theirs = serial, self.fleet.keeper.theirs
         self.alive()
 
     def alive(self) -> None:
--- a/worksmux/membership/listing.py
+++ b/worksmux/membership/listing.py
@@ -2,8 +2,9 @@
 
 What it guards against: a gap in the serial numbers (what came is newer than ours and holds, and the whole
 list is asked for), a change or list older than ours on the same connection (left out), a registry that starts
-its numbers anew (believed on a new connection), an unknown kind or zone (that engine is left out, the others
-hold), and a start time that jitters with each listing though the engine never restarted.
+its numbers anew (believed on a new connection, unless its clock is behind), an unknown kind or zone (that
+engine is left out, the others hold), and a start time that jitters with each listing though the engine never
+restarted.
 """
 from __future__ import annotations
 
@@ -44,6 +45,7 @@
         self.find = find
         self.known: dict[str, Known] = {}
         self.serial = 0
+        self.theirs = 0.0                # the latest time of the registry's clock that we saw
         self.whole = False               # a full list has come
         self.fetching = False
         self.fresh = True                # nothing has come yet on this connection
@@ -60,17 +62,22 @@
             return told
         if message.scope == "delta":
             return self._change(now, message, told)
-        if message.serial < self.serial and not self.fresh:
+        if self.older(message):
             told.notes.append(f"a full list {message.serial} older than ours, {self.serial}, was left out")
             return told
         self.fresh, self.fetching, self.whole = False, False, True
-        self.serial = message.serial
+        self.serial, self.theirs = message.serial, max(self.theirs, message.now)
         listed = {line.id for line in message.engines}
         for gone in self.known.keys() - listed:
             self.known[gone].line.state = "gone"
         told.event = Listed("full", self._entries(now, message, told))
         return told
 
+    def older(self, message: Listing) -> bool:
+        """Whether a full list is older than what we have: on the same connection by its number, on a new one
+        only if the registry's clock is behind too, as a registry may start its numbers anew."""
+        return message.serial < self.serial and (not self.fresh or message.now < self.theirs)
+
     def _change(self, now: float, message: Listing, told: Told) -> Told:
         if message.serial <= self.serial and not self.fresh:
             told.notes.append(f"a change {message.serial} not newer than ours, {self.serial}, was left out")
