--- a/worksmux/front/case.py
+++ b/worksmux/front/case.py
@@ -20,8 +20,6 @@
 
     def broken_off(self, timed_out: bool) -> None: ...
 
-    def cut(self) -> None: ...
-
 
 @dataclass(eq=False, slots=True)
 class Case:
--- a/worksmux/front/clients.py
+++ b/worksmux/front/clients.py
@@ -13,6 +13,7 @@
 
 from ..api import chat, errors
 from ..api.chat import Asked, Usage
+from ..api.engine import CHAT
 from ..api.events import DONE, event
 from ..net import clock
 from ..net.server import Exchange
@@ -22,7 +23,7 @@
 from .core import Core
 
 LOG = structlog.get_logger()
-CHAT, MODELS = "/v1/chat/completions", "/v1/models"
+MODELS = "/v1/models"
 ANSWER = "x-worksmux-answer"
 BROKEN = "the job was broken off: it may have run, and trying again is not known to be harmless"
 
@@ -96,9 +97,6 @@
                 status, body, headers=(*headers, (ANSWER, code.replace("_", "-")), *self._tags)
             )
 
-    def cut(self) -> None:
-        self.exchange.cut()
-
 
 class ClientSide:
     """Takes the calls of clients; `stopping` turns new jobs away while the front finishes what is out."""
--- a/worksmux/front/memory.py
+++ b/worksmux/front/memory.py
@@ -190,7 +190,7 @@
             return True
         accepted = self.beliefs.listed(empty)
         if not accepted:
-            LOG.error("an empty list does not wipe the remembered fleet; the list is asked for again")
+            LOG.error("an empty list does not wipe the remembered fleet, which stays in use")
         return accepted
 
     def heard(self, lines: list[Line], whole: bool, serial: int) -> None:
--- a/worksmux/net/client.py
+++ b/worksmux/net/client.py
@@ -238,10 +238,6 @@
         self.connector: Any = None
         self.over = False
 
-    @property
-    def written(self) -> bool:
-        return self.connection is not None
-
     def abandon(self) -> None:
         if self.over:
             return
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -23,7 +23,6 @@
 
     on_gone: Callable[[], None] | None = None
     too_long = False
-    started_answer = False
 
     def gotLength(self, length: int | None) -> None:
         self._bound = self.channel.factory.body_bound
@@ -73,7 +72,6 @@
         for name, value in headers:
             self.setHeader(name, value)
         self.on_gone = None
-        self.started_answer = True
         self.write(body)
         self.finish()
 
@@ -86,7 +84,6 @@
         self.setHeader("cache-control", "no-cache")
         for name, value in headers:
             self.setHeader(name, value)
-        self.started_answer = True
 
     def more(self, data: bytes) -> None:
         if not self.over:
--- a/worksmux/standins/clients.py
+++ b/worksmux/standins/clients.py
@@ -15,7 +15,8 @@
 
 from ..api import chat, errors
 from ..api.events import Events
-from ..front.clients import ANSWER, CHAT
+from ..api.engine import CHAT
+from ..front.clients import ANSWER
 from ..net import client, clock
 from ..net.loop import Reactor, the_reactor
 from ..tokens.samples import SAMPLES
--- a/worksmux/tokens/blocks.py
+++ b/worksmux/tokens/blocks.py
@@ -8,7 +8,7 @@
 
 from array import array
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 import xxhash
 
@@ -58,7 +58,3 @@
         while len(self.seen) > self.bound:
             self.seen.popitem(last=False)
         return depth
-
-    def forget(self, hashes: Iterable[int]) -> None:
-        for block in hashes:
-            self.seen.pop(block, None)
--- a/worksmux/tokens/desk.py
+++ b/worksmux/tokens/desk.py
@@ -80,7 +80,7 @@
         self.rate = Ring(RATE_MEMORY, 10)            # milliseconds for a byte
         self.order = count()
         self.deadlines: list[tuple[float, int, Ask]] = []
-        self.bounds_used = self.deferred = self.refused = 0
+        self.refused = 0
 
     def arrive(self, ask: Ask) -> Verdict:
         """What becomes of a prompt that has come; WAIT puts it into the line."""
@@ -104,7 +104,6 @@
         lane.bytes += ask.missing
         heapq.heappush(lane.waiting, (ask.now + ask.promised_time, next(self.order), ask))
         if not ask.waits:
-            self.bounds_used += 1
             return Verdict.BOUND  # counted all the same, to correct it and to keep its pieces
         heapq.heappush(self.deadlines, (ask.wait_until, next(self.order), ask))
         return Verdict.WAIT
@@ -112,9 +111,7 @@
     def _without(self, ask: Ask) -> Verdict:
         """A prompt that is not going to be counted in time."""
         if ask.most <= ask.limit:
-            self.bounds_used += 1
             return Verdict.BOUND
-        self.deferred += 1
         return Verdict.DEFER
 
     def _wait(self, lane: Lane, ask: Ask) -> float:
--- a/worksmux/trial/processes.py
+++ b/worksmux/trial/processes.py
@@ -2,7 +2,6 @@
 from __future__ import annotations
 
 import os
-import subprocess
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -51,14 +50,3 @@
         return None
     told = msgspec.json.decode(line)
     return int(told["port"]), int(told["watch"])
-
-
-def machine() -> dict[str, Any]:
-    """What the run ran on, for reports."""
-    return {
-        "cores": os.cpu_count(),
-        "python": sys.version.split()[0],
-        "kernel": subprocess.run(
-            ["uname", "-sr"], capture_output=True, text=True, check=False
-        ).stdout.strip(),
-    }
