--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -316,3 +316,12 @@
     assert kinds(front.decide(NOW + 950, [i.Probed(hung, i.Outcome.TIMED_OUT, 250.0)])) == ["Cancel"]
     ended(front, one.trips[1], i.Outcome.CANCELLED, after=905.0)
     assert one.trips[2].engine in {first, second} - {hung}
+
+
+def test_reader_has_room_again_after_prompts_of_fractions():
+    front, (reader, _) = fleet(*PAIR)
+    one = job()
+    front.decide(NOW, [i.Arrived(one)])
+    front.reading -= 1e-9                            # what sums of fractions come to
+    ended(front, one.trips[0], i.Outcome.READ)
+    assert front._has_room(reader, job(2))
--- a/worksmux/front/fleet.py
+++ b/worksmux/front/fleet.py
@@ -14,6 +14,7 @@
 
 from .. import interface as i
 from ..api.fleet import READ_LISTING, Hello
+from ..door import key_of
 from ..membership.roster import Roster
 from ..net import clock
 from ..net.loop import Reactor, Transport
@@ -76,7 +77,7 @@
 
     def engine(self, name: str) -> i.Engine:
         address = name.encode()
-        return self.core.door.engine(address, int.from_bytes(address[-16:], "big"))
+        return self.core.door.engine(address, key_of(address))
 
     def start(self) -> None:
         self._connect()
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -343,7 +343,8 @@
         trip.outcome = outcome
         engine.trips.pop(trip, None)
         self.out -= not trip.reading
-        self.reading -= trip.reading * trip.work
+        # Guards against a sum of fractions that ends under nothing: no reader would ever have room again.
+        self.reading = max(0.0, self.reading - trip.reading * trip.work)
         self._judge(event)
         if event.closed:
             job.ended = True
