Measure the shortest time in fine buckets, so that a look at it shows

The limit stood at 7 times the station's places, as a look of half a promised time was averaged away in a bucket of two.

--- a/worksmux/admission/limit.py
+++ b/worksmux/admission/limit.py
@@ -18,7 +18,7 @@
 SPAN = 16                # times the promised time over which times are seen
 BUCKETS = 8
 LOOK = 0.5               # of the span between two looks at the shortest time
-LOOK_FOR = 0.25          # of the promised time that a look takes
+LOOK_FOR = 0.5           # of the promised time that a look takes
 
 
 class Limit:
@@ -28,7 +28,7 @@
         self.unit, self.limit = unit, max(unit, first)
         self.promised = promised
         self.least = unit
-        self.times = Ring(SPAN * promised, BUCKETS)  # elapsed by cost
+        self.times = Ring(SPAN * promised, SPAN * 4)         # elapsed by cost; fine enough to show a look
         self.lately = Ring(promised, BUCKETS)
         self.served = Ring(2 * promised, BUCKETS)    # cost
         self.out = self.most_out = 0.0
@@ -83,6 +83,7 @@
 
     def rate(self, now: float) -> float:
         """Cost served a millisecond, of late; 0 while nothing is known."""
-        span = min(2 * self.promised, now - self.since) if self.since >= 0 else 0.0
+        whole = 2 * self.promised * (1 - 0.5 / BUCKETS)      # the newest bucket is half full, in the mean
+        span = min(whole, now - self.since) if self.since >= 0 else 0.0
         count = self.served.count(now)
         return self.served.mean(now) * count / max(span, self.promised / BUCKETS) if count else 0.0
