Batches: calls split and joined into loads, and put together again

Need: large embeddings calls must go to several engines and small ones together, with one final answer each, whatever fails on the way.

--- /dev/null
+++ b/worksmux/batches/__init__.py
@@ -0,0 +1,1 @@
+"""Batches over engines: large calls split, small ones joined, each put together again.  Free of I/O."""
