Embeddings and rerank: a lane for each call, a gate before them, stand-ins

Need: a front takes all three kinds of call; a flood of one must not take what the others need.

Change: POST /v1/embeddings and /v1/rerank from client to engines and back. Each call has a lane with a decision module and engines of its own (kinds and offerings name their call); before them one gate with fair lines, limits, the budget for repeats and return times; a watchman tells the gate how short the front itself is. Stand-ins give results that tests check.

Found on the way: engines stood idle while all who were refused once were refused again for want of a budget; a repeat now passes where nobody waits.

--- /dev/null
+++ b/tests/test_vectors.py
@@ -0,0 +1,267 @@
+"""Embeddings and rerank on loopback: batches over engines, failures in their midst, floods beside chat."""
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from worksmux.trial.small import FIGURES, SETTINGS, Rig
+
+from worksmux.api import embeddings, rerank
+from worksmux.api.errors import BadJob
+from worksmux.audit.records import load
+from worksmux.audit.rules import check
+from worksmux.settings.document import SettingsError, parse
+from worksmux.settings.front import read_front
+from worksmux.standins.vectors import score, vector
+
+TEXT = SETTINGS + """
+kind "embedder" role="both" memory=1000000 call="embeddings"
+kind "reranker" role="both" memory=1000000 call="rerank"
+offering "vectors" {
+    call "embeddings"
+    promised-time "1s"
+    outer-limit "2s"
+    effect "redoable"
+    most-prompt 5000
+}
+offering "ranks" {
+    call "rerank"
+    promised-time "1s"
+    outer-limit "2s"
+    effect "redoable"
+}
+admission {
+    load-tokens 400
+    load-inputs 16
+    line-tokens 20000
+    line-calls 400
+    open-calls 300
+    repeat-ratio 0.1
+    repeat-burst 5
+    stay-away "50ms" "2s"
+}
+"""
+FLEET = [("prefill", 0), ("decode", 0), ("embedder", 0), ("embedder", 0), ("reranker", 1), ("reranker", 1)]
+Reply = tuple[int, dict[str, str], Any]
+
+
+class Asker:
+    """Asks and keeps the replies; ends the run with the last."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.rig, self.replies, self.open = rig, {}, 0  # type: Rig, dict[Any, Reply], int
+
+    def ask(self, name: Any, path: str, body: dict[str, Any], **headers: str) -> Any:
+        self.open += 1
+
+        def ended(status: int, head: dict[str, str], reply: bytes, trouble: Any) -> None:
+            self.replies[name] = status, head, json.loads(reply) if reply else None
+            self.open -= 1
+            if not self.open:
+                self.rig.reactor.callLater(0.1, self.rig.reactor.stop)
+
+        return self.rig.ask(json.dumps(body).encode(), ended, path=path, **headers)
+
+    def embed(self, name: Any, inputs: Any, **more: Any) -> Any:
+        return self.ask(name, embeddings.PATH, {"model": "vectors", "input": inputs, **more})
+
+    def rank(self, name: Any, query: str, documents: list[str], **more: Any) -> Any:
+        return self.ask(name, rerank.PATH, {"model": "ranks", "query": query, "documents": documents, **more})
+
+
+def rigged(tmp_path: Path, **spec: Any) -> tuple[Rig, Asker]:
+    rig = Rig(tmp_path, FLEET, text=TEXT, **{"read_speed": 20_000.0, **spec})
+    rig.front()
+    return rig, Asker(rig)
+
+
+def play(rig: Rig, call: Callable[[], Any], within: float = 15.0) -> None:
+    rig.reactor.callLater(0.3, call)
+    rig.run(within)
+
+
+def words(count: int, length: int = 40) -> list[str]:
+    return [f"text {at} ".ljust(length, "x") for at in range(count)]
+
+
+def test_all_forms_of_input_give_the_vectors_in_order(tmp_path: Path) -> None:
+    rig, asker = rigged(tmp_path)
+
+    def ask() -> None:
+        asker.embed("one", "hello")
+        asker.embed("many", words(100))
+        asker.embed("ids", [1, 2, 3])
+        asker.embed("lists", [[1, 2], [3]], dimensions=2)
+        asker.embed("packed", ["a"], encoding_format="base64")
+
+    play(rig, ask)
+    found = {name: [one["embedding"] for one in reply["data"]]
+             for name, (_, _, reply) in asker.replies.items()}
+    assert found["one"] == [vector("vectors", "hello")] and found["ids"] == [vector("vectors", [1, 2, 3])]
+    assert found["many"] == [vector("vectors", one) for one in words(100)]
+    assert found["lists"] == [vector("vectors", [1, 2], 2), vector("vectors", [3], 2)]
+    assert embeddings.pack(found["packed"][0]) == embeddings.pack(vector("vectors", "a"))
+    assert asker.replies["many"][2]["usage"]["total_tokens"] == 1000
+    trips = [trip for trip in load(tmp_path).trips if trip.offering == embeddings.PATH]
+    assert {trip.engine for trip in trips} == {"e2", "e3"} and len(trips) >= 7 + 3
+
+
+def test_rerank_gives_the_most_relevant_first_whatever_the_order_of_the_engine(tmp_path: Path) -> None:
+    rig, asker = rigged(tmp_path)
+
+    def ask() -> None:
+        rig.fault(rig.engines[4], "shuffle")
+        asker.rank("all", "q", words(60), return_documents=True)
+        asker.rank("top", "q", words(60), top_n=3)
+
+    play(rig, ask)
+    best = sorted(range(60), key=lambda at: (-score("q", words(60)[at]), at))
+    results = asker.replies["all"][2]["results"]
+    assert [one["index"] for one in results] == best and results[0]["document"]["text"] == words(60)[best[0]]
+    assert [one["index"] for one in asker.replies["top"][2]["results"]] == best[:3]
+
+
+@pytest.mark.parametrize("fault", ["few", "many", "fail_fast", "refuse", "hang"])
+def test_engine_that_fails_in_mid_batch_costs_no_result(tmp_path: Path, fault: str) -> None:
+    rig, asker = rigged(tmp_path)
+
+    def ask() -> None:
+        rig.fault(rig.engines[2], fault)
+        rig.reactor.callLater(0.05, asker.embed, "e", words(60))
+        rig.reactor.callLater(0.05, asker.embed, "f", words(3))
+
+    play(rig, ask)
+    for name, count in (("e", 60), ("f", 3)):
+        status, _, reply = asker.replies[name]
+        assert status == 200
+        assert [one["embedding"] for one in reply["data"]] == [vector("vectors", one) for one in words(count)]
+
+
+def test_drain_in_mid_batch_is_kept_and_the_batch_delivered(tmp_path: Path) -> None:
+    rig, asker = rigged(tmp_path, read_speed=4000.0)
+
+    def later() -> None:
+        asker.open -= 1
+        asker.rank("later", "q", words(30))
+
+    def ask() -> None:
+        asker.open += 1                              # the later call ends the run
+        asker.rank("r", "q", words(120))
+        rig.reactor.callLater(0.05, rig.list, rig.engines[4], "draining")
+        rig.reactor.callLater(0.4, later)
+
+    play(rig, ask)
+    assert [reply[0] for reply in asker.replies.values()] == [200, 200]
+    records = load(tmp_path)
+    told = records.told["a", "e4"].times[-1]
+    assert all(verdict.kept for verdict in check(records, FIGURES))
+    assert not [trip for trip in records.trips if trip.engine == "e4" and trip.got > told + 250]
+
+
+def test_joined_calls_share_a_trip_and_one_bad_input_harms_only_its_own(tmp_path: Path) -> None:
+    rig, asker = rigged(tmp_path, read_speed=4000.0)
+
+    def ask() -> None:
+        for engine in rig.engines[2:4]:
+            rig.fault(engine, "bad")
+        rig.reactor.callLater(0.05, asker.embed, "busy", words(30))
+        for at in range(8):
+            rig.reactor.callLater(0.06, asker.embed, at, "BAD" if at == 3 else f"small {at}")
+
+    play(rig, ask)
+    assert [asker.replies[at][0] for at in range(8)] == [200, 200, 200, 400, 200, 200, 200, 200]
+    assert asker.replies[3][2]["error"]["message"] == "an input is BAD"
+    assert asker.replies[5][2]["data"][0]["embedding"] == vector("vectors", "small 5")
+
+
+def test_client_that_hangs_up_leaves_the_others_of_its_load_alone(tmp_path: Path) -> None:
+    rig, asker = rigged(tmp_path, read_speed=2000.0)
+
+    def ask() -> None:
+        asker.embed("busy", words(20))
+        for at in range(4):
+            asker.embed(at, f"small {at}")
+        goes = rig.ask(json.dumps({"model": "vectors", "input": "goes"}).encode(), lambda *_: None,
+                       path=embeddings.PATH)
+        rig.reactor.callLater(0.02, goes.abandon)
+
+    play(rig, ask)
+    assert {reply[0] for reply in asker.replies.values()} == {200}
+    vectors = rig.fronts[0].clients.vectors
+    assert vectors and not vectors.open and not vectors.trips and not vectors.planner.out
+
+
+def test_flood_is_turned_away_early_and_chat_goes_on(tmp_path: Path) -> None:
+    rig, asker = rigged(tmp_path, read_speed=10_000.0)
+
+    def flood(number: int) -> None:
+        for at in range(8):
+            asker.embed((number, at), [f"{number} {at} {one}"[:40] for one in words(40)], user=f"u{at % 4}")
+
+    for tick in range(40):                           # 320 calls of 400 tokens: twice what can be read
+        rig.at(300 + 25 * tick, flood, tick)
+    asker.open += 1                                  # the day ends the run
+    records = rig.day(length=2800.0, rate=15.0)
+    assert {job["how"] for job in records.jobs} == {"delivered"}
+    assert all(verdict.kept for verdict in check(records, FIGURES))
+    ends = [reply[0] for reply in asker.replies.values()]
+    assert ends.count(200) > 30 and ends.count(429) > 60 and set(ends) <= {200, 429, 503, 504}
+    away = [int(reply[1]["retry-after-ms"]) for reply in asker.replies.values() if reply[0] == 429]
+    assert min(away) >= 50 and len(set(away)) > len(away) / 4
+    chat = {trip.engine for trip in records.trips if trip.offering != embeddings.PATH}
+    assert chat == {"e0", "e1"}
+
+
+@pytest.mark.parametrize(("body", "wanted"), [
+    (b"{", "not an embeddings call"), (b'{"model":"v","input":[]}', "must not be empty"),
+    (b'{"model":"v","input":["a",[1]]}', "mixes forms"), (b'{"model":"v","input":[""]}', "empty text"),
+    (b'{"model":"v","input":"a","dimensions":0}', "at least 1"),
+    (b'{"model":"v","input":"a","encoding_format":"int8"}', "not an embeddings call"),
+    (b'{"model":"v","input":[true]}', "mixes forms")])
+def test_bad_call_is_told_what_is_wrong(body: bytes, wanted: str) -> None:
+    with pytest.raises(BadJob, match=wanted):
+        embeddings.asked(body)
+
+
+def test_reply_that_lies_counts_only_where_it_makes_sense() -> None:
+    reply = json.dumps({"data": [
+        {"index": 0, "embedding": [1.0, 2.0]}, {"index": 1, "embedding": [1.0]},
+        {"index": 2, "embedding": [1.0, float("1e99")]}, {"index": 3, "embedding": [1.0, 3.0]},
+        {"index": 3, "embedding": [1.0, 4.0]}, {"index": 9, "embedding": [1.0, 4.0]},
+        {"index": 4, "embedding": "!!"}, {"index": 5, "embedding": [0.5, 0.5]}]}).encode()
+    assert set(embeddings.vectors(reply, 6)[0]) == {0, 5}
+    scores = json.dumps({"results": [
+        {"index": 1, "relevance_score": 0.5}, {"index": 0, "relevance_score": 0.1},
+        {"index": 0, "relevance_score": 0.2}, {"index": 7, "relevance_score": 1}]})
+    assert rerank.scores(scores.encode(), 2)[0] == {1: 0.5}
+    for bad in (b"{", b"[]", b'{"data":1}', b"\xff"):
+        with pytest.raises(ValueError):
+            embeddings.vectors(bad, 1)
+
+
+def test_wrong_paths_methods_and_models_are_answered(tmp_path: Path) -> None:
+    rig, asker = rigged(tmp_path)
+
+    def ask() -> None:
+        asker.ask("no model", embeddings.PATH, {"model": "ranks", "input": "a"})
+        asker.ask("too long", embeddings.PATH, {"model": "vectors", "input": "a" * 30_000})
+        asker.ask("no time", embeddings.PATH, {"model": "vectors", "input": "a"}, x_worksmux_time_left_ms="x")
+        asker.embed("fine", "a")
+
+    play(rig, ask)
+    assert {name: reply[0] for name, reply in asker.replies.items()} == {
+        "no model": 404, "too long": 400, "no time": 400, "fine": 200}
+
+
+def test_settings_of_one_stage_calls_are_checked() -> None:
+    broken = TEXT.replace('kind "reranker" role="both" memory=1000000 call="rerank"\n', "").replace(
+        "line-tokens 20000", "line-tokens 10").replace('role="both" memory=1000000 call="emb', 'role="read" '
+                                                       'memory=1000000 call="emb')
+    with pytest.raises(SettingsError) as told:
+        read_front(parse(broken))
+    text = str(told.value)
+    assert "no kind of engine carries rerank" in text and "no full load could ever wait" in text
+    assert 'embeddings is one stage; set role "both"' in text
--- a/worksmux/admission/gate.py
+++ b/worksmux/admission/gate.py
@@ -121,8 +121,7 @@
                        for at in range(len(self.shares))]
         self.budgets = [Budget(settings.repeat_ratio, settings.repeat_burst) for _ in self.shares]
         self.repeats = Repeats(2 * settings.most_away, 100_000)
-        self.brownout = Brownout([share.credit / share.largest for share in self.shares], settings.rise,
-                                 settings.fall)
+        self.brownout = Brownout([share.credit for share in self.shares], settings.rise, settings.fall)
         self.due: list[tuple[float, int, Asked]] = []        # when what waits is too late
         self.order = 0
         self.refusals: dict[tuple[int, Why], int] = {}
@@ -137,7 +136,7 @@
         asked.repeat = asked.repeat or self.repeats.known(now, asked.body)
         if not asked.repeat:
             self.budgets[at].first()
-        elif not self.budgets[at].repeat():
+        elif not self._idle(asked) and not self.budgets[at].repeat():
             return self._refuse(now, asked, Why.REPEATS, step)
         if self._expected(now, asked) > min(asked.promised_at, asked.give_up_at) - now:
             return self._refuse(now, asked, Why.LATE, step)
@@ -171,7 +170,12 @@
 
     def again(self, offering: int) -> bool:
         """Whether a part that failed may be sent again: it counts as a repeat like any other."""
-        return self.budgets[offering].repeat()
+        pool = self.pool_of[offering]
+        return not pool.waits() and pool.limit.fits(0.0) or self.budgets[offering].repeat()
+
+    def is_short(self, offering: int) -> bool:
+        """Whether the front's own shortage turns away a call that does not pass the gate otherwise: chat."""
+        return self.brownout.sheds(offering, self.chance.share())
 
     def pressed(self, now: float, pressure: Pressure) -> None:
         self.brownout.note(now, pressure)
@@ -195,6 +199,12 @@
 
     # What is decided.
 
+    def _idle(self, asked: Asked) -> bool:
+        """Whether it could go at once.  Guards against engines that stand idle while those who were turned
+        away once are turned away again and again: a repeat does harm only where others wait."""
+        pool = self.pool_of[asked.offering]
+        return not pool.waits() and pool.limit.fits(asked.cost)
+
     def _expected(self, now: float, asked: Asked) -> float:
         """The wait in the line and the trip after it, by what is served of late; 0 while that is unknown."""
         pool = self.pool_of[asked.offering]
--- a/worksmux/api/embeddings.py
+++ b/worksmux/api/embeddings.py
@@ -1,7 +1,7 @@
 """Embeddings in the published form (`POST /v1/embeddings`), from client and to engine.
 
-`input` is a text, a list of texts, one list of token ids or a list of such lists; `encoding_format` is float or
-base64 (little-endian 32-bit floats); `dimensions` and `user` go on to the engine.  Between front and engine
+`input` is a text, a list of texts, one list of token ids or a list of such lists; `encoding_format` is float
+or base64 (little-endian 32-bit floats); `dimensions` goes on to the engine.  Between front and engine
 vectors always travel as base64, a third of the size of their digits.
 """
 from __future__ import annotations
--- a/worksmux/api/errors.py
+++ b/worksmux/api/errors.py
@@ -34,6 +34,14 @@
     return msgspec.json.encode(ErrorReply(ErrorBody(message, kind, param, code)))
 
 
+def message_of(body: bytes) -> str:
+    """The message of an error body; empty where it is none."""
+    try:
+        return msgspec.json.decode(body, type=ErrorReply).error.message
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return ""
+
+
 def code_of(body: bytes) -> str:
     """The code of an error body; empty where it is none.
 
--- a/worksmux/api/rerank.py
+++ b/worksmux/api/rerank.py
@@ -86,8 +86,9 @@
 
 
 def scores(body: bytes, wanted: int) -> tuple[dict[int, float], Usage]:
-    """The scores of an engine's reply by position, in whatever order they came; an index out of range or given
-    twice, and a score that is no finite number, is left out.  Raises ValueError where the reply is none."""
+    """The scores of an engine's reply by position, in whatever order they came; an index out of range or
+    given twice, and a score that is no finite number, is left out.  Raises ValueError where the reply is
+    none."""
     try:
         reply = READ_REPLY.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
--- a/worksmux/front/clients.py
+++ b/worksmux/front/clients.py
@@ -21,6 +21,7 @@
 from ..tokens.service import Prompt, Result, TokenService
 from .case import Case
 from .core import Core
+from .vectors import PATHS, VectorSide
 
 LOG = structlog.get_logger()
 MODELS = "/v1/models"
@@ -111,6 +112,7 @@
         self.on_job: Callable[[], None] | None = None
         self.counting: dict[Counting, None] = {}     # their prompts are being counted
         self.stopping = False
+        self.vectors: VectorSide | None = None       # set by who builds both
 
     def __call__(self, exchange: Exchange) -> None:
         path, method = exchange.path.decode("latin-1"), exchange.method.decode("latin-1")
@@ -118,8 +120,10 @@
             self._chat(exchange)
         elif path == MODELS and method == "GET":
             exchange.answer(200, self.models)
-        elif path in (CHAT, MODELS):
-            allow = "POST" if path == CHAT else "GET"
+        elif self.vectors is not None and path in PATHS and method == "POST":
+            self.vectors(exchange, path)
+        elif path in (CHAT, MODELS) or self.vectors is not None and path in PATHS:
+            allow = "GET" if path == MODELS else "POST"
             self._no(exchange, 405, f"{path} takes {allow}, not {method[:20]}", headers=(("Allow", allow),))
         else:
             self._no(exchange, 404, f"there is no {path[:100]}; known are POST {CHAT} and GET {MODELS}")
@@ -148,6 +152,11 @@
             self.core.metrics.turned_away("bad job")
             exchange.answer(bad.status, bad.body)
             return
+        if self.vectors is not None and self.vectors.gate.is_short(asked.offering):
+            self.core.metrics.turned_away("the front itself is short")
+            return self._no(
+                exchange, 503, "the front itself is short; come back later", "server_error", "deferred", away
+            )
         if self.tokens is None:
             self._take(exchange, asked, arrived)
         else:
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -7,6 +7,7 @@
 """
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import structlog
@@ -34,6 +35,7 @@
         self.cases: dict[i.Job, Case] = {}
         self.pools: dict[i.Engine, client.Pool] = {}
         self.number = 0
+        self.lanes: list[Any] = []                   # of one-stage calls, set by who builds both
         self.fleet: Any = None                       # the connection to the registry, set by who builds both
         self.on_fault: Any = None                    # called when the module has failed
         self.on_trip: Any = None                     # called with an engine and an outcome, at a trip's end
@@ -238,7 +240,7 @@
             case i.Alarm(after, token):
                 self.reactor.callLater(max(0.0, after) / 1000, self.tell, i.Rang(token))
             case i.Probe(engine):
-                self._probe(engine)
+                self.probe(engine, self.tell)
             case i.Hold(job, engine):
                 self._hold(job, engine)
             case i.Release(job):
@@ -318,7 +320,8 @@
         call = pool.call(method, path, client.Whole(self.settings.transport.reply, ended),
                          [("Content-Type", "application/json"), (calls.FRONT, self.settings.name)], body)
 
-    def _probe(self, engine: i.Engine) -> None:
+    def probe(self, engine: i.Engine, tell: Callable[[i.Event], None]) -> None:
+        """Asks an engine how it does; `tell` gets the answer."""
         sent = clock.now()
 
         def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
@@ -332,7 +335,7 @@
             else:
                 outcome, report = i.Outcome.DELIVERED, calls.load_report(headers.get(calls.LOAD))
             self.metrics.probe(outcome.value)
-            self.tell(i.Probed(engine, outcome, clock.now() - sent, report))
+            tell(i.Probed(engine, outcome, clock.now() - sent, report))
 
         self._small(engine, "GET", calls.PROBE, b"", ended)
 
@@ -399,7 +402,14 @@
         for entry in event.entries:
             if entry.state == "gone" and entry.engine in self.pools:
                 self.pools[entry.engine].close()
-        self.tell(event)
+        self.tell(self._of("chat", event))
+        for lane in self.lanes:
+            lane.tell(self._of(lane.settings.call, event))
+
+    def _of(self, call: str, event: i.Listed) -> i.Listed:
+        """The part of a list that carries a call: no lane's module knows another's engines."""
+        kinds = self.settings.kinds
+        return i.Listed(event.scope, [entry for entry in event.entries if kinds[entry.kind].call == call])
 
     def moved(self, engine: i.Engine, host: str, port: int) -> None:
         """An engine has a new address: trips that are out go on where they are."""
--- /dev/null
+++ b/worksmux/front/lane.py
@@ -0,0 +1,216 @@
+"""Carries jobs of one stage: a decision module of its own, engines of its own kinds, whole replies.
+
+Each call of one stage has its lane, so that what floods one reaches neither the windows nor the engines of
+the others.  The module is the same as for chat; its engines all read and answer.  A lane carries out the
+module's actions and tells it what happened, and decides nothing.
+"""
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+import structlog
+
+from .. import interface as i
+from ..api import chat, errors
+from ..api import engine as calls
+from ..door import Door, Maker
+from ..net import client, clock
+from ..settings.front import Lane as LaneSettings
+from . import carriers
+from .core import Core
+
+LOG = structlog.get_logger()
+BAD_INPUT = frozenset({400, 413, 422})       # the engine finds fault with what it is asked
+
+
+class Errand(Protocol):
+    """One load as its sender has it."""
+
+    def path(self) -> str: ...
+
+    def body(self) -> bytes:
+        """What the next trip asks for."""
+
+    def replied(self, body: bytes) -> bool:
+        """Takes a whole reply; false where something of it is missing."""
+
+    def delivered(self) -> None: ...
+
+    def refused(self, message: str) -> None: ...
+
+    def failed(self, deferred: bool) -> None: ...
+
+
+class Whole(carriers.Carrier):
+    """A trip whose answer is one reply."""
+
+    def __init__(self, *args: Any, errand: Errand) -> None:
+        super().__init__(*args)
+        self.errand = errand
+
+    def send(self, headers: client.Headers, body: bytes) -> None:
+        self.call = self.pool.call("POST", self.errand.path(), self, headers, body)
+
+    def done(self) -> None:
+        if self.over:
+            return
+        if self.status == 200:
+            complete = self.errand.replied(bytes(self.body))
+            self._end(i.Outcome.DELIVERED if complete else i.Outcome.ERROR, 0, "")
+        elif self.status in BAD_INPUT:
+            self._end(i.Outcome.DELIVERED, 0, errors.message_of(bytes(self.body)) or "bad input")
+        else:
+            super().done()
+
+
+class Work:
+    """A job of the lane: its errand and the trips that are out."""
+    __slots__ = ("job", "errand", "key", "out", "over")
+
+    def __init__(self, job: i.Job, errand: Errand, key: str) -> None:
+        self.job, self.errand, self.key = job, errand, key
+        self.out: dict[i.Trip, Whole] = {}
+        self.over = False
+
+
+class Lane:
+    def __init__(self, settings: LaneSettings, core: Core, seed: int, make: Maker) -> None:
+        self.settings, self.core, self.reactor = settings, core, core.reactor
+        self.door = Door(settings.module, seed, make)
+        self.works: dict[i.Job, Work] = {}
+        self.number = 0
+        self.failed = False
+        self._events: list[i.Event] = []
+        self._due = False
+
+    def tell(self, event: i.Event) -> None:
+        self._events.append(event)
+        self._soon()
+
+    def _soon(self) -> None:
+        if not self._due:
+            self._due = True
+            self.reactor.callLater(0, self._turn)
+
+    def _turn(self) -> None:
+        self._due = False
+        events, self._events = self._events, []
+        if self.failed:
+            return
+        start = clock.now()
+        try:
+            actions = self.door.decide(start, events)
+            self.core.metrics.turn(clock.now() - start, len(events))
+            for action in actions:
+                self._carry_out(action)
+        except Exception:
+            LOG.exception("the module of a lane has failed; its jobs are broken off", call=self.settings.call)
+            self.failed = True
+            for work in list(self.works.values()):
+                self._final(work, deferred=False)
+            if self.core.on_fault:
+                self.core.on_fault()
+
+    # Jobs.
+
+    def take(self, offering: int, errand: Errand, cost: float, give_up_at: float, session: int) -> Work:
+        """From here on the errand is owed one end: delivered, refused or failed."""
+        self.number += 1
+        now = clock.now()
+        job = i.Job(self.number, offering, session, 0, max(1.0, cost), 0.0, 0.0, now, give_up_at)
+        work = Work(job, errand, f"{self.core.name}.{self.settings.call}.{self.number}")
+        self.works[job] = work
+        self.tell(self.door.arrived(job))
+        return work
+
+    def drop(self, work: Work) -> None:
+        """Nobody wants it any more."""
+        if not work.over:
+            work.over = True
+            self.tell(i.Left(work.job))
+            for carrier in list(work.out.values()):
+                carrier.cancel()
+            self._close(work)
+
+    def _close(self, work: Work) -> None:
+        if work.over and not work.out:
+            self.works.pop(work.job, None)
+
+    def _final(self, work: Work | None, deferred: bool) -> None:
+        if work is not None and not work.over:
+            work.over = True
+            for carrier in list(work.out.values()):
+                carrier.cancel()
+            self._close(work)
+            work.errand.failed(deferred)
+
+    # What the carriers tell.
+
+    def began(self, trip: i.Trip) -> None:
+        """A whole reply has no beginning of its own."""
+
+    def text(self, trip: i.Trip, content: str) -> None:
+        """Nor any text before its end."""
+
+    def ended(self, trip: i.Trip, outcome: i.Outcome, note: int, report: dict[str, float] | None,
+              result: Any) -> None:
+        work = self.works.get(trip.job)
+        if work is None:
+            return
+        work.out.pop(trip, None)
+        if self.core.on_trip:
+            self.core.on_trip(trip.engine, outcome)
+        now = clock.now()
+        closed = work.over
+        if outcome is i.Outcome.DELIVERED and not work.over:
+            closed = work.over = True
+            trip.began, trip.job.began = now, True
+            self.tell(i.Began(trip, now - trip.sent))        # so that the module sees the time it took
+        self.tell(i.Ended(trip, outcome, now - trip.sent, closed, note, report))
+        self._close(work)
+        if outcome is i.Outcome.DELIVERED and closed:
+            if result:
+                work.errand.refused(result)
+            else:
+                work.errand.delivered()
+
+    # Actions.
+
+    def _carry_out(self, action: i.Action) -> None:
+        match action:
+            case i.Send():
+                self._send(action)
+            case i.Defer(job, _):
+                self._final(self.works.get(job), deferred=True)
+            case i.BreakOff(job):
+                self._final(self.works.get(job), deferred=False)
+            case i.Cancel(trip):
+                work = self.works.get(trip.job)
+                if work is not None and trip in work.out:
+                    work.out[trip].cancel()
+            case i.Alarm(after, token):
+                self.reactor.callLater(max(0.0, after) / 1000, self.tell, i.Rang(token))
+            case i.Probe(engine):
+                self.core.probe(engine, self.tell)
+            case i.Log(text):
+                LOG.info("module", text=text)
+            case _:
+                pass                                 # one stage holds no state; the list comes by the core
+
+    def _send(self, action: i.Send) -> None:
+        trip, job = action.trip, action.trip.job
+        work, now = self.works.get(job), clock.now()
+        left = job.give_up_at - now
+        if work is None or work.over or left <= 0 or trip.engine not in self.core.pools:
+            self.core.metrics.trip("moot")
+            self.tell(i.Ended(trip, i.Outcome.MOOT, 0.0, work is None or work.over))
+            return
+        transport = self.core.settings.transport
+        carrier = Whole(self.reactor, self.core.pools[trip.engine], trip, self,
+                        min(action.time_out, left) if action.time_out else left, transport.stream_silence,
+                        transport.reply, errand=work.errand)
+        work.out[trip] = carrier
+        headers = [("Content-Type", "application/json"), (chat.REQUEST_ID, f"{work.key}.{trip.number}"),
+                   (calls.JOB, work.key), (calls.FRONT, self.core.settings.name)]
+        carrier.send(headers, work.errand.body())
+        self.core.metrics.trip(self.settings.call)
--- a/worksmux/front/memory.py
+++ b/worksmux/front/memory.py
@@ -203,11 +203,12 @@
         if beliefs is None or beliefs.over:
             return
         roles = {"read": False, "write": False, "both": False}
-        for kind in self.core.settings.kinds:
+        chat = [kind for kind in self.core.settings.kinds if kind.call == "chat"]
+        for kind in chat:
             roles[kind.role] = roles[kind.role] or beliefs.usable(kind.name)
         if roles["both"] or roles["read"] and roles["write"]:
             return
-        wanted = [kind.name for kind in self.core.settings.kinds if not roles[kind.role]]
+        wanted = [kind.name for kind in chat if not roles[kind.role]]
         self._apply(beliefs.urge(clock.now(), wanted))
         self._watch()
 
--- a/worksmux/front/metrics.py
+++ b/worksmux/front/metrics.py
@@ -60,6 +60,10 @@
         self.serial = Gauge("worksmux_list_serial", "Number of the list in force", registry=self.registry)
         self.listed = Gauge("worksmux_registry_connected", "1 while the registry is connected",
                             registry=self.registry)
+        self._level = Gauge("worksmux_brownout_level", "Classes that the front sheds, the cheapest first",
+                            registry=self.registry)
+        self._lag = Gauge("worksmux_loop_lag_seconds", "Lateness of the front's own loop",
+                          registry=self.registry)
         self.held_back = Gauge("worksmux_engines_held_back", "Engines that flap and are not used for now",
                                registry=self.registry)
         self.list_late = Gauge("worksmux_list_late_seconds", "Lateness of the last list over the promptest",
@@ -67,6 +71,10 @@
         self.lines_lost = Gauge("worksmux_log_lines_lost", "Log lines dropped as their reader was too slow",
                                 registry=self.registry)
 
+    def brownout(self, level: float, lag: float) -> None:
+        self._level.set(level)
+        self._lag.set(lag / 1000)
+
     def arrived(self, offering: str) -> None:
         self._arrived.labels(offering).inc()
         self.open.inc()
--- a/worksmux/front/serve.py
+++ b/worksmux/front/serve.py
@@ -9,21 +9,26 @@
 
 import structlog
 
+from ..admission.gate import Gate, GateSettings, Share
+from ..api import chat
 from ..baselines import POLICIES
 from ..door import Door, Maker
 from ..net.loop import Reactor, listen, the_reactor
 from ..net.server import Exchange, Server
 from ..settings.document import SettingsError
-from ..settings.front import FrontSettings, load_front
+from ..settings.front import Admission, FrontSettings, load_front
 from ..tokens.service import TokenService
 from ..tokens.vocabulary import BadTokenizer, Vocabulary
 from ..tokens.vocabulary import load as load_vocabulary
 from .clients import ClientSide
 from .core import Core
 from .fleet import Fleet
+from .lane import Lane
 from .memory import Memory
 from .logbook import Writer, set_up
 from .metrics import Metrics
+from .vectors import VectorSide
+from .watchman import Watchman
 
 LOG = structlog.get_logger()
 
@@ -37,6 +42,18 @@
     return [read[one.tokenizer] for one in settings.offerings]
 
 
+def gate_settings(settings: FrontSettings, bounds: Admission) -> GateSettings:
+    """The gate's shares: those of chat come first, for the front's own shortage alone."""
+    shares = [Share(one.name, one.credit, one.share, float(bounds.load_tokens), 0.0, 0, one.promised_time,
+                    "chat")
+              for one in settings.offerings]
+    shares += [Share(one.name, one.credit, one.share, float(bounds.load_tokens), float(bounds.line_tokens),
+                     bounds.line_calls, one.promised_time, lane.call)
+               for lane in settings.lanes for one in lane.offerings]
+    return GateSettings(shares, bounds.repeat_ratio, bounds.repeat_burst, *bounds.stay_away,
+                        2 * bounds.loop_lag, 20 * bounds.loop_lag)
+
+
 class FrontProcess:
     """One front with its sockets; `stop` takes no new job, finishes what is out, then calls `on_end`."""
 
@@ -58,6 +75,9 @@
         if settings.counting:
             self.tokens = TokenService(reactor, settings.counting, vocabularies(settings))
         self.clients = ClientSide(self.core, self.tokens)
+        self.watchman: Watchman | None = None
+        if settings.admission:
+            self._one_stage(settings.admission, seed, make)
         transport = settings.transport
         self.client_server = Server(
             self.clients, transport.body, transport.head, transport.keep_alive, reactor
@@ -70,6 +90,21 @@
         self.stopping = False
         self.timer: Any = None
 
+    def _one_stage(self, bounds: Admission, seed: int, make: Maker | None) -> None:
+        """Embeddings and rerank: a lane for each, one gate before them."""
+        settings = self.settings
+        lanes = {one.call: Lane(one, self.core, seed + at + 1, make or POLICIES[settings.policy])
+                 for at, one in enumerate(settings.lanes)}
+        self.core.lanes = list(lanes.values())
+        gate = Gate(gate_settings(settings, bounds), seed)
+        self.clients.vectors = VectorSide(self.core, lanes, gate, bounds, len(settings.offerings))
+        self.clients.models = chat.models(
+            [*(one.name for one in settings.offerings), *self.clients.vectors.names()])
+        self.watchman = Watchman(self.reactor, gate, bounds, self.metrics, self._sockets)
+
+    def _sockets(self) -> int:
+        return len(self.client_server.channels) + sum(len(pool.open) for pool in self.core.pools.values())
+
     def start(self) -> None:
         port, self.port = listen(self.reactor, self.settings.listen, self.client_server)
         self.ports.append(port)
@@ -82,6 +117,8 @@
             self.memory.start()
             self.clients.on_job = self.memory.job_came
         self.fleet.start()
+        if self.watchman:
+            self.watchman.start()
         LOG.info("serving", port=self.port, watch=self.watch_port, policy=self.settings.policy)
 
     def _watch(self, exchange: Exchange) -> None:
@@ -106,13 +143,16 @@
         if self.stopping:
             return
         self.stopping = self.clients.stopping = True
+        if self.clients.vectors:
+            self.clients.vectors.stopping = True
         self.ports[0].stopListening()
         LOG.info("stopping", open=len(self.core.cases))
         self.timer = self.reactor.callLater(self.settings.transport.drain_time / 1000, self._end)
         self._emptied()
 
     def _emptied(self) -> None:
-        if self.stopping and not self.core.cases and not self.clients.counting:
+        calls = self.clients.vectors.open if self.clients.vectors else None
+        if self.stopping and not self.core.cases and not self.clients.counting and not calls:
             self.reactor.callLater(0, self._end)
 
     def _end(self) -> None:
@@ -131,6 +171,8 @@
 
     def close(self) -> None:
         self.fleet.stop()
+        if self.watchman:
+            self.watchman.stop()
         if self.tokens:
             self.tokens.stop()
         if self.memory:
@@ -162,6 +204,8 @@
                 "zones",
                 "kinds",
                 "module",
+                "lanes",
+                "admission",
                 "source",
                 "memory",
                 "log_format",
--- a/worksmux/settings/front.py
+++ b/worksmux/settings/front.py
@@ -66,6 +66,31 @@
     seeds: list[Line]                # engines to ask where nothing is remembered
 
 
+@dataclass(frozen=True)
+class Admission:
+    """Bounds of calls of one stage (embeddings and rerank) and of the front itself; see
+    `admission/gate.py`."""
+    load_tokens: int                 # that one engine is asked at once
+    load_inputs: int
+    line_tokens: int                 # that may wait, for each offering
+    line_calls: int
+    open_calls: int                  # taken and not yet answered
+    repeat_ratio: float              # of first attempts
+    repeat_burst: float
+    stay_away: tuple[float, float]
+    loop_lag: float                  # milliseconds: what the front's own loop may be late
+    sockets: int
+    memory: int                      # bytes
+
+
+@dataclass(frozen=True)
+class Lane:
+    """What carries one call of one stage: its offerings, and what its decision module is given."""
+    call: str
+    offerings: list[shared.Offering]
+    module: dict[str, Any]
+
+
 @dataclass(frozen=True)
 class FrontSettings:
     name: str
@@ -85,6 +110,8 @@
     log_format: str
     log_level: str
     module: dict[str, Any]           # what the decision module is given
+    lanes: list[Lane]
+    admission: Admission | None
 
 
 def read_transport(section: Section) -> Transport:
@@ -118,7 +145,7 @@
         files[node.title()] = node.text("file")
         node.end()
     for one in offered:
-        if (one.tokenizer or files) and one.tokenizer not in files:
+        if (one.tokenizer or files and one.call == "chat") and one.tokenizer not in files:
             root.complain(f'offering "{one.name}": tokenizer "{one.tokenizer}" is not given; name one of '
                           f"{', '.join(files) or 'none, add a section tokenizer'}")
     if not files:
@@ -168,6 +195,25 @@
     return found
 
 
+def _admission(root: Section, wanted: bool) -> Admission | None:
+    node = root.maybe("admission")
+    if node is None:
+        if wanted:
+            root.complain("admission is missing; offerings of embeddings or rerank need that section")
+        return None
+    found = Admission(
+        node.whole("load-tokens", least=1), node.whole("load-inputs", least=1),
+        node.whole("line-tokens", least=1), node.whole("line-calls", least=1),
+        node.whole("open-calls", least=1), node.number("repeat-ratio", 0.1, most=1.0),
+        node.number("repeat-burst", 10.0, least=1.0), node.times("stay-away", (200.0, 20_000.0)),
+        node.time("loop-lag", 100.0, least=1), node.whole("sockets", 10_000, least=1),
+        node.size("memory", 4 * 2**30))
+    if found.line_tokens < found.load_tokens:
+        node.complain("line-tokens is less than load-tokens; no full load could ever wait")
+    node.end()
+    return found
+
+
 def read_front(root: Section) -> FrontSettings:
     """All settings of a front; raises SettingsError with every complaint at once."""
     node = root.only("front")
@@ -188,20 +234,36 @@
     transport, source = read_transport(root), _source(root)
     tokenizers, counting = read_counting(root, offered)
     memory = _memory(root, kinds, zones)
+    one_stage = [one for one in offered if one.call != "chat"]
+    admission = _admission(root, bool(one_stage))
     log = root.maybe("log") or Section("log", root.line, complaints=root.complaints)
     log_format, level = log.choice("format", ["json", "console"], "json"), log.choice(
         "level", ["debug", "info", "warning", "error"], "info")
     log.end()
     root.end()
+    for one in one_stage:
+        if not any(kind.call == one.call for kind in kinds):
+            root.complain(f'offering "{one.name}": no kind of engine carries {one.call}; add one with '
+                          f'call="{one.call}" role="both"')
+    chat = [one for one in offered if one.call == "chat"]
+    if chat and not any(kind.call == "chat" for kind in kinds):
+        root.complain("no kind of engine carries chat; add one")
     if allowed["may_hold"] and not any(kind.role == "write" for kind in kinds):
         root.complain("limits: hold is on, yet no kind of engine writes only; set hold false")
     if root.complaints:
         raise SettingsError(root.complaints)
-    module = shared.module_settings(
-        offered, kinds, figures, allowed, priced, me=number, fronts=fronts, zone=zones.index(zone), tick=turn,
-        connect_time_out=transport.connect_time_out, ask_for_list=source.ask)
-    return FrontSettings(name, listen, watch, turn, None if seed < 0 else seed, policy, zones, offered, kinds,
-                         transport, source, tokenizers, counting, memory, log_format, level, module)
+    place = {"me": number, "fronts": fronts, "zone": zones.index(zone), "tick": turn,
+             "connect_time_out": transport.connect_time_out}
+    module = shared.module_settings(chat or offered, kinds, figures, allowed, priced, **place,
+                                    ask_for_list=source.ask)
+    lanes = []
+    for call in dict.fromkeys(one.call for one in one_stage):
+        own = [one for one in one_stage if one.call == call]
+        lanes.append(Lane(call, own, shared.module_settings(
+            own, kinds, figures, {**allowed, "may_hold": False}, priced, **place, ask_for_list=False)))
+    return FrontSettings(name, listen, watch, turn, None if seed < 0 else seed, policy, zones, chat, kinds,
+                         transport, source, tokenizers, counting, memory, log_format, level, module, lanes,
+                         admission)
 
 
 def load_front(path: str | Path) -> FrontSettings:
--- a/worksmux/settings/shared.py
+++ b/worksmux/settings/shared.py
@@ -10,6 +10,7 @@
 EFFECTS = ["redoable", "labelled", "irreversible"]
 ROLES = ["read", "write", "both"]
 GROUPS = ["all", "zone", "cell"]
+CALLS = ["chat", "embeddings", "rerank"]
 
 
 @dataclass(frozen=True)
@@ -28,6 +29,8 @@
     remembered: float
     tokenizer: str = ""              # its name; none: lengths are guessed from bytes
     most_prompt: int = 10**9         # tokens
+    call: str = "chat"               # what clients ask it by
+    share: float = 1.0               # of the engines, among offerings of its call that wait
 
 
 def offerings(section: Section) -> list[Offering]:
@@ -36,19 +39,24 @@
     for node in section.all("offering"):
         effect = node.choice("effect", EFFECTS)
         labelled = effect == "labelled"
+        call = node.choice("call", CALLS, "chat")
+        chat = call == "chat"                        # only an answer of tokens has a pace and a length
         one = Offering(
             node.title(),
             node.time("promised-time", least=1),
             node.time("promised-per-1000-tokens", 0.0),
             node.time("outer-limit", least=1),
-            node.time("token-time", least=1),
-            node.whole("most-answer", least=1),
+            node.time("token-time", None if chat else 1.0, least=1),
+            node.whole("most-answer", None if chat else 1, least=1),
             node.number("credit", 1.0),
             node.number("late-credit", 0.0, most=1.0),
             effect,
             node.choice("group", GROUPS, None if labelled else "all"),
             node.time("remembered", None if labelled else 0.0),
-            node.value("tokenizer", str, "", ""), node.whole("most-prompt", 10**9, least=1))
+            node.value("tokenizer", str, "", ""), node.whole("most-prompt", 10**9, least=1),
+            call, node.number("share", 1.0, least=0.001))
+        if not chat and effect != "redoable":
+            node.complain(f'offering "{one.name}": {call} has no effect; set effect "redoable"')
         if one.outer_limit < one.promised_time:
             node.complain(f'offering "{one.name}": outer-limit is shorter than promised-time; '
                           "a client does not leave before its answer is due")
@@ -67,13 +75,18 @@
     name: str
     role: str
     memory: float
+    call: str = "chat"               # what its engines carry
 
 
 def kinds(section: Section) -> list[Kind]:
     found = []
     for node in section.all("kind"):
-        found.append(Kind(node.title(), node.choice("role", ROLES), node.number("memory", least=1)))
+        one = Kind(node.title(), node.choice("role", ROLES), node.number("memory", least=1),
+                   node.choice("call", CALLS, "chat"))
+        if one.call != "chat" and one.role != "both":
+            node.complain(f'kind "{one.name}": {one.call} is one stage; set role "both"')
         node.end()
+        found.append(one)
     if not found:
         section.complain("no kind of engine; add at least one section kind")
     elif not any(kind.role == "both" for kind in found) and len({kind.role for kind in found}) < 2:
--- a/worksmux/standins/engine.py
+++ b/worksmux/standins/engine.py
@@ -13,7 +13,7 @@
 import msgspec
 import xxhash
 
-from ..api import chat, errors
+from ..api import chat, embeddings, errors, rerank
 from ..api import engine as calls
 from ..api.events import DONE, event
 from ..net import client, clock
@@ -23,6 +23,7 @@
 from ..tokens.vocabulary import load, tokens
 from .journal import Journal
 from .model import EngineModel, Spec, Work
+from .vectors import Vectors
 
 BOUND = 16 * 2**20
 TICK = 5.0                           # milliseconds between two looks at the work
@@ -70,6 +71,7 @@
         self.reports: list[tuple[float, dict[str, float]]] = []
         self.server = Server(self._taken, BOUND, 65_536, 120_000.0, reactor)
         self.server.channel_hook = self._connected
+        self.vectors = Vectors(self, lambda how, **facts: self.journal.note("end", how=how, **facts))
         self.port_object: Any = None
         self.port = 0
         self.ticking = False
@@ -104,6 +106,8 @@
                 self._hung(path, exchange)
             elif path == calls.CHAT:
                 self._chat(exchange)
+            elif path in (embeddings.PATH, rerank.PATH):
+                self.vectors.take(path, exchange)
             elif path == calls.PROBE:
                 exchange.answer(200, msgspec.json.encode(self._self()),
                                 headers=(calls.load_header(self._report()),))
@@ -183,6 +187,9 @@
                 "front": exchange.header(calls.FRONT) or "", "try": exchange.header(calls.TRY) or "",
                 "label": exchange.header(chat.LABEL) or "", "offering": job.model if job else ""}
 
+    def facts(self, exchange: Exchange, offering: str) -> dict[str, Any]:
+        return {**self._facts(exchange), "offering": offering}
+
     def _chat(self, exchange: Exchange) -> None:
         now = clock.now()
         job = msgspec.json.decode(exchange.body(), type=Job)
@@ -190,7 +197,7 @@
         self.journal.note("got", **facts)
         if self.model.press(now, 1.0):
             self.journal.note("fell", front=facts["front"])
-            return self._fall()
+            return self.fall()
         fault = self.faults.get("fail_fast")
         if fault and fault.offering in ("", job.model) and self.chance.random() < fault.share:
             self.journal.note("end", how="error", **facts)
@@ -256,7 +263,7 @@
                 waiting.answer(404, b"{}")
             self._tick_on()
 
-    def _fall(self) -> None:
+    def fall(self) -> None:
         for work in list(self.works.values()):
             self._end(work, "fell")
         for channel in list(self.server.channels):
--- a/worksmux/trial/small.py
+++ b/worksmux/trial/small.py
@@ -114,7 +114,7 @@
         self.failed: BaseException | None = None
 
     def add(self, kind: str, cell: int = 0, cold: bool = False, listed: bool = True) -> EngineProcess:
-        role = {"prefill": "read", "decode": "write", "mixed": "both"}[kind]
+        role = {"prefill": "read", "decode": "write"}.get(kind, "both")
         name = f"e{len(self.engines)}"
         spec = Spec(name, kind, role, "north", cell, 16, 16, 100_000.0, 40_000.0, 4.0, 0.1, cold=cold,
                     warm_up=4000.0, fall_time=1000.0, journal=str(self.folder / f"engine-{name}.jsonl"))
