Gate: what would come too late is never sent; the limit acts on fresh times

Change: short span for the usual time, half the growth once it has been too high, a shallower look at the shortest time, a check when a call is let go.

--- a/worksmux/admission/gate.py
+++ b/worksmux/admission/gate.py
@@ -20,6 +20,7 @@
 from .limit import Limit
 from .repeats import Advice, Budget, Repeats
 
+SAFE = 0.8               # of the time left: what is expected to take more is turned away
 UNIT = 1 / 4             # of the largest part: what counts as a small item
 
 
@@ -138,7 +139,7 @@
             self.budgets[at].first()
         elif not self._idle(asked) and not self.budgets[at].repeat():
             return self._refuse(now, asked, Why.REPEATS, step)
-        if self._expected(now, asked) > min(asked.promised_at, asked.give_up_at) - now:
+        if self._expected(now, asked) > SAFE * (min(asked.promised_at, asked.give_up_at) - now):
             return self._refuse(now, asked, Why.LATE, step)
         place, pushed = line.put(asked.caller, asked, asked.cost)
         for other in pushed:
@@ -211,11 +212,18 @@
         rate = pool.limit.rate(now)
         if rate <= 0 or not pool.waits():
             return 0.0
-        trip = pool.limit.lately.mean(now) * (asked.cost + pool.limit.unit)
-        return pool.ahead(self, asked) / rate + trip
+        return pool.ahead(self, asked) / rate + self._trip(now, asked)
+
+    def _trip(self, now: float, asked: Asked) -> float:
+        """The usual time past the gate."""
+        limit = self.pool_of[asked.offering].limit
+        return limit.lately.mean(now) * (asked.cost + limit.unit)
 
     def _let_go(self, now: float, step: Step, pool: Pool) -> None:
         while (asked := pool.turns.next(pool.limit.fits)) is not None:
+            if now + self._trip(now, asked) / SAFE > min(asked.promised_at, asked.give_up_at):
+                self._refuse(now, asked, Why.LATE, step)     # guards against work that comes too late
+                continue
             asked.state = "out"
             pool.limit.sent(now, asked.cost)
             step.go.append(asked)
--- a/worksmux/admission/limit.py
+++ b/worksmux/admission/limit.py
@@ -2,8 +2,8 @@
 
 The limit follows the ratio of the shortest time a token took lately to the usual one now (the idea of TCP
 Vegas, and of concurrency limits in service meshes): as long as the two are near each other the limit grows by
-its square root, when work queues at the engines it shrinks in proportion.  A trip that was turned away or
-came too late shrinks it too.  Now and then it is cut for a moment, so that the shortest time is measured anew
+its square root (by half of that once it has been too high), when work queues at the engines it shrinks in
+proportion.  A trip that was turned away shrinks it too; one that came late for having waited before does not.  Now and then it is cut for a moment, so that the shortest time is measured anew
 (as BBR does): else, with work always queued, the queue's own time would come to count as the shortest.  It is
 one front's own: fronts that share engines each see the time that all of them make.
 """
@@ -12,7 +12,8 @@
 from ..measure import Ring
 
 TOLERATED = 2.0          # times the shortest: a token may take so long before the limit shrinks
-SHRINK = 0.9             # at a trip turned away or late, once in a usual time
+SHRINK = 0.9             # at a trip turned away, once in a step
+DRAIN = 0.8              # of what would just keep the engines busy: let out while looking
 LEAST_RATIO = 0.5        # by which the limit shrinks at most in one step
 USED = 0.5               # of the limit must have been out, for it to grow
 SPAN = 16                # times the promised time over which times are seen
@@ -29,7 +30,8 @@
         self.promised = promised
         self.least = unit
         self.times = Ring(SPAN * promised, SPAN * 4)         # elapsed by cost; fine enough to show a look
-        self.lately = Ring(promised, BUCKETS)
+        self.lately = Ring(promised / 4, BUCKETS)    # short: what acts on old times swings
+        self.gain = 1.0
         self.served = Ring(2 * promised, BUCKETS)    # cost
         self.out = self.most_out = 0.0
         self.next_step = 0.0
@@ -50,7 +52,7 @@
         self.most_out = max(self.most_out, self.out)
 
     def ended(self, now: float, cost: float, elapsed: float, good: bool) -> None:
-        """`good` is false for what was turned away or came too late."""
+        """`good` is false for what the engines turned away."""
         self.out = max(0.0, self.out - cost)
         if good:
             self.times.add(now, elapsed, cost + self.unit)
@@ -70,15 +72,17 @@
                 self.cut = 1.0
             return
         if now >= self.look_at and usual > 0:
-            self.cut = LEAST_RATIO * min(1.0, shortest / usual)
+            self.cut = DRAIN * min(1.0, shortest / usual)
             self.look_until, self.look_at = now + LOOK_FOR * self.promised, now + LOOK * SPAN * self.promised
             return
         if usual > 0 and shortest > 0:
             ratio = max(LEAST_RATIO, min(1.0, TOLERATED * shortest / usual))
             if ratio < 1.0:
-                self.limit = max(self.least, self.limit * ratio + (self.unit * self.limit) ** 0.5 * ratio)
+                self.gain = 0.5
+                room = float((self.unit * self.limit) ** 0.5) * self.gain
+                self.limit = max(self.least, (self.limit + room) * ratio)
             elif self.most_out >= USED * self.limit and now >= self.shrunk_until:
-                self.limit += (self.unit * self.limit) ** 0.5
+                self.limit += float((self.unit * self.limit) ** 0.5) * self.gain
         self.most_out = self.out
 
     def rate(self, now: float) -> float:
--- a/worksmux/front/vectors.py
+++ b/worksmux/front/vectors.py
@@ -346,7 +346,7 @@
         assert one.gate is not None and one.call is not None
         if not one.call.over:
             self._plan(self.planner.left(one.call))
-        good = how in ("delivered", "left", "bad input") and now <= one.gate.promised_at
+        good = how in ("delivered", "left", "bad input")
         if one.gate.state == "waiting":
             self.gate.left(now, one.gate)
         else:
--- a/worksmux/membership/trust.py
+++ b/worksmux/membership/trust.py
@@ -122,9 +122,11 @@
         for one in saved:
             likely = trust(one, wall, turnover, believed_for) * (1.0 if whole else SURE - 1e-6)
             self.beliefs[one.line.id] = Belief(one.line, likely, self._stand(one.line, likely))
+        # Where none is of use there is nothing to be after.
+        some = any(belief.trust >= USEFUL for belief in self.beliefs.values())
         for belief in self.beliefs.values():
             if belief.stand in (Stand.LIKELY, Stand.ASKED, Stand.SURE):
-                late = belief.trust < USEFUL
+                late = some and belief.trust < USEFUL
                 self._ask_at(now + self.spread * (self.chance.share() + late), belief.line.id)
 
     @staticmethod
