--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -152,7 +152,8 @@
     def figures(self) -> tuple[float, float, float]:
         """Goodput as a part of what could be served, Jain's index and the worst, over the fair shares."""
         served = sum(self.got.values()) / (CAPACITY * self.length)
-        fair = max_min({caller: float(count) for caller, count in self.wanted.items()}, CAPACITY * self.length)
+        wanted = {caller: float(count) for caller, count in self.wanted.items()}
+        fair = max_min(wanted, CAPACITY * self.length)
         parts = [min(1.0, self.got[caller] / fair[caller]) for caller in fair if fair[caller] >= 1]
         jain = sum(parts) ** 2 / (len(parts) * sum(part * part for part in parts)) if any(parts) else 0.0
         parts.sort()
@@ -181,10 +182,11 @@
     for name, gate in (("gate with budget", Gate(settings(), 1)),
                        ("gate without budget", Gate(settings(1.0), 1)),
                        ("FIFO", Fifo()), ("token bucket", Bucket())):
-        day = Day(gate, 0.8, lambda tries: 50.0 if tries < 20 else None, (5000.0, 15_000.0, 3.0), 60_000.0).run()
+        day = Day(gate, 0.8, lambda tries: 50.0 if tries < 20 else None, (5000.0, 15_000.0, 3.0),
+                  60_000.0).run()
         usual = 0.9 * 0.8 * CAPACITY * 1000
-        back = next((second for second in range(15, 58)
-                     if all(day.seconds[later] >= usual for later in range(second, min(second + 3, 59)))), None)
+        back = next((second for second in range(15, 57)
+                     if min(day.seconds[later] for later in range(second, second + 3)) >= usual), None)
         told = "never within 45 s" if back is None else f"{back - 15} s"
         print(f"storm, {name}: whole again {told} after the cause; {dict(day.ends)}", flush=True)
 
--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -1,8 +1,8 @@
 """A flood of embeddings beside chat, over sockets on loopback: `python -m benchmarks.flood [SECONDS]`.
 
-One process holds registry, engines, front and clients.  Chat's clients ask an offering at half of its engines'
-capacity while one of the two answering engines works at half speed; embeddings come at ten times what their
-engines can do, each refused client coming back at once, once.  Beside it in the same run: the same day without
+One process holds registry, engines, front and clients.  Chat's clients ask an offering while one of its two
+answering engines works at half speed; embeddings come at ten times what their engines can do, each refused
+client coming back at once, once.  Beside it in the same run: the same day without
 the flood, and the flood with no gate (every call goes to the lane as it comes).
 """
 from __future__ import annotations
@@ -73,7 +73,8 @@
 
         def ask(number: int, again: bool) -> None:
             texts = [f"{number} {at} ".ljust(4 * TOKENS, "x") for at in range(INPUTS)]
-            body = {"model": "vectors", "input": texts, "user": f"u{number % 20}", "encoding_format": "base64"}
+            body = {"model": "vectors", "input": texts, "user": f"u{number % 20}",
+                    "encoding_format": "base64"}
 
             def ended(status: int, head: dict[str, str], reply: bytes, trouble: Any) -> None:
                 ends[status] += 1
@@ -92,7 +93,8 @@
         rig.reactor.callLater(0.1, lambda: rig.fault(rig.engines[1], "slow", factor=2.0))
         records = rig.day(length=1000 * seconds, rate=30.0, patience=0.9)
         told = summary(records, FIGURES)
-        return {"chat credit": told["credit_share"], "kept": told["kept"], "first p99": told["first_ms"]["p99"],
+        return {"chat credit": told["credit_share"], "kept": told["kept"],
+                "first p99": told["first_ms"]["p99"],
                 "goodput": sum(good) * TOKENS / (2 * SPEED * seconds), "calls": number, "ends": dict(ends)}
 
 
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -25,6 +25,23 @@
     assert again.returncode == 0 and json.loads(again.stdout)["jobs"] == told["jobs"]
 
 
+def test_day_of_embeddings_and_rerank_keeps_all_rules_and_every_result_is_right(tmp_path: Path) -> None:
+    text = Path("examples/flood-day.kdl").read_text()
+    lines = [line for line in text.splitlines() if not line.startswith("trouble")]
+    short = "\n".join(lines).replace('length="24s"', 'length="4s"')
+    file = tmp_path / "day.kdl"
+    file.write_text(short + """
+trouble "flood" at="1s" for="2s" offering="vectors" factor=8
+trouble "drain" at="1500ms" for="1s" every="500ms" names="n1-embedder-1"
+trouble "fast-errors" at="1s" for="2s" names="n1-reranker-1" share=0.5
+""")
+    done = command("trial", str(file), "--json")
+    assert done.returncode == 0, done.stderr[-2000:]
+    told = json.loads(done.stdout)
+    assert told["kept"] and told["unanswered"] == 0 and told["one_stage"]["done"] > 30
+    assert told["credit_by_offering"]["explain"] > 0.9
+
+
 def test_exit_codes_tell_a_wrong_file_from_a_broken_day(tmp_path: Path) -> None:
     wrong = tmp_path / "wrong.kdl"
     wrong.write_text("front \"a\" {\n    listn \"127.0.0.1:0\"\n}\n")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,6 +1,8 @@
 """The codec and the door, without a bench."""
 import io
 import struct
+import subprocess
+import sys
 
 import pytest
 
@@ -20,3 +22,9 @@
     frame = struct.pack("<IIdI", 1, 84, 0.0, 9) + b"\x07" + bytes(10)
     with pytest.raises(WireError, match="batch 9"):
         read_batch(io.BytesIO(frame))
+
+
+def test_adapter_needs_nothing_but_the_standard_library():
+    """Guards against a bench that cannot start it: there no library is installed."""
+    done = subprocess.run([sys.executable, "-S", "-c", "import worksmux.drill.instance"], check=False)
+    assert done.returncode == 0
--- a/worksmux/admission/limit.py
+++ b/worksmux/admission/limit.py
@@ -3,9 +3,10 @@
 The limit follows the ratio of the shortest time a token took lately to the usual one now (the idea of TCP
 Vegas, and of concurrency limits in service meshes): as long as the two are near each other the limit grows by
 its square root (by half of that once it has been too high), when work queues at the engines it shrinks in
-proportion.  A trip that was turned away shrinks it too; one that came late for having waited before does not.  Now and then it is cut for a moment, so that the shortest time is measured anew
-(as BBR does): else, with work always queued, the queue's own time would come to count as the shortest.  It is
-one front's own: fronts that share engines each see the time that all of them make.
+proportion.  A trip that was turned away shrinks it too; one that came late for having waited before does not.
+Now and then it is cut for a moment, so that the shortest time is measured anew (as BBR does): else, with work
+always queued, the queue's own time would come to count as the shortest.  It is one front's own: fronts that
+share engines each see the time that all of them make.
 """
 from __future__ import annotations
 
--- a/worksmux/audit/report.py
+++ b/worksmux/audit/report.py
@@ -36,6 +36,7 @@
             sum(job["credit"] for job in records.jobs if job["offering"] == name),
             sum(job["asked"] for job in records.jobs if job["offering"] == name)) for name in offerings},
         "first_ms": {f"p{at:g}": firsts.get_value_at_percentile(at) for at in (50, 90, 99)},
+        "one_stage": one_stage(records),
         "trips_a_job": _part(len(records.trips), len(records.jobs)),
         "counts": len(records.counts), "counts_wrong": sum(front != own for _, front, own in records.counts),
         "drain_last_send_ms": drain_last_send(records),
@@ -46,6 +47,12 @@
     }
 
 
+def one_stage(records: Records) -> dict[str, int]:
+    """Trips of embeddings and rerank by how they ended at their engines."""
+    return dict(sorted(Counter(trip.how or "no end" for trip in records.trips
+                               if trip.offering.startswith("/v1/")).items()))
+
+
 def drain_last_send(records: Records) -> float:
     """The longest time from telling a front of a drain to its last new trip there, in milliseconds."""
     longest = 0.0
--- a/worksmux/commands/trials.py
+++ b/worksmux/commands/trials.py
@@ -32,6 +32,9 @@
     ]
     rows += [("trips a job", [f"{run['trips_a_job']:.2f}" for run in told]),
              ("state moved out of its cell", [f"{run['moved_out_of_cell']:.3f}" for run in told]),
+             ("trips of one stage, by end", [
+                 ", ".join(f"{count} {how}" for how, count in run["one_stage"].items()) or "none"
+                 for run in told]),
              ("last send after a drain was told, ms", [f"{run['drain_last_send_ms']:.1f}" for run in told]),
              ("prompts counted, and wrongly", [f"{run['counts']}, {run['counts_wrong']}" for run in told]),
              ("engines fallen over", [str(run["engines_fallen"]) for run in told]),
--- a/worksmux/front/fleet.py
+++ b/worksmux/front/fleet.py
@@ -14,7 +14,7 @@
 
 from .. import interface as i
 from ..api.fleet import READ_LISTING, Hello
-from ..door import key_of
+from ..membership.keys import key_of
 from ..membership.roster import Roster
 from ..net import clock
 from ..net.loop import Reactor, Transport
--- a/worksmux/model/front.py
+++ b/worksmux/model/front.py
@@ -8,7 +8,8 @@
 
 from .. import interface as i
 from ..api.fleet import Listing
-from ..door import Door, Maker, key_of
+from ..door import Door, Maker
+from ..membership.keys import key_of
 from ..membership.roster import Roster
 from ..membership.trust import Answer, Beliefs, Stand, Step
 from ..membership.learned import Learner
--- a/worksmux/settings/front.py
+++ b/worksmux/settings/front.py
@@ -195,7 +195,7 @@
     return found
 
 
-def _admission(root: Section, wanted: bool) -> Admission | None:
+def read_admission(root: Section, wanted: bool) -> Admission | None:
     node = root.maybe("admission")
     if node is None:
         if wanted:
@@ -235,7 +235,7 @@
     tokenizers, counting = read_counting(root, offered)
     memory = _memory(root, kinds, zones)
     one_stage = [one for one in offered if one.call != "chat"]
-    admission = _admission(root, bool(one_stage))
+    admission = read_admission(root, bool(one_stage))
     log = root.maybe("log") or Section("log", root.line, complaints=root.complaints)
     log_format, level = log.choice("format", ["json", "console"], "json"), log.choice(
         "level", ["debug", "info", "warning", "error"], "info")
--- a/worksmux/standins/clients.py
+++ b/worksmux/standins/clients.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ..api import chat, errors
+from ..api import chat, embeddings, errors, rerank
 from ..api.events import Events
 from ..api.engine import CHAT
 from ..front.clients import ANSWER
@@ -21,9 +21,11 @@
 from ..net.loop import Reactor, the_reactor
 from ..tokens.samples import SAMPLES
 from .engine import ANSWER as TRUE_ANSWER
+from .vectors import score, vector
 from .journal import Journal
 
 
+QUERY = "what went wrong in the lab"
 TEXTS = [SAMPLES[name] for name in ("finnish", "swedish", "english", "arabic", "russian", "chinese", "hindi",
                                     "code", "lab log")]
 
@@ -47,6 +49,9 @@
     beginnings: int
     beginning_tokens: tuple[float, float]
     beginning_share: float
+    call: str = "chat"
+    inputs: tuple[float, float] = (1.0, 1.0)     # of one call of embeddings or rerank
+    callers: int = 1
 
 
 class FrontSpec(msgspec.Struct):
@@ -105,6 +110,7 @@
     stream: bool
     front: int
     leaves: bool = False             # goes before the time that it names
+    inputs: list[str] = field(default_factory=list)      # of a call of one stage
     body: bytes = b""
     tries: int = 0
     ended: str = ""
@@ -122,12 +128,14 @@
         self.first = self.last = 0.0
         self.tokens = self.expect = 0
         self.prompt = 0              # its length as the engine counted it
+        self.stay_away = 0.0         # what it was told, milliseconds
         self.code = self.finish = ""
         self.over = False
         self.call: client.Call | None = None
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         self.status, self.headers = status, headers
+        self.stay_away = float(headers.get("retry-after-ms", 0.0))
         if headers.get("content-type", "").startswith("text/event-stream"):
             self.events = Events(2**20)
 
@@ -168,7 +176,10 @@
         self.tokens += len(words)
 
     def done(self) -> None:
-        if self.events is None and self.status == 200:
+        if self.job.inputs and self.status == 200:
+            self.checked()
+            self.finish = "done"
+        elif self.events is None and self.status == 200:
             reply = msgspec.json.decode(bytes(self.body))
             self._words(reply["choices"][0]["message"]["content"])
             self.prompt = int(reply["usage"]["prompt_tokens"])
@@ -177,6 +188,22 @@
             self.code = errors.code_of(bytes(self.body)) or f"status {self.status}"
         self._end("delivered" if self.finish and not self.code else self.code or "cut")
 
+    def checked(self) -> None:
+        """A whole reply of one stage: every result is what the stand-in engine gives for that input."""
+        one, inputs = self.job.session.offering, self.job.inputs
+        now = self.first = self.last = clock.now()
+        body = bytes(self.body)
+        self.owner.journal.note("first token", try_id=self.name, at=now)
+        if one.call == "embeddings":
+            found, _ = embeddings.vectors(body, len(inputs))
+            wrong = [at for at, text in enumerate(inputs)
+                     if found.get(at) != embeddings.pack(vector(one.name, text))]
+        else:
+            scores, _ = rerank.scores(body, len(inputs))
+            wrong = [at for at, text in enumerate(inputs) if scores.get(at) != score(QUERY, text)]
+        for at in wrong:
+            self.owner.journal.note("wrong text", try_id=self.name, got=at, wanted=len(inputs))
+
     def failed(self, trouble: client.Trouble) -> None:
         if self.code:
             self._end(self.code)
@@ -210,6 +237,7 @@
         self.dead: dict[int, float] = {}
         self.turn = self.count = self.open = 0
         self.next = spec.start
+        self.floods: dict[str, float] = {}           # by offering: its flood's next arrival
         self.shared = {one.name: [(f"{one.name}-{at}", self._text(f"{one.name} {at}", one.beginning_tokens))
                                   for at in range(one.beginnings)] for one in spec.offerings}
         self.waiting = 0
@@ -239,6 +267,7 @@
         """Sessions begin by a Poisson process; a late timer begins all that are due, each at its own time."""
         now = clock.now()
         end = self.spec.start + self.spec.length
+        self._flood(now)
         while self.next <= now and self.next < end:
             self._begin(self.next)
             burst = self._burst("burst")
@@ -247,15 +276,31 @@
             rate = self.spec.rate * (burst.factor if burst else 1.0) / turns
             self.next += self.chance.expovariate(rate) * 1000
         if self.next < end:
-            self.reactor.callLater(max(0.0, self.next - clock.now()) / 1000, self._arrive)
+            first = min([self.next, *self.floods.values()])
+            self.reactor.callLater(max(0.0, first - clock.now()) / 1000, self._arrive)
         else:
             self.over = True
             self._maybe_stop()
 
-    def _begin(self, intended: float) -> None:
-        one = self.chance.choices(self.spec.offerings, [offering.share for offering in self.spec.offerings])[
-            0
-        ]
+    def _flood(self, now: float) -> None:
+        """One offering's jobs come more often: a Poisson process of its own beside the usual one."""
+        flood = self._burst("flood")
+        one = next((one for one in self.spec.offerings if flood and one.name == flood.offering), None)
+        if flood is None or one is None:
+            self.floods.clear()
+            return
+        turns = sum(other.share * sum(other.turns) / 2 for other in self.spec.offerings)
+        rate = self.spec.rate * one.share / turns * (flood.factor - 1) / 1000
+        next_at = self.floods.setdefault(one.name, now)
+        while next_at <= now:
+            self._begin(next_at, one)
+            next_at += self.chance.expovariate(rate)
+        self.floods[one.name] = next_at
+
+    def _begin(self, intended: float, one: OfferingSpec | None = None) -> None:
+        if one is None:
+            shares = [offering.share for offering in self.spec.offerings]
+            one = self.chance.choices(self.spec.offerings, shares)[0]
         self.count += 1
         prefix, beginning = "", ""
         hot = self._burst("hot_beginning")
@@ -276,6 +321,8 @@
     def _ask(self, session: Session, intended: float) -> None:
         one = session.offering
         session.turns -= 1
+        if one.call != "chat":
+            return self._ask_vectors(session, intended)
         answer = max(1, min(one.most_answer, round(self._between(one.answer_tokens))))
         tokens = one.new_tokens
         tail = self._burst("heavy_tail")
@@ -308,6 +355,24 @@
         self.open += 1
         self._try(job)
 
+    def _ask_vectors(self, session: Session, intended: float) -> None:
+        """A call of one stage, of many inputs."""
+        one = session.offering
+        self.count += 1
+        inputs = [self._text(f"{self.count} {at}", one.new_tokens)
+                  for at in range(max(1, round(self._between(one.inputs))))]
+        patience = one.outer_limit * self._between(self.spec.patience)
+        job = ClientJob(f"j{self.spec.seed}-{self.count}", session, intended, 0.0, 0,
+                        int(self._between(self.spec.retries) + 1), patience, True, self._next_front(),
+                        inputs=inputs)
+        user = f"u{self.chance.randrange(one.callers)}"
+        asked = ({"input": inputs, "encoding_format": "base64"} if one.call == "embeddings"
+                 else {"query": QUERY, "documents": inputs})
+        job.body = msgspec.json.encode({"model": one.name, "user": user, **asked})
+        self.journal.note("job", job=job.id, offering=one.name, intended=intended, inputs=len(inputs))
+        self.open += 1
+        self._try(job)
+
     def _next_front(self) -> int:
         """In turn, but for those known to be dead."""
         now = clock.now()
@@ -341,7 +406,8 @@
         if job.session.prefix:
             headers += [(chat.PREFIX, job.session.prefix),
                         (chat.PREFIX_TOKENS, str(len(job.session.beginning) / chat.BYTES_A_TOKEN))]
-        one.call = self.pools[job.front].call("POST", CHAT, one, headers, job.body)
+        path = {"embeddings": embeddings.PATH, "rerank": rerank.PATH}.get(offering.call, CHAT)
+        one.call = self.pools[job.front].call("POST", path, one, headers, job.body)
         self.reactor.callLater((stays + whole) / 1000, one.give_up)
 
     def ended(self, one: Try, how: str) -> None:
@@ -355,7 +421,10 @@
             harmless = True
         if how != "delivered" and harmless and job.left > 0:
             job.front = self._next_front()
-            self.reactor.callLater(self._between(self.spec.wait) / 1000, self._try, job)
+            wait = self._between(self.spec.wait)
+            if job.inputs and not self._burst("storm"):
+                wait = max(wait, one.stay_away)
+            self.reactor.callLater(wait / 1000, self._try, job)
             return
         promised = offering.promised_time + offering.promised_per_k * (one.prompt or job.prompt) / 1000
         first = one.first - job.intended
--- a/worksmux/trial/fleet.py
+++ b/worksmux/trial/fleet.py
@@ -50,7 +50,13 @@
     """Jobs a second that an engine of this kind can carry when warm."""
     machine = day.machines[place.kind]
     role = next(kind.role for kind in day.kinds if kind.name == place.kind)
-    shares = sum(one.share for one in day.traffic)
+    call = next(kind.call for kind in day.kinds if kind.name == place.kind)
+    calls = {one.name: one.call for one in day.offerings}
+    traffic = [one for one in day.traffic if calls[one.offering] == call]
+    shares = sum(one.share for one in traffic) or 1.0
+    if call != "chat":
+        tokens = sum(one.share * sum(one.inputs) / 2 * sum(one.new_tokens) / 2 for one in traffic) / shares
+        return machine.read_speed / max(1.0, tokens)
     prompt = (
         sum(
             one.share
@@ -58,11 +64,11 @@
                 sum(one.new_tokens) / 2 * (1 + sum(one.turns) / 4)
                 + one.beginning_share * sum(one.beginning_tokens) / 2
             )
-            for one in day.traffic
+            for one in traffic
         )
         / shares
     )
-    answer = sum(one.share * sum(one.answer_tokens) / 2 for one in day.traffic) / shares
+    answer = sum(one.share * sum(one.answer_tokens) / 2 for one in traffic) / shares
     reads = machine.read_speed / max(1.0, prompt)
     pace = machine.step + machine.per_stream * machine.slots
     writes = machine.slots * 1000 / (pace * max(1.0, answer))
--- a/worksmux/trial/fronts.py
+++ b/worksmux/trial/fronts.py
@@ -31,12 +31,14 @@
     remembered {_ms(one.remembered)}
     tokenizer {json.dumps(one.tokenizer)}
     most-prompt {one.most_prompt}
+    call "{one.call}"
+    share {one.share:g}
 }}
 """
 
 
 def _kind(one: Kind) -> str:
-    return f'kind {json.dumps(one.name)} role="{one.role}" memory={one.memory:g}\n'
+    return f'kind {json.dumps(one.name)} role="{one.role}" memory={one.memory:g} call="{one.call}"\n'
 
 
 def _counting(day: Scenario) -> str:
@@ -60,6 +62,26 @@
 """
 
 
+def _admission(day: Scenario) -> str:
+    one = day.admission
+    if one is None:
+        return ""
+    return f"""admission {{
+    load-tokens {one.load_tokens}
+    load-inputs {one.load_inputs}
+    line-tokens {one.line_tokens}
+    line-calls {one.line_calls}
+    open-calls {one.open_calls}
+    repeat-ratio {one.repeat_ratio:g}
+    repeat-burst {one.repeat_burst:g}
+    stay-away {_ms(one.stay_away[0])} {_ms(one.stay_away[1])}
+    loop-lag {_ms(one.loop_lag)}
+    sockets {one.sockets}
+    memory "{one.memory}B"
+}}
+"""
+
+
 def _memory(day: Scenario, path: Path) -> str:
     if not day.memory:
         return ""
@@ -140,4 +162,4 @@
     drain-time {_ms(bounds.drain_time)}
 }}
 log format="json" level="info"
-{_counting(day)}{_memory(day, folder / f"{name}.memory")}"""
+{_counting(day)}{_admission(day)}{_memory(day, folder / f"{name}.memory")}"""
--- a/worksmux/trial/runner.py
+++ b/worksmux/trial/runner.py
@@ -231,6 +231,9 @@
                     one.beginnings,
                     one.beginning_tokens,
                     one.beginning_share,
+                    offering.call,
+                    one.inputs,
+                    one.callers,
                 )
                 for one in day.traffic
                 for offering in [offerings[one.offering]]
--- a/worksmux/trial/scenario.py
+++ b/worksmux/trial/scenario.py
@@ -8,7 +8,8 @@
 
 from ..settings import shared
 from ..settings.document import Section, SettingsError, load
-from ..settings.front import POLICIES, Counting, Transport, read_counting, read_transport
+from ..settings.front import (
+    POLICIES, Admission, Counting, Transport, read_admission, read_counting, read_transport)
 
 KINDS_OF_TROUBLE = {
     "crash": "processes die and come back cold",
@@ -33,11 +34,13 @@
     "front-crash": "fronts are killed and come back",
     "front-roll": "fronts are stopped and started, one after the other",
     "burst": "more jobs a second",
+    "flood": "one offering's jobs come that many times as often",
+    "storm": "clients repeat at once, whatever they are told",
     "hot-beginning": "many new sessions share a long text not seen before",
     "heavy-tail": "some prompts are far longer",
     "give-up": "clients come with little time left",
 }
-OF_CLIENTS = frozenset({"burst", "hot-beginning", "heavy-tail", "give-up"})
+OF_CLIENTS = frozenset({"burst", "flood", "storm", "hot-beginning", "heavy-tail", "give-up"})
 OF_FRONTS = frozenset({"front-crash", "front-roll"})
 OF_THE_LIST = frozenset({"list-stale", "list-lost", "list-gap"})
 
@@ -54,6 +57,8 @@
     beginnings: int
     beginning_tokens: tuple[float, float]
     beginning_share: float
+    inputs: tuple[float, float] = (1.0, 1.0)     # of one call of embeddings, or documents of one of rerank
+    callers: int = 1
 
 
 @dataclass(frozen=True)
@@ -132,6 +137,7 @@
     counting: Counting | None
     memory: bool                     # fronts remember the list on disk
     slack: float
+    admission: Admission | None
 
     def module_settings(self, number: int, zone: str) -> dict[str, Any]:
         return shared.module_settings(
@@ -147,12 +153,14 @@
             node.title(),
             node.number("share"),
             node.span("new-tokens"),
-            node.span("answer-tokens"),
+            node.span("answer-tokens", (1.0, 1.0)),
             node.span("turns", (1.0, 1.0)),
             node.times("think", (1000.0, 1000.0)),
             node.whole("beginnings", 0),
             node.span("beginning-tokens", (0.0, 0.0)),
             node.number("beginning-share", 0.0, most=1.0),
+            node.span("inputs", (1.0, 1.0)),
+            node.whole("callers", 1, least=1),
         )
         if one.offering not in {offering.name for offering in offerings}:
             node.complain(f'traffic "{one.offering}": no such offering; name one of '
@@ -266,7 +274,8 @@
         shared.rules(root),
         shared.limits(root),
         shared.prices(root),
-        read_transport(root), *read_counting(root, offerings), fronts.flag("memory", False), slack)
+        read_transport(root), *read_counting(root, offerings), fronts.flag("memory", False), slack,
+        read_admission(root, any(one.call != "chat" for one in offerings)))
     for node in (fronts, links, cold, load_, clients, registry, root):
         node.end()
     if root.complaints:
