A front that stops lets its last answers out; hand-over machine, brown-out over sockets

Found by a test: at a stop the connections were cut as soon as the last call had its answer, which was then still to be written. They are now closed behind what was written, within a second.

--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -252,3 +252,25 @@
     assert set(learner.changes([(engine, 0.0), (Engine(b"plain", 2), 0.0)], 2000.0, 1e9)) == {FLEET, "e"}
     engine.unwell, engine.narrowed, engine.good = {}, 0.0, {}
     assert learner.changes([(engine, 0.0)], 2500.0, 1e9)["e"] is None
+
+
+class HandOverMachine(RosterMachine):
+    """The same from a remembered list on: until the registry speaks, and from then on, nothing is used that
+    neither a remembered line nor the list in force calls ready, and a remembered drain holds."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.roster, self.view, self.listed = roster(), {}, {}
+        self.truth["e5"] = "draining"
+        entries = []
+        for name, state in self.truth.items():
+            entry = self.roster.keeper.remember(0.0, 0.0, line(name), state, careful=name < "e3")
+            assert entry is not None
+            entries.append(entry)
+        self.roster.remembered(entries)
+        apply(self.view, "cached", entries)
+        self.listed = dict(self.truth)
+
+
+TestHandOver = HandOverMachine.TestCase
+TestHandOver.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -9,10 +9,12 @@
 import pytest
 from worksmux.trial.small import FIGURES, SETTINGS, Rig
 
+from worksmux.admission.brownout import Pressure
 from worksmux.api import embeddings, rerank
 from worksmux.api.errors import BadJob
 from worksmux.audit.records import load
 from worksmux.audit.rules import check
+from worksmux.net import clock
 from worksmux.settings.document import SettingsError, parse
 from worksmux.settings.front import read_front
 from worksmux.standins.vectors import score, vector
@@ -265,3 +267,57 @@
     text = str(told.value)
     assert "no kind of engine carries rerank" in text and "no full load could ever wait" in text
     assert 'embeddings is one stage; set role "both"' in text
+
+
+def test_engine_that_dies_and_restarts_in_mid_batch_costs_no_score(tmp_path: Path) -> None:
+    rig, asker = rigged(tmp_path, read_speed=4000.0)
+
+    def dies() -> None:
+        rig.engines[4].model.fallen = True
+        rig.engines[4].fall()
+
+    def ask() -> None:
+        asker.rank("r", "q", words(120))
+        rig.reactor.callLater(0.06, dies)
+        rig.reactor.callLater(0.2, setattr, rig.engines[4].model, "fallen", False)
+
+    play(rig, ask)
+    status, _, reply = asker.replies["r"]
+    assert status == 200 and len(reply["results"]) == 120
+    assert {one["relevance_score"] for one in reply["results"]} == {score("q", one) for one in words(120)}
+
+
+def test_front_whose_loop_lags_sheds_the_cheapest_and_says_so(tmp_path: Path) -> None:
+    rig, asker = rigged(tmp_path)
+    watchman = rig.fronts[0].watchman
+    assert watchman is not None
+
+    def late() -> None:
+        now = clock.now()
+        for step in range(40):                       # as if each look had come far too late
+            watchman.gate.pressed(now + 200.0 * step, Pressure(lag=3.0))
+        for at in range(20):
+            asker.embed(at, f"text {at}")
+        asker.ask("chat", "/v1/chat/completions",
+                  {"model": "hint", "messages": [{"role": "user", "content": "a"}], "max_tokens": 2})
+
+    play(rig, late)
+    embedded = [asker.replies[at] for at in range(20)]
+    assert {reply[0] for reply in embedded} == {429}
+    assert "short" in embedded[0][2]["error"]["message"] and "retry-after" in embedded[0][1]
+    watchman.gate.pressed(clock.now() + 1e9, Pressure())
+    watchman.gate.pressed(clock.now() + 2e9, Pressure())
+    assert watchman.gate.brownout.level == 0.0
+
+
+def test_front_that_stops_finishes_its_calls_first(tmp_path: Path) -> None:
+    rig, asker = rigged(tmp_path, read_speed=4000.0)
+    ended: list[bool] = []
+
+    def ask() -> None:
+        asker.embed("out", words(30))
+        rig.reactor.callLater(0.02, rig.fronts[0].stop)
+        rig.fronts[0].on_end = lambda: ended.append("out" in asker.replies)
+
+    play(rig, ask)
+    assert asker.replies["out"][0] == 200 and ended == [True]
--- a/worksmux/front/serve.py
+++ b/worksmux/front/serve.py
@@ -13,6 +13,7 @@
 from ..api import chat
 from ..baselines import POLICIES
 from ..door import Door, Maker
+from ..net import clock
 from ..net.loop import Reactor, listen, the_reactor
 from ..net.server import Exchange, Server
 from ..settings.document import SettingsError
@@ -31,6 +32,7 @@
 from .watchman import Watchman
 
 LOG = structlog.get_logger()
+FLUSH, LOOK = 1000.0, 5.0             # milliseconds that the last answers have to get out, and between looks
 
 
 def vocabularies(settings: FrontSettings) -> list[Vocabulary]:
@@ -166,6 +168,15 @@
                 "jobs are still out at the end of the drain time; their clients see the connection close",
                 open=len(self.core.cases),
             )
+        for channel in list(self.client_server.channels):
+            channel.transport.loseConnection()       # once what was written is out
+        self._last(clock.now() + FLUSH)
+
+    def _last(self, until: float) -> None:
+        """Guards against an end that cuts off the last answers, which still wait to be written."""
+        if self.client_server.channels and clock.now() < until:
+            self.reactor.callLater(LOOK / 1000, self._last, until)
+            return
         self.close()
         self.on_end()
 
