--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -127,6 +127,30 @@
     assert plan.delivered(by_call[good], asked, answers(asked)).done[0].how is None
 
 
+def test_call_whose_results_came_before_its_load_was_refused_is_delivered() -> None:
+    plan = planner()
+    plan.add(0.0, call(5.0))
+    full, bad = call(5.0), call(6.0)
+    plan.add(0.0, full)
+    plan.add(0.0, bad)
+    load, = plan.tick(100.0).send
+    plan.partial(load, load.needs(), {0: "result"})
+    step = plan.refused(load, "too long")
+    assert [done.call for done in step.done] == [full] and step.send[0].calls() == [bad]
+
+
+def test_call_left_over_of_a_refused_load_goes_out_alone_as_it_may_not_be_the_bad_one() -> None:
+    plan = planner()
+    plan.add(0.0, call(5.0))
+    stays, goes = call(5.0), call(6.0)
+    plan.add(0.0, stays)
+    plan.add(0.0, goes)
+    load, = plan.tick(100.0).send
+    plan.left(goes)
+    step = plan.refused(load, "too long")
+    assert not step.done and step.send[0].calls() == [stays]
+
+
 def test_client_that_leaves_takes_only_its_own_inputs_along() -> None:
     plan = planner()
     plan.add(0.0, call(5.0))
--- a/worksmux/batches/planner.py
+++ b/worksmux/batches/planner.py
@@ -199,11 +199,15 @@
         self._ended(load)
         self.partial(load, asked, results)
         for call in load.calls():
-            if not call.over and not call.missing:
-                call.over = True
-                step.done.append(Done(call))
+            self._maybe_done(call, step)
         return step
 
+    @staticmethod
+    def _maybe_done(call: Call, step: Step) -> None:
+        if not call.over and not call.missing:
+            call.over = True
+            step.done.append(Done(call))
+
     def failed(self, now: float, load: Load, how: How) -> Step:
         step = Step()
         self._ended(load)
@@ -211,10 +215,8 @@
             if call.over:
                 continue
             needed = [(one, at) for one, at in load.needs() if one is call]
-            if not needed:                           # its last results came by a trip that failed
-                if not call.missing:
-                    call.over = True
-                    step.done.append(Done(call))
+            if not needed:
+                self._maybe_done(call, step)         # its last results came by a trip that failed
                 continue
             pause = PAUSE * max(0.0, call.promised_at - call.arrived)
             if now + 2 * pause < min(call.promised_at, call.give_up_at) and self.again(call):
@@ -229,13 +231,15 @@
         """The engine calls the input bad."""
         step = Step()
         self._ended(load)
-        calls = [call for call in load.calls() if not call.over]
-        for call in calls:
+        joined = len(load.calls()) > 1               # also where only one is left: it may not be the bad one
+        for call in [call for call in load.calls() if not call.over]:
             needed = [(one, at) for one, at in load.needs() if one is call]
-            if len(calls) > 1 and needed:
+            if not needed:
+                self._maybe_done(call, step)
+            elif joined:
                 self._send(Load(needed, call.group, sum(call.costs[at] for _, at in needed), call.promised_at,
                                 call.give_up_at, alone=True), step)
-            elif needed:
+            else:
                 self._over(call, step)
                 step.done.append(Done(call, bad=message or "the engine refused the input"))
         return step
--- /dev/null
+++ b/worksmux/commands/experiments.py
@@ -0,0 +1,85 @@
+"""`worksmux experiment`: run, report and compare."""
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
+
+import typer
+
+from ..settings.document import SettingsError
+
+if TYPE_CHECKING:
+    from ..experiment.book import Book
+    from ..experiment.plan import Experiment
+
+experiments = typer.Typer(no_args_is_help=True, help="Sweeps over days in the model of the fleet.")
+File = Annotated[Path, typer.Argument(help="an experiment in KDL, such as examples/growth.kdl",
+                                      metavar="EXPERIMENT.kdl")]
+BookFile = Annotated[Path | None, typer.Option(
+    "--book", help="where the runs are kept; default: beside the file")]
+
+
+def _open(file: Path, book: Path | None) -> tuple[Experiment, Book]:
+    from ..experiment.book import Book, NotABook
+    from ..experiment.plan import load_experiment
+    try:
+        return load_experiment(file), Book(book or file.with_suffix(".runs"))
+    except SettingsError as error:
+        for complaint in error.complaints:
+            typer.echo(str(complaint), err=True)
+        raise typer.Exit(2) from error
+    except NotABook as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(2) from error
+
+
+@experiments.command()
+def run(file: File, book: BookFile = None, workers: Annotated[
+        int, typer.Option(help="runs at once; default: half of the processors")] = 0) -> None:
+    """Play the runs that are not in the book yet.  Stop it when you like: what ended is kept."""
+    from ..experiment.runner import run_all
+    plan, runs = _open(file, book)
+    failed = run_all(plan, runs, workers or max(1, (os.cpu_count() or 2) // 2), lambda text: typer.echo(text))
+    raise typer.Exit(1 if failed else 0)
+
+
+@experiments.command()
+def report(file: File, book: BookFile = None, out: Annotated[
+        Path | None, typer.Option(help="a folder for plots and runs.parquet")] = None) -> None:
+    """Means with their intervals, and differences paired by seed."""
+    from rich.console import Console
+
+    from ..experiment.book import to_parquet
+    from ..experiment.report import differences, plots, table
+    plan, runs = _open(file, book)
+    keys = [one.key for one in plan.runs()]
+    rows = runs.rows(keys)
+    if not rows:
+        typer.echo("no run of this experiment is in the book; run it first", err=True)
+        raise typer.Exit(1)
+    if len(rows) < len(keys):
+        typer.echo(f"{len(rows)} of {len(keys)} runs are done")
+    table(plan, rows, Console(width=200, highlight=False))
+    for line in differences(plan, rows):
+        typer.echo(line)
+    if out:
+        out.mkdir(parents=True, exist_ok=True)
+        to_parquet(rows, out / "runs.parquet")
+        for path in plots(plan, rows, out):
+            typer.echo(str(path))
+
+
+@experiments.command()
+def compare(file: File, one: Annotated[Path, typer.Argument(help="a book of runs")],
+            other: Annotated[Path, typer.Argument(help="another, such as an earlier version's")],
+            figure: Annotated[str, typer.Option(help="what is compared")] = "credit") -> None:
+    """The same runs in two books: the difference of the second from the first, paired by seed."""
+    from ..experiment.stats import group, paired
+    plan, first = _open(file, one)
+    _, second = _open(file, other)
+    axes, keys = list(plan.axes), [one.key for one in plan.runs()]
+    before, after = group(first.rows(keys), axes), group(second.rows(keys), axes)
+    for values in before.keys() & after.keys():
+        where = ", ".join(f"{name} {value}" for name, value in zip(axes, values, strict=True))
+        typer.echo(f"{where}: {figure} {paired(after[values], before[values], figure)}")
--- a/worksmux/commands/main.py
+++ b/worksmux/commands/main.py
@@ -10,6 +10,7 @@
 import typer
 
 from ..settings.document import SettingsError
+from .experiments import experiments
 from .lists import lists
 from .tokens import tokens
 
@@ -105,6 +106,45 @@
     raise typer.Exit(0 if told["kept"] else 1)
 
 
+@app.command()
+def model(
+    file: Annotated[str, typer.Argument(help="a day in KDL, as for `trial`", metavar="DAY.kdl")],
+    policy: Annotated[str, typer.Option(help="in place of the day's")] = "",
+    seed: Annotated[int, typer.Option(help="in place of the day's")] = -1,
+    as_json: Annotated[bool, typer.Option("--json", help="print the report as JSON")] = False,
+) -> None:
+    """Play a scripted day in simulated time, without sockets, and check the five rules.
+
+    Exit codes as those of `trial`.
+    """
+    from dataclasses import replace
+
+    from ..audit.report import summary
+    from ..model.day import Model, NotPlayed
+    from ..settings.front import POLICIES
+    from ..trial.runner import figures_of
+    from ..trial.scenario import load_scenario
+    from .trials import show
+    try:
+        day = load_scenario(file)
+        if policy and policy not in POLICIES:
+            raise NotPlayed(f"there is no policy {policy}; name one of {', '.join(POLICIES)}")
+        day = replace(day, policy=policy or day.policy, seed=day.seed if seed < 0 else seed)
+        records = Model(day).run()
+    except SettingsError as error:
+        raise _refuse(error) from error
+    except NotPlayed as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(BAD_CALL) from error
+    assert records is not None
+    told = {"day": day.name, "policy": day.policy, **summary(records, figures_of(day))}
+    if as_json:
+        typer.echo(json.dumps(told))
+    else:
+        show([told])
+    raise typer.Exit(0 if told["kept"] else 1)
+
+
 @app.command()
 def audit(
     folder: Annotated[Path, typer.Argument(help="a folder of records, as `trial --keep` leaves it")],
@@ -133,6 +173,7 @@
 
 app.add_typer(tokens, name="tokens")
 app.add_typer(lists, name="list")
+app.add_typer(experiments, name="experiment")
 
 
 @app.command()
--- a/worksmux/trial/scenario.py
+++ b/worksmux/trial/scenario.py
@@ -237,7 +237,7 @@
     day.end()
     zones = root.texts("zones")
     fronts = root.only("fronts")
-    count, policy = fronts.whole("count", least=1, most=200), fronts.choice("policy", POLICIES, "worksmux")
+    count, policy = fronts.whole("count", least=1, most=10_000), fronts.choice("policy", POLICIES, "worksmux")
     offerings, kinds = shared.offerings(root), shared.kinds(root)
     machines = _machines(root, kinds)
     places = _places(root, zones, machines)
