Load generator: open arrivals from intended times, traces, valid only if it kept up

Need: fronts are to be driven by a load that does not slow down when they do, and that can be recorded and played again.

Change: worksmux load run: ramps, waves, bursts, sessions, retries, or a recorded trace (Parquet, read in pieces) at any speed, over several processes; delays from the intended time (HDR histograms, merged); lateness of the generator told by second, and the run marked invalid over most-lag; HTML and JSON reports.

--- a/worksmux/commands/main.py
+++ b/worksmux/commands/main.py
@@ -12,6 +12,7 @@
 from ..settings.document import SettingsError
 from .experiments import experiments
 from .lists import lists
+from .loads import loads
 from .tokens import tokens
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
@@ -174,6 +175,7 @@
 app.add_typer(tokens, name="tokens")
 app.add_typer(lists, name="list")
 app.add_typer(experiments, name="experiment")
+app.add_typer(loads, name="load")
 
 
 @app.command()
