--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -299,7 +299,7 @@
     def late() -> None:
         now = clock.now()
         for step in range(40):                       # as if each look had come far too late
-            watchman.gate.pressed(now + 200.0 * step, Pressure(lag=3.0))
+            watchman.gate.pressed(now + 20_000.0 * step, Pressure(lag=3.0))
         for at in range(20):
             asker.embed(at, f"text {at}")
         asker.ask("chat", "/v1/chat/completions",
