--- a/worksmux/commands/experiments.py
+++ b/worksmux/commands/experiments.py
@@ -83,3 +83,36 @@
     for values in before.keys() & after.keys():
         where = ", ".join(f"{name} {value}" for name, value in zip(axes, values, strict=True))
         typer.echo(f"{where}: {figure} {paired(after[values], before[values], figure)}")
+
+
+@experiments.command()
+def search(
+    day: Annotated[Path, typer.Argument(help="a day in KDL that is changed", metavar="DAY.kdl")],
+    out: Annotated[Path, typer.Option(help="where the worst day, made small, is written")],
+    rounds: Annotated[int, typer.Option(help="batches of days")] = 10,
+    size: Annotated[int, typer.Option(help="days in a batch")] = 12,
+    seed: Annotated[int, typer.Option(help="of the search")] = 1,
+    workers: Annotated[int, typer.Option(help="days at once; default: half of the processors")] = 0,
+) -> None:
+    """Look for a day on which the decisions do worst against plain policies, and make it small."""
+    from ..experiment.search import Search, written
+    from ..experiment.worst import Field
+    from ..trial.scenario import load_scenario
+    try:
+        base = load_scenario(day)
+    except SettingsError as error:
+        for complaint in error.complaints:
+            typer.echo(str(complaint), err=True)
+        raise typer.Exit(2) from error
+    found = Search(base, seed)
+    with Field(base, workers or max(1, (os.cpu_count() or 2) // 2)) as field:
+        for number in range(rounds):
+            days = found.batch(size)
+            found.take(days, field.play(days))
+            worst = found.best[0]
+            typer.echo(f"{number + 1} of {rounds}: {found.played} days, the worst regret {worst.regret:.3f} "
+                       f"(credit {worst.credit:.3f}, {len(worst.troubles)} troubles)")
+        small = found.shrink(found.best[0], field.play)
+    out.write_text(written(day.read_text(encoding="utf-8"), base, small), encoding="utf-8")
+    typer.echo(f"{out}: regret {small.regret:.3f} with {len(small.troubles)} troubles, "
+               f"after {found.played} days")
