Count the inputs of embeddings and rerank by the router's tokenizer, past the gate

Need: loads are to be cut by tokens as the router counts them; the guess from bytes put text of many tokens into one load.

Change: a call that the gate lets go is counted by the token service where its offering has a tokenizer, its count shared out by bytes; what is turned away costs no counting.

Measured: by test, twelve inputs that are guessed under one load of 400 tokens go out as several.

--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -325,3 +325,42 @@
 
     play(rig, ask)
     assert asker.replies["out"][0] == 200 and ended == [True]
+
+
+def test_loads_are_cut_by_the_tokens_that_the_router_counts(tmp_path: Path) -> None:
+    counting = """
+tokenizer "lab" file="examples/tokenizers/lab-1.json"
+counting {
+    cache "4MiB"
+    workers 1
+    long-workers 1
+    long-from "64KiB"
+    line "4MiB"
+    piece 4000
+    block 16
+    shared-blocks 1000
+    shared-sessions 2
+    time-limit "5s"
+}
+"""
+    text = TEXT
+    for name in ("hint", "mark", "note", "vectors"):
+        text = text.replace(f'offering "{name}" {{', f'offering "{name}" {{\n    tokenizer "lab"')
+    rig = Rig(tmp_path, FLEET, text=text + counting, read_speed=20_000.0)
+    rig.front()
+    asker = Asker(rig)
+    inputs = [f"{at} " + "zq" * 60 for at in range(12)]          # many more tokens than their bytes suggest
+
+    def ask() -> None:
+        asker.embed("counted", inputs)
+        goes = rig.ask(json.dumps({"model": "vectors", "input": ["xy" * 3000]}).encode(), lambda *_: None,
+                       path=embeddings.PATH)
+        rig.reactor.callLater(0.0, goes.abandon)
+
+    play(rig, ask, 30.0)
+    status, _, reply = asker.replies["counted"]
+    assert status == 200 and [one["embedding"] for one in reply["data"]] == [
+        vector("vectors", one) for one in inputs]
+    trips = [trip for trip in load(tmp_path).trips if trip.offering == embeddings.PATH and trip.how == "done"]
+    guessed = sum(embeddings.tokens_of(one) for one in inputs)
+    assert guessed < 400 and len(trips) > 1          # by the guess it would have been one load
--- a/worksmux/front/serve.py
+++ b/worksmux/front/serve.py
@@ -41,7 +41,9 @@
     if settings.counting is None:
         return []
     read = {name: load_vocabulary(path) for name, path in settings.tokenizers.items()}
-    return [read[one.tokenizer] for one in settings.offerings]
+    plain = next(iter(read.values()))                # of one-stage offerings without a tokenizer; never asked
+    return [read.get(one.tokenizer, plain) for one in (
+        *settings.offerings, *(one for lane in settings.lanes for one in lane.offerings))]
 
 
 def gate_settings(settings: FrontSettings, bounds: Admission) -> GateSettings:
@@ -99,7 +101,8 @@
                  for at, one in enumerate(settings.lanes)}
         self.core.lanes = list(lanes.values())
         gate = Gate(gate_settings(settings, bounds), seed)
-        self.clients.vectors = VectorSide(self.core, lanes, gate, bounds, len(settings.offerings))
+        self.clients.vectors = VectorSide(
+            self.core, lanes, gate, bounds, len(settings.offerings), self.tokens)
         self.clients.models = chat.models(
             [*(one.name for one in settings.offerings), *self.clients.vectors.names()])
         self.watchman = Watchman(self.reactor, gate, bounds, self.metrics, self._sockets)
--- a/worksmux/front/vectors.py
+++ b/worksmux/front/vectors.py
@@ -21,6 +21,7 @@
 from ..net.server import Exchange
 from ..settings.front import Admission
 from ..settings.shared import Offering
+from ..tokens.service import Prompt, Result, TokenService
 from .core import Core
 from .lane import Lane, Work
 
@@ -93,8 +94,14 @@
         self.gate: Asked | None = None
         self.call: Call | None = None
         self.guard: Any = None
+        self.prompt: Prompt | None = None            # while its length is counted
+        self.planned = False
         self.how = ""
 
+    def texts(self) -> list[str]:
+        """What is to be counted; empty where the lengths are known."""
+        raise NotImplementedError
+
     @property
     def tags(self) -> tuple[tuple[str, str], ...]:
         return ((chat.REQUEST_ID, self.request_id),) if self.request_id else ()
@@ -116,6 +123,9 @@
         super().__init__(exchange, offering, at)
         self.asked = asked
 
+    def texts(self) -> list[str]:
+        return [one for one in self.asked.inputs if isinstance(one, str)]
+
     def engine_body(self, asked: list[tuple[Any, int]]) -> bytes:
         inputs = [one.asked.inputs[at] for one, at in asked]
         return embeddings.to_engine(self.asked.model, inputs, self.asked.dimensions)
@@ -135,6 +145,9 @@
         super().__init__(exchange, offering, at)
         self.asked = asked
 
+    def texts(self) -> list[str]:
+        return [f"{self.asked.query} {text}" for text in self.asked.inputs]
+
     def engine_body(self, asked: list[tuple[Any, int]]) -> bytes:
         return rerank.to_engine(self.asked.model, self.asked.query,
                                 [self.asked.inputs[at] for _, at in asked])
@@ -148,9 +161,11 @@
 
 
 class VectorSide:
-    def __init__(self, core: Core, lanes: dict[str, Lane], gate: Gate, bounds: Admission, first: int) -> None:
+    def __init__(self, core: Core, lanes: dict[str, Lane], gate: Gate, bounds: Admission, first: int,
+                 tokens: TokenService | None = None) -> None:
         """`first` is the gate's number of the lanes' first offering; theirs follow those of chat."""
         self.core, self.lanes, self.gate, self.bounds = core, lanes, gate, bounds
+        self.tokens = tokens
         self.offerings: dict[tuple[str, str], tuple[int, int, Offering]] = {}
         for lane in lanes.values():
             for at, one in enumerate(lane.settings.offerings):
@@ -253,11 +268,34 @@
             self._refused(refused)
         for asked in step.go:
             one: One = asked.item
-            if not one.how and one.call is not None:
+            if not one.how:
                 one.sent = clock.now()
-                self._plan(self.planner.add(one.sent, one.call))
+                self._count(one)
         self._watch()
 
+    def _count(self, one: One) -> None:
+        """Past the gate, so that what is turned away costs no counting: the call's length as the router
+        counts it, shared out over its inputs by bytes; where that would take too long, the guess from
+        bytes."""
+        assert one.gate is not None and one.call is not None
+        texts = one.texts()
+        if self.tokens is None or not one.offering.tokenizer or not texts:
+            return self._plan(self.planner.add(clock.now(), one.call))
+        one.prompt = self.tokens.count(
+            [("user", text) for text in texts], one.gate.offering, 10**9,
+            max(1.0, one.call.promised_at - clock.now()), 0, lambda told: self._counted(one, told))
+
+    def _counted(self, one: One, told: Result) -> None:
+        call = one.call
+        assert call is not None
+        if one.how or one.planned:                   # it has ended, or has gone by the guess
+            return
+        one.planned = True
+        if told.exact:
+            guessed = sum(call.costs)
+            call.costs = [cost * told.prompt / guessed for cost in call.costs]
+        self._plan(self.planner.add(clock.now(), call))
+
     def _plan(self, step: PlanStep) -> None:
         for load in step.drop:
             trip = self.trips.pop(load, None)
@@ -341,6 +379,8 @@
         self.open.pop(one, None)
         if one.guard is not None and one.guard.active():
             one.guard.cancel()
+        if one.prompt is not None and not one.planned and self.tokens is not None:
+            self.tokens.cancel(one.prompt)
         now = clock.now()
         self.core.metrics.ended(one.offering.name, how, now - one.arrived, None, 0)
         assert one.gate is not None and one.call is not None
