--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -4,6 +4,7 @@
 import random
 from pathlib import Path
 
+from worksmux.experiment.play import play
 from worksmux.experiment.search import LOADS, LONGEST, MOST, Found, Search, written
 from worksmux.experiment.worst import one
 from worksmux.model.day import PLAYED
@@ -56,3 +57,10 @@
     assert [(t.kind, t.at, t.length, t.part, t.role, t.zone) for t in day.troubles] == [
         (t.kind, t.at, t.length, t.part, t.role, t.zone) for t in wanted.troubles]
     assert one(day) == one(wanted)
+
+
+def test_worst_day_that_was_found_keeps_all_rules_and_the_fleet_comes_back() -> None:
+    day = load_scenario(FILE.parent / "worst-restart-day.kdl")
+    found = play(day, True)
+    assert found["rules_broken"] == 0.0 and found["unanswered"] == 0.0
+    assert found["falls"] == 0.0 and found["credit"] > 0.8
