A cell whose readers have all gone no longer ends the module; lists in order in the model

Found by the model, in a restart of the whole fleet under clients that retry at once: state lay in a cell without a ready reader, and the search for its writer raised a KeyError. A front whose module fails breaks off every open job and ends.

Change: such a cell keeps its reads to itself, as far as it has writers.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -325,3 +325,15 @@
     front.reading -= 1e-9                            # what sums of fractions come to
     ended(front, one.trips[0], i.Outcome.READ)
     assert front._has_room(reader, job(2))
+
+
+def test_state_of_a_cell_whose_readers_have_all_gone_is_still_answered():
+    front, engines = fleet((0, 0, 0), (1, 0, 0), (0, 1, 1), (1, 1, 1))
+    one = job()
+    front.decide(NOW, [i.Arrived(one)])
+    reader = one.trips[0].engine
+    gone = i.Entry(reader, "gone", 0.0, reader.zone, reader.cell, reader.kind, 1.0)
+    front.decide(NOW + 10, [i.Listed("delta", [gone])])
+    one.writer.suspected = True                      # another writer is sought, from the reader's cell on
+    ended(front, one.trips[0], i.Outcome.READ)
+    assert [trip.engine.role for trip in one.trips] == ["read", "write"]
--- a/worksmux/model/day.py
+++ b/worksmux/model/day.py
@@ -55,6 +55,7 @@
         self.serial = 0
         self.lost, self.extra, self.skip = False, 0.0, 0
         self.last_up = EPOCH
+        self.last: dict[int, float] = {}             # by front: one connection keeps its messages in order
 
     def change(self, line: Line, at_once: bool = False) -> None:
         self.serial += 1
@@ -65,12 +66,17 @@
             return
         for at in range(len(self.model.fronts)):
             delay = 0.0 if at_once else self.chance.uniform(*self.model.day.list_late) + self.extra
-            self.model.sim.after(delay, self._tell, at, message)
+            self._send(at, delay, message)
 
     def full(self, at: int) -> None:
         lines = [line for line in self.lines.values() if line.state != "gone"]
         message = Listing("full", self.serial, None, self.model.sim.now, lines)
-        self.model.sim.after(HOP, self._tell, at, message)
+        self._send(at, HOP, message)
+
+    def _send(self, at: int, delay: float, message: Listing) -> None:
+        now = self.model.sim.now
+        self.last[at] = max(now + delay, self.last.get(at, 0.0))
+        self.model.sim.after(self.last[at] - now, self._tell, at, message)
 
     def _tell(self, at: int, message: Listing) -> None:
         front = self.model.fronts[at]
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -452,7 +452,8 @@
     def _rounds(self, job: Job, near: Engine | None) -> Iterator[list[Engine]]:
         """Writers, nearest first: the reader's cell up to what its writers are due, its zone, the rest."""
         if near:
-            if job.luck < self.keeps[near.cell]:
+            # Guards against a cell whose readers have all gone, while state still lies there.
+            if job.luck < self.keeps.get(near.cell, 1.0):
                 yield self.nearest[near.cell]
             yield self.around[near.zone]
         yield self.writers
