Planner, gate and the vectors' side: one way to make a load, no dead fields, fewer timers

Cause: a reading of the whole change. Three copies of the load of one call's inputs, which summed what a load needs anew for each of its calls; a second reading of the time-left header; the answer of a call whose time ran out written twice; fields and counters that nothing reads; a timer cancelled and set again several times a call.

Change: Planner._alone and Load.needs_by_call, chat.figure for both, VectorSide._broken_off, Asked.due; a timer that already stands at the time stays. The time-left header of a one-stage call is refused with the words of chat.

--- a/worksmux/admission/brownout.py
+++ b/worksmux/admission/brownout.py
@@ -39,12 +39,11 @@
         self.rise, self.fall = rise, fall
         self.level = 0.0
         self.at: float | None = None
-        self.pressure = Pressure()
 
     def note(self, now: float, pressure: Pressure) -> None:
         """What was measured; to be told regularly."""
         passed = 0.0 if self.at is None else max(0.0, now - self.at)
-        self.at, self.pressure = now, pressure
+        self.at = now
         worst = pressure.worst
         if worst > OVER:
             self.level = min(self.most, self.level + passed / self.rise * min(STEEP, worst - OVER))
--- a/worksmux/admission/fair.py
+++ b/worksmux/admission/fair.py
@@ -157,7 +157,6 @@
         return min(self.cost + cost, wanted / weight * max(1, len(self.flows) + (own is None)))
 
 
-
 class Shared(Generic[T]):
     """Several lines served from one capacity, by deficit round robin among them; see `Lines`."""
 
--- a/worksmux/admission/gate.py
+++ b/worksmux/admission/gate.py
@@ -72,6 +72,11 @@
     place: Waiting[Asked] | None = None
     state: str = "new"               # waiting, out or over
 
+    @property
+    def due(self) -> float:
+        """When it must be served, to be of use."""
+        return min(self.promised_at, self.give_up_at)
+
 
 @dataclass(eq=False, slots=True)
 class Refused:
@@ -125,7 +130,6 @@
         self.brownout = Brownout([share.credit for share in self.shares], settings.rise, settings.fall)
         self.due: list[tuple[float, int, Asked]] = []        # when what waits is too late
         self.order = 0
-        self.refusals: dict[tuple[int, Why], int] = {}
 
     # What happens.
 
@@ -139,7 +143,7 @@
             self.budgets[at].first()
         elif not self._idle(asked) and not self.budgets[at].repeat():
             return self._refuse(now, asked, Why.REPEATS, step)
-        if self._expected(now, asked) > SAFE * (min(asked.promised_at, asked.give_up_at) - now):
+        if self._expected(now, asked) > SAFE * (asked.due - now):
             return self._refuse(now, asked, Why.LATE, step)
         place, pushed = line.put(asked.caller, asked, asked.cost)
         for other in pushed:
@@ -148,7 +152,7 @@
             return self._refuse(now, asked, Why.LINE, step)
         asked.place, asked.state = place, "waiting"
         self.order += 1
-        heapq.heappush(self.due, (min(asked.promised_at, asked.give_up_at), self.order, asked))
+        heapq.heappush(self.due, (asked.due, self.order, asked))
         self._let_go(now, step, self.pool_of[at])
         return step
 
@@ -162,12 +166,11 @@
             self._let_go(now, step, pool)
         return step
 
-    def left(self, now: float, asked: Asked) -> Step:
+    def left(self, asked: Asked) -> None:
         """A client that waits hangs up."""
         if asked.state == "waiting" and asked.place is not None:
             self.lines[asked.offering].drop(asked.caller, asked.place)
             asked.state = "over"
-        return Step()
 
     def again(self, offering: int) -> bool:
         """Whether a part that failed may be sent again: it counts as a repeat like any other."""
@@ -221,7 +224,7 @@
 
     def _let_go(self, now: float, step: Step, pool: Pool) -> None:
         while (asked := pool.turns.next(pool.limit.fits)) is not None:
-            if now + self._trip(now, asked) / SAFE > min(asked.promised_at, asked.give_up_at):
+            if now + self._trip(now, asked) / SAFE > asked.due:
                 self._refuse(now, asked, Why.LATE, step)     # guards against work that comes too late
                 continue
             asked.state = "out"
@@ -231,7 +234,6 @@
     def _refuse(self, now: float, asked: Asked, why: Why, step: Step) -> Step:
         asked.state = "over"
         at = asked.offering
-        self.refusals[at, why] = self.refusals.get((at, why), 0) + 1
         self.repeats.refused(now, asked.body)
         pool = self.pool_of[at]
         away = self.advice[at].stay_away(now, asked.cost, pool.limit.rate(now), pool.waits())
--- a/worksmux/admission/repeats.py
+++ b/worksmux/admission/repeats.py
@@ -44,17 +44,14 @@
     def __init__(self, ratio: float, most: float) -> None:
         self.ratio, self.most = ratio, most
         self.earned = most
-        self.spent = self.denied = 0
 
     def first(self) -> None:
         self.earned = min(self.most, self.earned + self.ratio)
 
     def repeat(self) -> bool:
         if self.earned < 1.0:
-            self.denied += 1
             return False
         self.earned -= 1.0
-        self.spent += 1
         return True
 
 
--- a/worksmux/api/chat.py
+++ b/worksmux/api/chat.py
@@ -127,7 +127,8 @@
     answer_id: str = field(default_factory=lambda: "chatcmpl-" + secrets.token_hex(12))
 
 
-def _figure(raw: str | None, name: str) -> float | None:
+def figure(raw: str | None, name: str) -> float | None:
+    """A header's number from 0; None where it is absent.  Raises BadJob."""
     if raw is None:
         return None
     try:
@@ -175,8 +176,8 @@
     first = known.messages[0]
     named = header(PREFIX) or known.prompt_cache_key
     shared = named or (parts[0][1] if first.role in ("system", "developer") and lengths[0] else None)
-    prefix_tokens = _figure(header(PREFIX_TOKENS), PREFIX_TOKENS)
-    repeats = _figure(header(REPEAT) or header(RETRY_COUNT), REPEAT)
+    prefix_tokens = figure(header(PREFIX_TOKENS), PREFIX_TOKENS)
+    repeats = figure(header(REPEAT) or header(RETRY_COUNT), REPEAT)
     return Asked(
         at,
         known.model,
@@ -188,7 +189,7 @@
         _identity(header(SESSION)),
         _identity(shared),
         prefix_tokens if prefix_tokens is not None else lengths[0] / BYTES_A_TOKEN * bool(shared),
-        _figure(header(TIME_LEFT), TIME_LEFT),
+        figure(header(TIME_LEFT), TIME_LEFT),
         bool(repeats),
         header(LABEL) or "",
         header(REQUEST_ID) or "",
--- a/worksmux/batches/planner.py
+++ b/worksmux/batches/planner.py
@@ -67,9 +67,7 @@
     wanted: list[tuple[Call, int]]
     group: Hashable
     cost: float
-    promised_at: float
     give_up_at: float
-    alone: bool = False              # never joined again
     number: int = 0
     ended: bool = False
 
@@ -80,6 +78,13 @@
     def calls(self) -> list[Call]:
         return list(dict.fromkeys(call for call, _ in self.wanted))
 
+    def needs_by_call(self) -> list[tuple[Call, list[int]]]:
+        """Each call that is not over with those of its inputs that are still asked for."""
+        found: dict[Call, list[int]] = {call: [] for call in self.calls() if not call.over}
+        for call, at in self.needs():
+            found[call].append(at)
+        return list(found.items())
+
 
 @dataclass(slots=True)
 class Done:
@@ -122,21 +127,25 @@
             self._join(now, call, total, step)
         else:
             for part in split(call.costs, call.bounds):
-                self._send(Load([(call, at) for at in part], call.group, sum(call.costs[at] for at in part),
-                                call.promised_at, call.give_up_at), step)
+                self._send(self._alone(call, part), step)
         return step
 
+    @staticmethod
+    def _alone(call: Call, inputs: list[int]) -> Load:
+        """A load of one call's inputs."""
+        return Load([(call, at) for at in inputs], call.group, sum(call.costs[at] for at in inputs),
+                    call.give_up_at)
+
     def _join(self, now: float, call: Call, total: float, step: Step) -> None:
         load = self.joining.get(call.group)
         if load is not None and not self._fits(load, call, total):
             self._flush(call.group, step)
             load = None
         if load is None:
-            load = self.joining[call.group] = Load([], call.group, 0.0, call.promised_at, call.give_up_at)
+            load = self.joining[call.group] = Load([], call.group, 0.0, call.give_up_at)
             self.until[call.group] = float("inf")
         load.wanted += [(call, at) for at in range(len(call.costs))]
         load.cost += total
-        load.promised_at = min(load.promised_at, call.promised_at)
         load.give_up_at = min(load.give_up_at, call.give_up_at)
         call.loads[load] = None
         self.until[call.group] = min(self.until[call.group], now + WAIT * max(0.0, call.promised_at - now))
@@ -211,17 +220,13 @@
     def failed(self, now: float, load: Load, how: How) -> Step:
         step = Step()
         self._ended(load)
-        for call in load.calls():
-            if call.over:
-                continue
-            needed = [(one, at) for one, at in load.needs() if one is call]
+        for call, needed in load.needs_by_call():
             if not needed:
                 self._maybe_done(call, step)         # its last results came by a trip that failed
                 continue
             pause = PAUSE * max(0.0, call.promised_at - call.arrived)
             if now + 2 * pause < min(call.promised_at, call.give_up_at) and self.again(call):
-                self._send(Load(needed, call.group, sum(call.costs[at] for _, at in needed), call.promised_at,
-                                call.give_up_at, alone=True), step, now + pause)
+                self._send(self._alone(call, needed), step, now + pause)
             else:
                 self._over(call, step)
                 step.done.append(Done(call, how))
@@ -232,13 +237,11 @@
         step = Step()
         self._ended(load)
         joined = len(load.calls()) > 1               # also where only one is left: it may not be the bad one
-        for call in [call for call in load.calls() if not call.over]:
-            needed = [(one, at) for one, at in load.needs() if one is call]
+        for call, needed in load.needs_by_call():
             if not needed:
                 self._maybe_done(call, step)
             elif joined:
-                self._send(Load(needed, call.group, sum(call.costs[at] for _, at in needed), call.promised_at,
-                                call.give_up_at, alone=True), step)
+                self._send(self._alone(call, needed), step)
             else:
                 self._over(call, step)
                 step.done.append(Done(call, bad=message or "the engine refused the input"))
--- a/worksmux/front/vectors.py
+++ b/worksmux/front/vectors.py
@@ -177,6 +177,7 @@
         self.open: dict[One, None] = {}
         self.trips: dict[Load, Trip] = {}
         self.timer: Any = None
+        self.timer_at = 0.0
         self.stopping = False
 
     def names(self) -> list[str]:
@@ -222,23 +223,18 @@
         cost, now = sum(asked.costs), one.arrived
         promised = now + offering.promised_time + offering.promised_per_k * cost / 1000
         who = xxhash.xxh3_64_intdigest(f"{call}\0{caller}\0".encode("utf-8", "surrogatepass") + body)
+        repeats = exchange.header(chat.REPEAT) or ""
         one.gate = Asked(number, caller, cost, now, promised, promised, item=one, body=who,
-                         repeat=bool(int(exchange.header(chat.REPEAT) or 0)
-                                     if (exchange.header(chat.REPEAT) or "0").isdigit() else 0))
+                         repeat=repeats.isdigit() and int(repeats) > 0)
         one.call = Call(asked.costs, (call, asked.model, getattr(asked, "dimensions", None),
                                       None if call == "embeddings" else id(one)),
                         self.loads[call], now, promised, promised, one)
         return one
 
     def _time_left(self, exchange: Exchange, offering: Offering) -> float:
-        raw = exchange.header(chat.TIME_LEFT)
-        try:
-            named = float(raw) if raw is not None else offering.outer_limit
-        except ValueError as error:
-            raise errors.BadJob(f"the header {chat.TIME_LEFT} must be a number", chat.TIME_LEFT) from error
-        if not 0 <= named < 1e12:
-            raise errors.BadJob(f"the header {chat.TIME_LEFT} must be a number from 0", chat.TIME_LEFT)
-        return max(0.0, min(named, offering.outer_limit) - self.core.settings.transport.answer_margin)
+        named = chat.figure(exchange.header(chat.TIME_LEFT), chat.TIME_LEFT)
+        limit = offering.outer_limit if named is None else min(named, offering.outer_limit)
+        return max(0.0, limit - self.core.settings.transport.answer_margin)
 
     def _take(self, one: One, left: float) -> None:
         assert one.gate is not None and one.call is not None
@@ -257,9 +253,7 @@
 
     def _overdue(self, one: One) -> None:
         if not one.how:
-            one.exchange.answer(504, errors.error(OUT_OF_TIME, "server_error", code="broken_off"),
-                                headers=((ANSWER, "broken-off"), *one.tags))
-            self._final(one, "broken off")
+            self._broken_off(one)
 
     # What follows from gate and planner.
 
@@ -324,11 +318,15 @@
         self._plan(step)
 
     def _watch(self) -> None:
+        times = [at for at in (self.gate.next_time(), self.planner.next_time()) if at is not None]
+        at = min(times, default=None)
         if self.timer is not None and self.timer.active():
+            if at == self.timer_at:                  # asked several times a call: most change nothing
+                return
             self.timer.cancel()
-        times = [at for at in (self.gate.next_time(), self.planner.next_time()) if at is not None]
-        if times:
-            self.timer = self.core.reactor.callLater(max(0.0, min(times) - clock.now()) / 1000, self._tick)
+        if at is not None:
+            self.timer_at = at
+            self.timer = self.core.reactor.callLater(max(0.0, at - clock.now()) / 1000, self._tick)
 
     def _tick(self) -> None:
         now = clock.now()
@@ -351,9 +349,12 @@
                        "harmless", "deferred", self.bounds.stay_away[0], one.tags)
             self._final(one, "deferred")
         else:
-            one.exchange.answer(504, errors.error(OUT_OF_TIME, "server_error", code="broken_off"),
-                                headers=((ANSWER, "broken-off"), *one.tags))
-            self._final(one, "broken off")
+            self._broken_off(one)
+
+    def _broken_off(self, one: One) -> None:
+        one.exchange.answer(504, errors.error(OUT_OF_TIME, "server_error", code="broken_off"),
+                            headers=((ANSWER, "broken-off"), *one.tags))
+        self._final(one, "broken off")
 
     def _refused(self, refused: Refused) -> None:
         one: One = refused.asked.item
@@ -388,7 +389,7 @@
             self._plan(self.planner.left(one.call))
         good = how in ("delivered", "left", "bad input")
         if one.gate.state == "waiting":
-            self.gate.left(now, one.gate)
+            self.gate.left(one.gate)
         else:
             self._gate(self.gate.ended(now, one.gate, now - one.sent, good))
         LOG.info("call", offering=one.offering.name, answer=how, ms=round(now - one.arrived, 1),
