One turn for core and lanes; what a remembered list makes of jobs and trips decided once

Cause: a reading of the whole change. The lane had written the core's turn again, and the model's front the decisions of the real front's memory: which kinds to ask when a job comes, what a trip tells of its line, what each stand is listed as.

Change: front/turns.py, from which both derive; Beliefs.job_came and trip_ended and Stand.listed, which both shells call.

Measured: tests as they were, green (front, memory, model, vectors, trust, search).

--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -1,5 +1,4 @@
-"""The turn: what happened since the last one goes to the module in order, and its actions are carried out in
-order.
+"""Chat's jobs between clients, module and engines.
 
 The front decides nothing.  It keeps what the interface promises the module: each trip has exactly one
 outcome, what is sent for a job that has ended is moot, a stream that began belongs to its client, and
@@ -22,15 +21,17 @@
 from . import carriers
 from .case import Case, Client
 from .metrics import Metrics
+from .turns import Turns
 
 LOG = structlog.get_logger()
 
 
-class Core:
+class Core(Turns):
     def __init__(
         self, settings: FrontSettings, door: Door, reactor: Reactor, metrics: Metrics, name: str
     ) -> None:
-        self.settings, self.door, self.reactor, self.metrics = settings, door, reactor, metrics
+        super().__init__(door, reactor, metrics)
+        self.settings = settings
         self.name = name                             # of this front and this start of it
         self.cases: dict[i.Job, Case] = {}
         self.pools: dict[i.Engine, client.Pool] = {}
@@ -40,43 +41,19 @@
         self.on_fault: Any = None                    # called when the module has failed
         self.on_trip: Any = None                     # called with an engine and an outcome, at a trip's end
         self.on_empty: Any = None                    # called at each end of a job
-        self.on_event: Any = None                    # called with the time and each event told to the module
-        self._events: list[i.Event] = []
-        self._due = self.failed = False
         self._closing: list[Case] = []
 
     # The turn.
 
-    def tell(self, event: i.Event) -> None:
-        self._events.append(event)
-        if not self._due:
-            self._due = True
-            self.reactor.callLater(0, self._turn)
+    def _called(self) -> str:
+        return "chat"
 
-    def _turn(self) -> None:
-        self._due = False
-        events, self._events = self._events, []
-        if self.failed:
-            return
-        start = clock.now()
-        if self.on_event:
-            for event in events:
-                self.on_event(start, event)
-        try:
-            actions = self.door.decide(start, events)
-            self.metrics.turn(clock.now() - start, len(events))
-            for action in actions:
-                self._carry_out(action)
-        except Exception:
-            LOG.exception("the module has failed; every open job is broken off")
-            self._fail()
-            return
+    def _turned(self) -> None:
         closing, self._closing = self._closing, []
         for case in closing:
             self._close(case)
 
-    def _fail(self) -> None:
-        self.failed = True
+    def _break_off(self) -> None:
         for case in list(self.cases.values()):
             self._answer(case, "broken off")
             for carrier in list(case.out.values()):
@@ -86,8 +63,7 @@
 
     def tell_start(self) -> None:
         """A first turn without events: what the module wants from the start, such as a list, is asked for."""
-        self._due = True
-        self.reactor.callLater(0, self._turn)
+        self._soon()
 
     # Clients.
 
@@ -158,9 +134,7 @@
             case "broken off":
                 case.client.broken_off(case.timed_out)
         self._closing.append(case)
-        if not self._due:                            # answered outside a turn: the next one tidies up
-            self._due = True
-            self.reactor.callLater(0, self._turn)
+        self._soon()                                 # answered outside a turn: the next one tidies up
 
     def _close(self, case: Case) -> None:
         """Forgets a job that is answered and has no trip out; logs its end."""
--- a/worksmux/front/lane.py
+++ b/worksmux/front/lane.py
@@ -18,6 +18,7 @@
 from ..settings.front import Lane as LaneSettings
 from . import carriers
 from .core import Core
+from .turns import Turns
 
 LOG = structlog.get_logger()
 BAD_INPUT = frozenset({400, 413, 422})       # the engine finds fault with what it is asked
@@ -73,43 +74,21 @@
         self.over = False
 
 
-class Lane:
+class Lane(Turns):
     def __init__(self, settings: LaneSettings, core: Core, seed: int, make: Maker) -> None:
-        self.settings, self.core, self.reactor = settings, core, core.reactor
-        self.door = Door(settings.module, seed, make)
+        super().__init__(Door(settings.module, seed, make), core.reactor, core.metrics)
+        self.settings, self.core = settings, core
         self.works: dict[i.Job, Work] = {}
         self.number = 0
-        self.failed = False
-        self._events: list[i.Event] = []
-        self._due = False
-
-    def tell(self, event: i.Event) -> None:
-        self._events.append(event)
-        self._soon()
-
-    def _soon(self) -> None:
-        if not self._due:
-            self._due = True
-            self.reactor.callLater(0, self._turn)
-
-    def _turn(self) -> None:
-        self._due = False
-        events, self._events = self._events, []
-        if self.failed:
-            return
-        start = clock.now()
-        try:
-            actions = self.door.decide(start, events)
-            self.core.metrics.turn(clock.now() - start, len(events))
-            for action in actions:
-                self._carry_out(action)
-        except Exception:
-            LOG.exception("the module of a lane has failed; its jobs are broken off", call=self.settings.call)
-            self.failed = True
-            for work in list(self.works.values()):
-                self._final(work, deferred=False)
-            if self.core.on_fault:
-                self.core.on_fault()
+
+    def _called(self) -> str:
+        return self.settings.call
+
+    def _break_off(self) -> None:
+        for work in list(self.works.values()):
+            self._final(work, deferred=False)
+        if self.core.on_fault:
+            self.core.on_fault()
 
     # Jobs.
 
@@ -202,7 +181,7 @@
         work, now = self.works.get(job), clock.now()
         left = job.give_up_at - now
         if work is None or work.over or left <= 0 or trip.engine not in self.core.pools:
-            self.core.metrics.trip("moot")
+            self.metrics.trip("moot")
             self.tell(i.Ended(trip, i.Outcome.MOOT, 0.0, work is None or work.over))
             return
         transport = self.core.settings.transport
@@ -213,4 +192,4 @@
         headers = [("Content-Type", "application/json"), (chat.REQUEST_ID, f"{work.key}.{trip.number}"),
                    (calls.JOB, work.key), (calls.FRONT, self.core.settings.name)]
         carrier.send(headers, work.errand.body())
-        self.core.metrics.trip(self.settings.call)
+        self.metrics.trip(self.settings.call)
--- a/worksmux/front/memory.py
+++ b/worksmux/front/memory.py
@@ -22,8 +22,6 @@
 
 LOG = structlog.get_logger()
 LINES, FACTS, LEARNED = "lines", "facts", "learned"
-STATES = {Stand.SURE: "ready", Stand.LIKELY: "ready", Stand.CONFIRMED: "ready", Stand.DRAINING: "draining",
-          Stand.ASKED: "gone", Stand.DROPPED: "gone"}
 
 
 class Facts(msgspec.Struct):
@@ -149,7 +147,7 @@
             self._probe(line)
 
     def _entry(self, belief: Belief) -> i.Entry | None:
-        state = STATES[belief.stand]
+        state = belief.stand.listed
         if state == "gone" and belief.line.id not in self.fleet.keeper.known:
             self.core.moved(self.fleet.engine(belief.line.id), belief.line.host, belief.line.port)
             return None                              # an address to ask; the module has never heard of it
@@ -198,30 +196,19 @@
     # While it serves.
 
     def job_came(self) -> None:
-        """Where no engine can carry it, one of each kind is asked at once."""
-        beliefs = self.beliefs
-        if beliefs is None or beliefs.over:
-            return
-        roles = {"read": False, "write": False, "both": False}
-        chat = [kind for kind in self.core.settings.kinds if kind.call == "chat"]
-        for kind in chat:
-            roles[kind.role] = roles[kind.role] or beliefs.usable(kind.name)
-        if roles["both"] or roles["read"] and roles["write"]:
-            return
-        wanted = [kind.name for kind in chat if not roles[kind.role]]
-        self._apply(beliefs.urge(clock.now(), wanted))
-        self._watch()
+        """Of chat: the calls of one stage have the gate before them."""
+        if self.beliefs is not None and not self.beliefs.over:
+            roles = {kind.name: kind.role for kind in self.core.settings.kinds if kind.call == "chat"}
+            step = self.beliefs.job_came(clock.now(), roles)
+            self._apply(step)
+            if step.ask:                             # what is asked now is no longer due
+                self._watch()
 
     def trip_ended(self, engine: i.Engine, outcome: i.Outcome) -> None:
-        beliefs = self.beliefs
-        if beliefs is None or beliefs.over:
-            return
-        name = engine.id.decode()
-        if outcome is i.Outcome.UNREACHABLE:
-            self._apply(beliefs.refused(name, clock.now()))
-            self._watch()
-        elif outcome in (i.Outcome.READ, i.Outcome.DELIVERED):
-            self._apply(beliefs.served(name))
+        if self.beliefs is not None and not self.beliefs.over:
+            self._apply(self.beliefs.trip_ended(engine.id.decode(), outcome, clock.now()))
+            if outcome is i.Outcome.UNREACHABLE:
+                self._watch()
 
     # What the registry tells.
 
--- /dev/null
+++ b/worksmux/front/turns.py
@@ -0,0 +1,70 @@
+"""The turn of one decision module: what happened since the last one goes to it in order, and its actions are
+carried out in order."""
+from __future__ import annotations
+
+from typing import Any
+
+import structlog
+
+from .. import interface as i
+from ..door import Door
+from ..net import clock
+from ..net.loop import Reactor
+from .metrics import Metrics
+
+LOG = structlog.get_logger()
+
+
+class Turns:
+    """What chat's core and the lanes share; who derives from it carries out actions and ends jobs."""
+
+    def __init__(self, door: Door, reactor: Reactor, metrics: Metrics) -> None:
+        self.door, self.reactor, self.metrics = door, reactor, metrics
+        self.failed = False                          # the module has: nothing more is asked of it
+        self.on_event: Any = None                    # called with the time and each event told to the module
+        self._events: list[i.Event] = []
+        self._due = False
+
+    def tell(self, event: i.Event) -> None:
+        self._events.append(event)
+        self._soon()
+
+    def _soon(self) -> None:
+        if not self._due:
+            self._due = True
+            self.reactor.callLater(0, self._turn)
+
+    def _turn(self) -> None:
+        self._due = False
+        events, self._events = self._events, []
+        if self.failed:
+            return
+        start = clock.now()
+        if self.on_event:
+            for event in events:
+                self.on_event(start, event)
+        try:
+            actions = self.door.decide(start, events)
+            self.metrics.turn(clock.now() - start, len(events))
+            for action in actions:
+                self._carry_out(action)
+        except Exception:
+            LOG.exception("a module has failed; its open jobs are broken off", module=self._called())
+            self.failed = True
+            self._break_off()
+            return
+        self._turned()
+
+    def _called(self) -> str:
+        """The module's name in the log."""
+        raise NotImplementedError
+
+    def _carry_out(self, action: i.Action) -> None:
+        raise NotImplementedError
+
+    def _break_off(self) -> None:
+        """Ends every open job: the module has failed."""
+        raise NotImplementedError
+
+    def _turned(self) -> None:
+        """After a turn: nothing, if not told otherwise."""
--- a/worksmux/membership/trust.py
+++ b/worksmux/membership/trust.py
@@ -17,10 +17,12 @@
 from enum import Enum
 from itertools import count
 from math import exp
+from typing import Literal
 
 import msgspec
 
 from ..api.fleet import Line
+from ..interface import Outcome
 from ..measure import Chance
 
 SURE = 0.95              # likely enough to be used as it stands
@@ -56,6 +58,13 @@
     CONFIRMED = "confirmed"          # it answered, or served, as the line says
     DROPPED = "dropped"              # contradicted: another engine answers there
 
+    @property
+    def listed(self) -> Literal["ready", "draining", "gone"]:
+        """What the module is told of such a line."""
+        if self in (Stand.SURE, Stand.LIKELY, Stand.CONFIRMED):
+            return "ready"
+        return "draining" if self is Stand.DRAINING else "gone"
+
 
 @dataclass(slots=True)
 class Belief:
@@ -142,6 +151,22 @@
         """What the front begins with."""
         return Step(list(self.beliefs.values()))
 
+    def job_came(self, now: float, roles: dict[str, str]) -> Step:
+        """Where no engine of `roles` (by kind: read, write or both) can carry it, one of each kind that lacks
+        is asked now."""
+        if self.over:
+            return Step()
+        usable = {role for kind, role in roles.items() if self.usable(kind)}
+        if "both" in usable or {"read", "write"} <= usable:
+            return Step()
+        return self.urge(now, [kind for kind, role in roles.items() if role not in usable])
+
+    def trip_ended(self, name: str, outcome: Outcome, now: float) -> Step:
+        """What a trip tells of the line of its engine."""
+        if outcome is Outcome.UNREACHABLE:
+            return self.refused(name, now)
+        return self.served(name) if outcome in (Outcome.READ, Outcome.DELIVERED) else Step()
+
     def urge(self, now: float, kinds: Iterable[str]) -> Step:
         """A job waits and of these kinds no engine is usable: the next of each is asked now, one at a
         time."""
@@ -239,5 +264,5 @@
         return True
 
     def usable(self, kind: str) -> bool:
-        return any(belief.line.kind == kind and belief.stand in (Stand.SURE, Stand.LIKELY, Stand.CONFIRMED)
+        return any(belief.line.kind == kind and belief.stand.listed == "ready"
                    for belief in self.beliefs.values())
--- a/worksmux/model/front.py
+++ b/worksmux/model/front.py
@@ -18,7 +18,6 @@
 from .sim import Sim, Timer
 
 NOWHERE = Spec("nowhere", "", "both", "", -1, 0, 0, 0.0)      # where an engine that is no more was
-STATES = {Stand.SURE: "ready", Stand.LIKELY: "ready", Stand.CONFIRMED: "ready", Stand.DRAINING: "draining"}
 
 
 @dataclass(eq=False, slots=True)
@@ -152,7 +151,7 @@
     def _apply(self, step: Step, scope: str = "delta") -> None:
         entries = []
         for belief in step.changed:
-            state = STATES.get(belief.stand, "gone")
+            state = belief.stand.listed
             if state == "gone" and belief.line.id not in self.roster.keeper.known:
                 continue
             entry = self.roster.keeper.remember(self.sim.now, self.sim.now, belief.line, state,
@@ -197,27 +196,18 @@
             self.sim.after(self.hop, engine.probe, heard)
 
     def _believe(self, engine: i.Engine, outcome: i.Outcome) -> None:
-        if self.beliefs is None or self.beliefs.over:
-            return
-        name = engine.id.decode()
-        if outcome is i.Outcome.UNREACHABLE:
-            self._apply(self.beliefs.refused(name, self.sim.now))
-            self._watch()
-        elif outcome in (i.Outcome.READ, i.Outcome.DELIVERED):
-            self._apply(self.beliefs.served(name))
+        if self.beliefs is not None and not self.beliefs.over:
+            self._apply(self.beliefs.trip_ended(engine.id.decode(), outcome, self.sim.now))
+            if outcome is i.Outcome.UNREACHABLE:
+                self._watch()
 
     def _urge(self) -> None:
-        beliefs = self.beliefs
-        if beliefs is None or beliefs.over:
-            return
-        kinds = list(self.roster.keeper.kinds)
-        usable = {role for kind, role in zip(kinds, self.settings["roles"], strict=True)
-                  if beliefs.usable(kind)}
-        if "both" not in usable and not {"read", "write"} <= usable:
-            wanted = [kind for kind, role in zip(kinds, self.settings["roles"], strict=True)
-                      if role not in usable]
-            self._apply(beliefs.urge(self.sim.now, wanted))
-            self._watch()
+        if self.beliefs is not None and not self.beliefs.over:
+            roles = dict(zip(self.roster.keeper.kinds, self.settings["roles"], strict=True))
+            step = self.beliefs.job_came(self.sim.now, roles)
+            self._apply(step)
+            if step.ask:
+                self._watch()
 
     # Jobs.
 
