--- a/worksmux/commands/experiments.py
+++ b/worksmux/commands/experiments.py
@@ -8,6 +8,7 @@
 import typer
 
 from ..settings.document import SettingsError
+from .refusals import BAD_CALL, refuse
 
 if TYPE_CHECKING:
     from ..experiment.book import Book
@@ -26,12 +27,10 @@
     try:
         return load_experiment(file), Book(book or file.with_suffix(".runs"))
     except SettingsError as error:
-        for complaint in error.complaints:
-            typer.echo(str(complaint), err=True)
-        raise typer.Exit(2) from error
+        raise refuse(error) from error
     except NotABook as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(2) from error
+        raise typer.Exit(BAD_CALL) from error
 
 
 @experiments.command()
@@ -101,9 +100,7 @@
     try:
         base = load_scenario(day)
     except SettingsError as error:
-        for complaint in error.complaints:
-            typer.echo(str(complaint), err=True)
-        raise typer.Exit(2) from error
+        raise refuse(error) from error
     found = Search(base, seed)
     with Field(base, workers or max(1, (os.cpu_count() or 2) // 2)) as field:
         for number in range(rounds):
--- a/worksmux/commands/loads.py
+++ b/worksmux/commands/loads.py
@@ -8,6 +8,7 @@
 import typer
 
 from ..settings.document import SettingsError
+from .refusals import refuse
 
 loads = typer.Typer(no_args_is_help=True, help="Drive fronts with a load that keeps to its intended times.")
 
@@ -27,9 +28,7 @@
     try:
         told = play(load_load(file), lambda text: typer.echo(text, err=True), record)
     except SettingsError as error:
-        for complaint in error.complaints:
-            typer.echo(str(complaint), err=True)
-        raise typer.Exit(2) from error
+        raise refuse(error) from error
     except LoadError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(1) from error
--- a/worksmux/commands/main.py
+++ b/worksmux/commands/main.py
@@ -1,7 +1,6 @@
 """`worksmux`: serve, check, trial, audit, version."""
 from __future__ import annotations
 
-import json
 import sys
 from importlib.metadata import version as version_of
 from pathlib import Path
@@ -13,20 +12,12 @@
 from .experiments import experiments
 from .lists import lists
 from .loads import loads
+from .refusals import BAD_CALL, refuse
 from .tokens import tokens
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
                   help="A router for language-model jobs, read on one engine and answered on another.")
 File = Annotated[str, typer.Argument(help="a settings file in KDL", metavar="FILE.kdl")]
-BAD_CALL = 2
-
-
-def _refuse(error: SettingsError) -> typer.Exit:
-    for complaint in error.complaints:
-        typer.echo(str(complaint), err=True)
-    count = len(error.complaints)
-    typer.echo(f"{count} {'fault' if count == 1 else 'faults'}; nothing was started", err=True)
-    return typer.Exit(BAD_CALL)
 
 
 @app.command()
@@ -37,7 +28,7 @@
     try:
         sys.exit(run(file))
     except SettingsError as error:
-        raise _refuse(error) from error
+        raise refuse(error) from error
     except BadTokenizer as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(BAD_CALL) from error
@@ -53,7 +44,7 @@
         settings = load_front(file)
         vocabularies(settings)
     except SettingsError as error:
-        raise _refuse(error) from error
+        raise refuse(error) from error
     except BadTokenizer as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(BAD_CALL) from error
@@ -87,11 +78,11 @@
     """
     from ..trial.runner import TrialError, play
     from ..trial.scenario import load_scenario
-    from .trials import run_all, show
+    from .trials import finish, run_all
     try:
         day = load_scenario(file)
     except SettingsError as error:
-        raise _refuse(error) from error
+        raise refuse(error) from error
     if policy and len(policy) > 1:
         raise typer.Exit(run_all(file, policy, as_json, keep))
     try:
@@ -100,11 +91,7 @@
     except TrialError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(1) from error
-    if as_json:
-        typer.echo(json.dumps(told))
-    else:
-        show([told])
-    raise typer.Exit(0 if told["kept"] else 1)
+    raise finish(told, as_json)
 
 
 @app.command()
@@ -125,7 +112,7 @@
     from ..settings.front import POLICIES
     from ..trial.runner import figures_of
     from ..trial.scenario import load_scenario
-    from .trials import show
+    from .trials import finish
     try:
         day = load_scenario(file)
         if policy and policy not in POLICIES:
@@ -133,17 +120,13 @@
         day = replace(day, policy=policy or day.policy, seed=day.seed if seed < 0 else seed)
         records = Model(day).run()
     except SettingsError as error:
-        raise _refuse(error) from error
+        raise refuse(error) from error
     except NotPlayed as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(BAD_CALL) from error
     assert records is not None
     told = {"day": day.name, "policy": day.policy, **summary(records, figures_of(day))}
-    if as_json:
-        typer.echo(json.dumps(told))
-    else:
-        show([told])
-    raise typer.Exit(0 if told["kept"] else 1)
+    raise finish(told, as_json)
 
 
 @app.command()
@@ -157,19 +140,15 @@
     from ..audit.report import summary
     from ..trial.runner import figures_of
     from ..trial.scenario import load_scenario
-    from .trials import show
+    from .trials import finish
     try:
         told = summary(load(folder), figures_of(load_scenario(file)))
     except SettingsError as error:
-        raise _refuse(error) from error
+        raise refuse(error) from error
     except FileNotFoundError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(BAD_CALL) from error
-    if as_json:
-        typer.echo(json.dumps(told))
-    else:
-        show([told])
-    raise typer.Exit(0 if told["kept"] else 1)
+    raise finish(told, as_json)
 
 
 app.add_typer(tokens, name="tokens")
--- a/worksmux/commands/trials.py
+++ b/worksmux/commands/trials.py
@@ -55,6 +55,15 @@
                     console.print("    " + line, soft_wrap=True)
 
 
+def finish(told: dict[str, Any], as_json: bool) -> typer.Exit:
+    """Prints the report of one day; the exit code is 1 where a rule was broken."""
+    if as_json:
+        typer.echo(json.dumps(told))
+    else:
+        show([told])
+    return typer.Exit(0 if told["kept"] else 1)
+
+
 def run_all(file: str, policies: list[str], as_json: bool, keep: Path | None) -> int:
     """Each policy plays the day in a process of its own; the exit code is 1 if the first of them breaks a
     rule."""
