--- a/worksmux/trial/runner.py
+++ b/worksmux/trial/runner.py
@@ -6,7 +6,7 @@
 import shutil
 import tempfile
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
 
@@ -213,30 +213,8 @@
             day.length,
             day.rate,
             [
-                OfferingSpec(
-                    one.offering,
-                    one.share,
-                    offering.promised_time,
-                    offering.promised_per_k,
-                    offering.outer_limit,
-                    offering.token_time,
-                    offering.most_answer,
-                    offering.credit,
-                    offering.late_credit,
-                    offering.effect,
-                    one.new_tokens,
-                    one.answer_tokens,
-                    one.turns,
-                    one.think,
-                    one.beginnings,
-                    one.beginning_tokens,
-                    one.beginning_share,
-                    offering.call,
-                    one.inputs,
-                    one.callers,
-                )
+                msgspec.convert({**asdict(offerings[one.offering]), **asdict(one)}, OfferingSpec)
                 for one in day.traffic
-                for offering in [offerings[one.offering]]
             ],
             [FrontSpec(front.name, front.port, front.zone) for front in self.fronts],
             [
