The life of jobs and what carries a trip, free of any protocol

Cause: the platform's protocol is to be a further way in and out beside the published form, with the same life of jobs. Change: front/core.py keeps cases, the one answer, moot trips and what is held; front/published.py and carriers.py bring the published form; front/carriage.py what all trips share. No change of what is done.

--- /dev/null
+++ b/worksmux/front/carriage.py
@@ -0,0 +1,127 @@
+"""What carries one trip, whatever the protocol: its time, its end, and the pace of a stream.
+
+A trip has at most one `began` and exactly one `ended`; a protocol says what its replies mean.
+"""
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+from .. import interface as i
+from ..net import client, clock
+from ..net.loop import Reactor
+
+
+class Listener(Protocol):
+    """Who hears of a trip; each trip has at most one `began`, and exactly one `ended`, the last."""
+
+    def began(self, trip: i.Trip) -> None: ...
+
+    def text(self, trip: i.Trip, content: Any) -> None: ...
+
+    def ended(self, trip: i.Trip, outcome: i.Outcome, note: int, report: dict[str, float] | None,
+              result: Any) -> None: ...
+
+
+def outcome_of(trouble: client.Trouble) -> i.Outcome:
+    """How a call without a whole reply ended."""
+    if isinstance(trouble, client.Unsent):
+        return i.Outcome.UNREACHABLE
+    return i.Outcome.RESET if isinstance(trouble, client.Broken) else i.Outcome.ERROR
+
+
+class Carriage:
+    """One trip.  `time_out` runs until the answer begins, then `silence` between its pieces
+    (milliseconds)."""
+
+    def __init__(self, reactor: Reactor, pool: client.Pool, trip: i.Trip, listener: Listener, time_out: float,
+                 silence: float, bound: int) -> None:
+        self.reactor, self.pool, self.trip, self.listener = reactor, pool, trip, listener
+        self.silence, self.bound = silence, bound
+        self.status, self.headers = 0, {}  # type: int, dict[str, str]
+        self.body = bytearray()
+        self.over = False
+        self.timer = reactor.callLater(max(0.0, time_out) / 1000, self._time_is_up)
+        self.call: client.Call | None = None
+
+    # What a protocol brings.
+
+    def _refusal(self) -> tuple[i.Outcome, int]:
+        """The outcome and note of a whole reply that is no answer."""
+        raise NotImplementedError
+
+    def _report(self) -> dict[str, float] | None:
+        """The load report that came along."""
+        raise NotImplementedError
+
+    def cancel(self) -> None:
+        """Calls the trip off: the connection closes, by which the engine knows."""
+        self._end(i.Outcome.CANCELLED)
+
+    def _time_is_up(self) -> None:
+        self._end(i.Outcome.TIMED_OUT)
+
+    def _end(self, outcome: i.Outcome, note: int = 0, result: Any = None) -> None:
+        if self.over:
+            return
+        self.over = True
+        if self.timer.active():
+            self.timer.cancel()
+        if self.call is not None and outcome is not i.Outcome.DELIVERED:
+            self.call.abandon()
+        self.listener.ended(self.trip, outcome, note, self._report(), result)
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        self.status, self.headers = status, headers
+
+    def piece(self, data: bytes) -> None:
+        if len(self.body) + len(data) > self.bound:
+            self._end(i.Outcome.ERROR)
+        else:
+            self.body += data
+
+    def done(self) -> None:
+        self._end(*self._refusal())
+
+    def failed(self, trouble: client.Trouble) -> None:
+        self._end(outcome_of(trouble))
+
+
+class Streaming(Carriage):
+    """A trip whose answer comes in pieces; the client's side asks for a pause while it cannot take more."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.last = 0.0
+        self.paused = False
+
+    def _pass_on(self, content: Any) -> None:
+        """A piece of the answer goes to the client; with the first one the answer has begun."""
+        if not self.last:
+            self.timer.cancel()
+            self.timer = self.reactor.callLater(self.silence / 1000, self._listen)
+            self.listener.began(self.trip)
+        self.last = clock.now()
+        self.listener.text(self.trip, content)
+
+    def _listen(self) -> None:
+        """Guards against a stream that stalls: one timer a silence, not one a token."""
+        left = self.last + self.silence - clock.now()
+        if left <= 0 or self.paused:
+            self._time_is_up()
+        else:
+            self.timer = self.reactor.callLater(left / 1000, self._listen)
+
+    def pauseProducing(self) -> None:
+        self._flow("pauseProducing", True)
+
+    def resumeProducing(self) -> None:
+        self.last = clock.now()
+        self._flow("resumeProducing", False)
+
+    def stopProducing(self) -> None:
+        """The client hung up: told by its own way."""
+
+    def _flow(self, name: str, paused: bool) -> None:
+        self.paused = paused
+        if not self.over and self.call is not None and self.call.connection is not None:
+            getattr(self.call.connection.transport, name)()
--- a/worksmux/front/case.py
+++ b/worksmux/front/case.py
@@ -6,28 +6,34 @@
 from typing import Any, Protocol
 
 from .. import interface as i
-from ..api.chat import Asked, KvParams, Usage
 
 
 class Client(Protocol):
-    """The client's side of a job."""
+    """The client's side of a job; what its text and its end are made of is the protocol's."""
 
-    def text(self, content: str) -> None: ...
+    def text(self, content: Any, /) -> None: ...
 
-    def delivered(self, finish: str, usage: Usage) -> None: ...
+    def delivered(self, *result: Any) -> None: ...
 
     def deferred(self, stay_away: float) -> None: ...
 
     def broken_off(self, timed_out: bool) -> None: ...
 
 
+class Carrying(Protocol):
+    """A trip that is out."""
+
+    def cancel(self) -> None: ...
+
+
 @dataclass(eq=False, slots=True)
 class Case:
     job: i.Job
-    asked: Asked
+    asked: Any                       # what the client asks for, in its protocol's form
     client: Client
     key: str                         # the job's name towards engines
-    state: KvParams | None = None    # the handle of its read state
+    name: str                        # of its offering
+    state: Any = None                # the handle of its read state, where the protocol has one
     held: dict[i.Engine, None] = field(default_factory=dict)     # where state or a place may lie
     place: i.Engine | None = None
     out: dict[i.Trip, Any] = field(default_factory=dict)         # the carriers of its trips
@@ -35,4 +41,4 @@
     timed_out: bool = False
     guard: Any = None
     first_at: float = 0.0
-    usage: Usage | None = None
+    result: Any = None               # of the trip that delivered
--- a/worksmux/front/clients.py
+++ b/worksmux/front/clients.py
@@ -20,7 +20,7 @@
 from ..tokens.desk import Verdict
 from ..tokens.service import Prompt, Result, TokenService
 from .case import Case
-from .core import Core
+from .published import PublishedCore
 from .vectors import PATHS, VectorSide
 
 LOG = structlog.get_logger()
@@ -102,7 +102,7 @@
 class ClientSide:
     """Takes the calls of clients; `stopping` turns new jobs away while the front finishes what is out."""
 
-    def __init__(self, core: Core, tokens: TokenService | None = None) -> None:
+    def __init__(self, core: PublishedCore, tokens: TokenService | None = None) -> None:
         self.core = core
         names = [one.name for one in core.settings.offerings]
         self.offerings = {name: at for at, name in enumerate(names)}
--- a/worksmux/front/fleet.py
+++ b/worksmux/front/fleet.py
@@ -19,7 +19,7 @@
 from ..net import clock
 from ..net.loop import Reactor, Transport
 from ..settings.front import ListSource
-from .core import Core
+from .published import PublishedCore
 from .memory import Memory
 
 LOG = structlog.get_logger()
@@ -59,7 +59,7 @@
 
     noisy = False
 
-    def __init__(self, source: ListSource, core: Core, reactor: Reactor) -> None:
+    def __init__(self, source: ListSource, core: PublishedCore, reactor: Reactor) -> None:
         self.source, self.core, self.reactor = source, core, reactor
         settings = core.settings
         self.roster = Roster([kind.name for kind in settings.kinds], settings.zones, self.engine,
--- a/worksmux/front/lane.py
+++ b/worksmux/front/lane.py
@@ -17,7 +17,7 @@
 from ..net import client, clock
 from ..settings.front import Lane as LaneSettings
 from . import carriers
-from .core import Core
+from .published import PublishedCore
 from .turns import Turns
 
 LOG = structlog.get_logger()
@@ -75,7 +75,7 @@
 
 
 class Lane(Turns):
-    def __init__(self, settings: LaneSettings, core: Core, seed: int, make: Maker) -> None:
+    def __init__(self, settings: LaneSettings, core: PublishedCore, seed: int, make: Maker) -> None:
         super().__init__(Door(settings.module, seed, make), core.reactor, core.metrics)
         self.settings, self.core = settings, core
         self.works: dict[i.Job, Work] = {}
--- a/worksmux/front/memory.py
+++ b/worksmux/front/memory.py
@@ -18,7 +18,7 @@
 from ..settings.front import MemorySettings
 from ..store.database import Store, Unusable, open_store
 from ..store.writer import Writer
-from .core import Core
+from .published import PublishedCore
 
 LOG = structlog.get_logger()
 LINES, FACTS, LEARNED = "lines", "facts", "learned"
@@ -47,7 +47,7 @@
 
 
 class Memory:
-    def __init__(self, settings: MemorySettings, core: Core, reactor: Reactor, seed: int) -> None:
+    def __init__(self, settings: MemorySettings, core: PublishedCore, reactor: Reactor, seed: int) -> None:
         self.settings, self.core, self.reactor, self.seed = settings, core, reactor, seed
         self.writer: Writer | None = None
         self.facts = Facts()
--- a/worksmux/front/serve.py
+++ b/worksmux/front/serve.py
@@ -22,7 +22,7 @@
 from ..tokens.vocabulary import BadTokenizer, Vocabulary
 from ..tokens.vocabulary import load as load_vocabulary
 from .clients import ClientSide
-from .core import Core
+from .published import PublishedCore
 from .fleet import Fleet
 from .lane import Lane
 from .memory import Memory
@@ -66,7 +66,8 @@
         self.metrics = Metrics()
         seed = settings.seed if settings.seed is not None else secrets.randbits(48)
         door = Door(settings.module, seed, make or POLICIES[settings.policy])
-        self.core = Core(settings, door, reactor, self.metrics, f"{settings.name}-{secrets.token_hex(4)}")
+        self.core = PublishedCore(settings, door, reactor, self.metrics,
+                                  f"{settings.name}-{secrets.token_hex(4)}")
         self.fleet = Fleet(settings.source, self.core, reactor)
         self.core.fleet = self.fleet
         self.memory: Memory | None = None
--- a/worksmux/front/turns.py
+++ b/worksmux/front/turns.py
@@ -10,7 +10,7 @@
 from ..door import Door
 from ..net import clock
 from ..net.loop import Reactor
-from .metrics import Metrics
+from .counts import Counts
 
 LOG = structlog.get_logger()
 
@@ -18,7 +18,7 @@
 class Turns:
     """What chat's core and the lanes share; who derives from it carries out actions and ends jobs."""
 
-    def __init__(self, door: Door, reactor: Reactor, metrics: Metrics) -> None:
+    def __init__(self, door: Door, reactor: Reactor, metrics: Counts) -> None:
         self.door, self.reactor, self.metrics = door, reactor, metrics
         self.failed = False                          # the module has: nothing more is asked of it
         self.on_event: Any = None                    # called with the time and each event told to the module
--- a/worksmux/front/vectors.py
+++ b/worksmux/front/vectors.py
@@ -22,7 +22,7 @@
 from ..settings.front import Admission
 from ..settings.shared import Offering
 from ..tokens.service import Prompt, Result, TokenService
-from .core import Core
+from .published import PublishedCore
 from .lane import Lane, Work
 
 LOG = structlog.get_logger()
@@ -161,7 +161,7 @@
 
 
 class VectorSide:
-    def __init__(self, core: Core, lanes: dict[str, Lane], gate: Gate, bounds: Admission, first: int,
+    def __init__(self, core: PublishedCore, lanes: dict[str, Lane], gate: Gate, bounds: Admission, first: int,
                  tokens: TokenService | None = None) -> None:
         """`first` is the gate's number of the lanes' first offering; theirs follow those of chat."""
         self.core, self.lanes, self.gate, self.bounds = core, lanes, gate, bounds
