Clients' connections bounded in time and number; a node that stops closes the idle ones

Seen: jobs lost 3.5 s after SIGTERM, taken on connections left open; 768 of 768 descriptors held by silent clients. Excluded by the log: the module, which had answered or was serving all that came in time.

--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -1,5 +1,5 @@
-"""An HTTP/1.1 server on Twisted's HTTPChannel with bounded heads and bodies, and plain methods to answer
-by."""
+"""An HTTP/1.1 server on Twisted's HTTPChannel with bounded heads, bodies, times and numbers of connections,
+and plain methods to answer by."""
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -11,7 +11,12 @@
 from twisted.python.failure import Failure
 from twisted.web import http
 
+from . import clock
+
 PATIENCE = 4             # times the bound that a body may have before its connection is cut
+MOST_HEADERS = 100
+LOOKS = 8                # at the connections' times, within the shortest of them
+SILENT = 100.0           # milliseconds without a byte: a new connection makes room for others first
 Answerer = Callable[["Exchange"], None]
 
 
@@ -29,6 +34,9 @@
         self._size = 0
         self.too_long = length is not None and length > self._bound
         self._kept = self.content = BytesIO()        # bounded, so it never goes to a file on the disk
+        if length is not None and length > PATIENCE * self._bound:
+            channel: Any = self.channel
+            channel.refuse(b"413 Content Too Large")    # nobody waits for the rest
 
     def handleContentChunk(self, data: bytes) -> None:
         self._size += len(data)
@@ -121,20 +129,88 @@
 
 
 class Channel(http.HTTPChannel):
-    """A connection of a client.  The head's bound counts all of its lines."""
+    """A connection of a client.  The head's bound counts all of its lines.
+
+    Guards against Twisted's channel going on after a fault within a head: what follows in the same piece
+    would be taken for the rest of a good one.
+    """
+
+    maxHeaders = MOST_HEADERS
+    spoilt = False                                   # refused: nothing more is read
+    busy = False                                     # a whole request waits for its answer
+    receiving = False                                # a part of a request has come
+    asked = False                                    # a request was answered here
 
     def connectionMade(self) -> None:
         super().connectionMade()
-        self.factory.channels[self] = None
+        self.since = clock.now()                     # of its state: silent, receiving or idle
         self.totalHeadersSize = self.factory.head_bound
         self.MAX_LENGTH = self.factory.head_bound
-        if self.factory.channel_hook:
-            self.factory.channel_hook(self)
+        self.factory.made(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.factory.channels.pop(self, None)
         super().connectionLost(reason)
 
+    def dataReceived(self, data: bytes) -> None:
+        if self.spoilt:
+            return
+        if not self.busy and not self.receiving:
+            self.receiving = True
+            if self.asked:
+                self.since = clock.now()             # the first one's time runs from the connection's start
+        super().dataReceived(data)
+
+    def refuse(self, status: bytes = b"400 Bad Request") -> None:
+        """Answers what is no request, and closes; nothing after it is read."""
+        if not self.spoilt:
+            self.spoilt = True
+            wire: Any = self.transport
+            wire.write(b"HTTP/1.1 " + status + b"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+            self.loseConnection()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        self.refuse()
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        self.refuse()
+
+    def lineReceived(self, line: bytes) -> None:
+        if not self.spoilt:
+            super().lineReceived(line)
+
+    def headerReceived(self, line: bytes) -> bool:
+        return not self.spoilt and bool(super().headerReceived(line))
+
+    def allHeadersReceived(self) -> None:
+        if not self.spoilt:
+            super().allHeadersReceived()
+
+    def rawDataReceived(self, data: bytes) -> None:
+        if not self.spoilt:
+            super().rawDataReceived(data)
+
+    def allContentReceived(self) -> None:
+        if not self.spoilt:
+            self.busy, self.receiving = True, False
+            super().allContentReceived()
+
+    def checkPersistence(self, request: http.Request, version: bytes) -> bool:
+        if self.factory.closing:
+            request.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+            return False
+        return bool(super().checkPersistence(request, version))
+
+    def requestDone(self, request: http.Request) -> None:
+        self.busy, self.asked, self.since = False, True, clock.now()
+        super().requestDone(request)
+
+    def rank(self, now: float) -> int:
+        """Which goes first where room is short: those that never spoke, the idle, the slow; 0 for none."""
+        if self.busy or not self.asked and now - self.since < SILENT:
+            return 0
+        return 2 if self.receiving else 1 if self.asked else 3
+
 
 class Server(http.HTTPFactory):
     """Takes connections and hands each whole request to `answerer`."""
@@ -142,17 +218,67 @@
     noisy = False
 
     def __init__(self, answerer: Answerer, body_bound: int, head_bound: int, keep_alive: float,
-                 reactor: Any = None) -> None:
+                 reactor: Any = None, patience: float = 0.0, most: int = 0) -> None:
+        """`keep_alive`: an idle connection is closed after it; `patience`: a request must come whole within
+        it, counted from the connection's start for the first (both in milliseconds, 0: no bound); `most`
+        connections at once (0: any number)."""
         super().__init__(timeout=keep_alive / 1000, reactor=reactor)
         self.answerer, self.body_bound, self.head_bound = answerer, body_bound, head_bound
+        self.keep_alive, self.patience, self.most = keep_alive, patience, most
+        self.closing = False                         # each answer closes its connection
         self.channels: dict[Any, None] = {}
         self.channel_hook: Callable[[Any], None] | None = None     # called with each new connection
+        self._look: Any = None
+
+    def made(self, channel: Any) -> None:
+        """A connection has come; where they are too many, one that is of the least use is closed."""
+        self.channels[channel] = None
+        if self.channel_hook:
+            self.channel_hook(channel)
+        if self.most and len(self.channels) > self.most:
+            now = clock.now()
+            least = max(self.channels, key=lambda one: one.rank(now))     # the oldest of its rank
+            (least if least.rank(now) else channel).transport.abortConnection()
+        if self.patience and self._look is None:
+            self._look_later()
+
+    def _look_later(self) -> None:
+        reactor: Any = self.reactor
+        self._look = reactor.callLater(self.patience / LOOKS / 1000, self._look_round)
+
+    def _look_round(self) -> None:
+        """Guards against clients that say nothing, or never end what they say: one look at all of them costs
+        less than a timer for each."""
+        self._look, now = None, clock.now()
+        for channel in list(self.channels):
+            since = now - channel.since
+            if channel.busy or channel.spoilt:
+                if channel.spoilt and since > 2 * self.patience:
+                    channel.transport.abortConnection()
+            elif channel.receiving and since > self.patience * (1 - 1 / LOOKS):
+                channel.refuse(b"408 Request Timeout")
+            elif not channel.receiving and since > self.keep_alive:
+                channel.transport.loseConnection()
+        if self.channels:
+            self._look_later()
+
+    def close_idle(self) -> None:
+        """From now on each answer closes its connection, and those without a request are closed at once."""
+        self.closing = True
+        for channel in list(self.channels):
+            channel.persistent = False
+            if not channel.busy and not channel.receiving:
+                channel.transport.loseConnection()
+
+    def stop(self) -> None:
+        if self._look is not None and self._look.active():
+            self._look.cancel()
 
     def buildProtocol(self, addr: IAddress | None) -> Any:
         channel: Any = Channel()  # Any: Twisted's channel is untyped where these are set
         channel.factory = channel.site = self
         channel.requestFactory = Exchange
-        channel.timeOut = self.timeOut
+        channel.timeOut = None if self.patience else self.timeOut
         channel.callLater = self.reactor.callLater
         return channel
 
--- a/worksmux/node/clients.py
+++ b/worksmux/node/clients.py
@@ -72,8 +72,6 @@
 
     def __call__(self, exchange: Exchange) -> None:
         path, _, query = exchange.uri.decode("latin-1").partition("?")
-        if self.stopping:
-            exchange.setHeader("connection", "close")
         if path == protocol.CHAT and exchange.method == b"POST":
             self._chat(exchange)
         elif path == protocol.READY and exchange.method in (b"GET", b"HEAD"):
@@ -99,5 +97,8 @@
         if asked.key in self.core.keys:
             return self._no(exchange, 409, "a job with this id is open")
         side = StreamClient(exchange)
+        if len(self.core.cases) >= self.core.share.jobs:
+            self.core.metrics.turned_away("too many open")
+            return side.deferred(0.0)
         case = side.case = self.core.arrived(asked, side, clock.now())
         exchange.on_gone = lambda: self.core.left(case)
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -12,6 +12,7 @@
 from ..net.loop import Reactor
 from . import protocol
 from .counts import NodeCounts
+from .limits import Shares
 from .releases import Releases
 from .trips import Reading, Trip, Writing
 
@@ -26,11 +27,11 @@
     metrics: NodeCounts
 
     def __init__(self, door: Door, reactor: Reactor, counts: NodeCounts, offerings: list[str],
-                 keep_alive: float) -> None:
+                 keep_alive: float, share: Shares) -> None:
         """`keep_alive`: milliseconds after which an engine may close an idle connection."""
         super().__init__(door, reactor, counts)
         self.offerings = offerings
-        self.keep_alive = keep_alive
+        self.keep_alive, self.share = keep_alive, share
         self.pools: dict[i.Engine, client.Pool] = {}
         self.keys: dict[str, Case] = {}              # of the jobs that are open
         self.releases = Releases(reactor, self._small, self._other, float(door.settings["release_within"]))
@@ -168,6 +169,11 @@
             old.close()
 
     def sweep(self) -> None:
-        """Closes connections that have been idle for too long."""
+        """Closes connections that have been idle for too long, or are too many."""
+        idle = open_now = 0
         for pool in self.pools.values():
             pool.sweep()
+            idle, open_now = idle + len(pool.idle), open_now + len(pool.open)
+        if idle > self.share.idle or open_now > self.share.engines:
+            for pool in self.pools.values():
+                pool.close()
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -11,6 +11,7 @@
 
 from ..door import Door
 from ..front.logbook import set_up
+from ..net import clock
 from ..net.loop import Reactor, listen, the_reactor
 from ..net.server import Server
 from .clients import NodeClients
@@ -18,10 +19,14 @@
 from .core import BODY, HEAD, NodeCore
 from .counts import NodeCounts
 from .discovery import Discovery
+from .limits import shares
 
 LOG = structlog.get_logger()
 BAD_CONFIG = 2
 IDLE = 2000.0            # a client's connection without an open job, milliseconds
+PATIENCE = 2600.0        # for a request to come whole: who sends none is owed an end within 3 s
+ACCEPTING = 700.0        # after SIGTERM: connections may still come
+FLUSH, LOOK = 1000.0, 5.0            # that the last answers have to get out, and between looks
 SWEEP = 1000.0           # between two looks at idle connections to engines
 
 
@@ -32,12 +37,13 @@
         self.config, self.reactor = config, reactor
         self.counts = NodeCounts()
         door = Door(config.settings, config.seed)
-        self.core = NodeCore(door, reactor, self.counts, config.offerings, config.keep_alive)
+        share = shares(config.sockets)
+        self.core = NodeCore(door, reactor, self.counts, config.offerings, config.keep_alive, share)
         self.discovery = Discovery(config.discovery, self.core, reactor, config.kinds, config.zones)
         self.core.fleet = self.discovery
         self.core.on_empty = self._emptied
         self.clients = NodeClients(self.core)
-        self.server = Server(self.clients, BODY, HEAD, IDLE, reactor)
+        self.server = Server(self.clients, BODY, HEAD, IDLE, reactor, PATIENCE, share.clients)
         self.listener: Any = None
         self.port = 0
         self.on_end: Callable[[], None] = lambda: None
@@ -82,33 +88,40 @@
             return
         self.stopping = self.clients.stopping = True
         LOG.info("stopping", open=len(self.core.cases))
+        self.server.close_idle()
         self.reactor.callLater(ACCEPTING / 1000, self._accepted)
 
     def _accepted(self) -> None:
         """No more connections are to come: what is left is answered and the node ends."""
         self.accepting = False
+        self.listener.stopListening()
+        self.server.close_idle()
         self._emptied()
 
     def _emptied(self) -> None:
         if self.stopping and not self.accepting and not self.core.cases and not self.ended:
             self.ended = True
-            self.reactor.callLater(FLUSH / 1000, self._end)
+            self._last(clock.now() + FLUSH)
 
-    def _end(self) -> None:
+    def _last(self, until: float) -> None:
+        """Guards against an end that cuts off the last answers and releases."""
+        if (self.server.channels or self.core.releases.running) and clock.now() < until:
+            self.reactor.callLater(LOOK / 1000, self._last, until)
+            return
         self.close()
         self.on_end()
 
     def close(self) -> None:
         self.discovery.stop()
+        self.server.stop()
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         if self.listener is not None:
             self.listener.stopListening()
+        for pool in self.core.pools.values():
+            pool.close()
         for channel in list(self.server.channels):
-            channel.transport.loseConnection()
-
-
-ACCEPTING, FLUSH = 700.0, 200.0
+            channel.transport.abortConnection()
 
 
 def run(variables: Mapping[str, str]) -> int:
