A deferral waits for the end of its trip; engines long gone are forgotten; one release heard is enough

Excluded by the log: a writer's trip, the job had none. The close of the trip and the deferral left on two sockets at once (front/core.py _final). Change: 20 ms between the end of a trip by this node and the deferral of a job that is not redoable; a release ends with the first engine that hears it; a full house closes an older connection before the new one; the module forgets engines gone for longer than its memory, node and door with it.

--- a/worksmux/door.py
+++ b/worksmux/door.py
@@ -50,6 +50,13 @@
             self.engines[address] = i.Engine(address, key)
         return self.engines[address]
 
+    def forget(self, engine: i.Engine) -> bool:
+        """Forgets an engine that is gone, once the module has; whether it did."""
+        if engine.state != "gone" or engine.trips or engine in getattr(self.module, "engines", ()):
+            return False
+        self.engines.pop(engine.id, None)
+        return True
+
     def arrived(self, job: i.Job) -> i.Arrived:
         self.jobs[job.id] = job
         return i.Arrived(job)
--- a/worksmux/front/case.py
+++ b/worksmux/front/case.py
@@ -41,4 +41,5 @@
     timed_out: bool = False
     guard: Any = None
     first_at: float = 0.0
+    called_off: float = 0.0          # when this front last ended one of its trips
     result: Any = None               # of the trip that delivered
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -183,6 +183,8 @@
         if case is None:                             # the module has failed and all is broken off
             return
         case.out.pop(trip, None)
+        if outcome in (i.Outcome.CANCELLED, i.Outcome.TIMED_OUT):
+            case.called_off = clock.now()
         if self.on_trip:
             self.on_trip(trip.engine, outcome)
         if trip.reading:
--- a/worksmux/interface.py
+++ b/worksmux/interface.py
@@ -42,6 +42,7 @@
     size: float = 1.0
     state: str = "gone"              # ready, draining or gone
     started: float = 0.0             # 0: long ago
+    left: float = 0.0                # when it was told gone
     role: str = ""                   # read, write or both
     trips: dict[Trip, None] = field(default_factory=dict)     # out at this engine
     paired: dict[Job, None] = field(default_factory=dict)     # being read for this writer
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -238,7 +238,8 @@
         if self.channel_hook:
             self.channel_hook(channel)
         if self.most and len(self.channels) > self.most:
-            least = max(self.channels, key=lambda one: one.rank())     # the oldest of its rank
+            # The oldest of its rank; not the new one, which has had no time to speak, while others will do.
+            least = max((one for one in self.channels if one is not channel), key=lambda one: one.rank())
             (least if least.rank() else channel).transport.abortConnection()
         if self.patience and self._look is None:
             self._look_later()
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -23,6 +23,7 @@
 # kept, 50 of 70 broken trips were on reused ones, idle for as little as 11 ms; a broken trip may have run,
 # while a connection that can't be opened proves that it has not.  Opening one costs an engine 2 ms at most.
 MOST_IDLE, IDLE_TIME = 0, 1000.0
+SETTLING = 20.0                      # for the close of a trip's connection to be seen, before a deferral is
 
 
 class NodeCore(Core):
@@ -54,6 +55,18 @@
             del self.keys[case.key]
             self._let_all_go(case)                   # what a broken read may have left, and nobody took
 
+    def _final(self, job: i.Job, how: str, stay_away: float = 0.0) -> None:
+        """Guards against a deferral that overtakes the end of a trip: until the engine has seen its
+        connection close, the job is still out there, and to ask again is not known to be harmless."""
+        case = self.cases.get(job)
+        if case is not None and how == "deferred" and not case.answered and (
+                self.module_settings["offerings"][job.offering]["effect"] != "redoable"):
+            left = SETTLING if case.out else case.called_off + SETTLING - clock.now()
+            if left > 0:
+                self.reactor.callLater(left / 1000, super()._final, job, how, stay_away)
+                return
+        super()._final(job, how, stay_away)
+
     def _turned(self) -> None:
         super()._turned()
         due, self._letting_go = self._letting_go, []
@@ -168,3 +181,10 @@
             MOST_IDLE, HEAD, BODY, HOST)
         if old:
             old.close()
+
+    def forget_gone(self) -> list[i.Engine]:
+        """Guards against a fleet that is replaced all day; gives the engines forgotten."""
+        gone = [engine for engine in self.pools if engine.state == "gone" and self.door.forget(engine)]
+        for engine in gone:
+            del self.pools[engine]
+        return gone
--- a/worksmux/node/discovery.py
+++ b/worksmux/node/discovery.py
@@ -176,6 +176,8 @@
         self.keeper.whole = True
         made = self.keeper.take(clock.now(), lines)
         self.index = told.index
+        for engine in self.core.forget_gone():
+            self.keeper.known.pop(engine.id.decode(), None)
         for note in (*notes, *made.notes):
             LOG.warning("list of engines", note=note)
         for known in made.moved:
--- a/worksmux/node/releases.py
+++ b/worksmux/node/releases.py
@@ -35,7 +35,6 @@
         self.over = False
         self.out: dict[i.Engine, Callable[[], None]] = {}
         self.timers: dict[i.Engine, Any] = {}
-        self.heard = False                           # by any engine
 
     def start(self) -> None:
         for engine in list(self.engines):
@@ -59,8 +58,7 @@
             if self.over:
                 return
             if 200 <= status < 300 and trouble is None:
-                self.heard = True
-                self.engines.pop(engine, None)
+                self.stop()                          # whichever engine has heard, all is let go
             else:
                 self._missed(engine, tries)
             if not self.engines and not self.out:
@@ -69,7 +67,7 @@
         self.out[engine] = self.releases.call(engine, "DELETE", self.path, ended)
 
     def _missed(self, engine: i.Engine, tries: int) -> None:
-        if not self.heard and not tries:
+        if not tries:
             other = self.releases.other(set(self.engines) | set(self.out))
             if other is not None:
                 self.engines[other] = None
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -129,9 +129,13 @@
             return
         if event.scope != "delta":
             for engine in self.engines.keys() - {entry.engine for entry in event.entries}:
+                engine.left = engine.left if engine.state == "gone" else self.now
                 engine.state = "gone"
         for entry in event.entries:
             self._enter(entry)
+        for engine in [engine for engine in self.engines if engine.state == "gone" and not engine.trips
+                       and not engine.paired and self.now - engine.left > MEMORY]:
+            del self.engines[engine]                 # guards against a fleet that is replaced all day
         self._index()
 
     def _enter(self, entry: Entry) -> None:
@@ -147,6 +151,8 @@
             self._alive(engine)
             for job in list(engine.paired):          # paired with what ran there before
                 self._unpair(job)
+        if entry.state == "gone" and engine.state != "gone":
+            engine.left = self.now
         engine.state, engine.started, engine.size = entry.state, entry.started, entry.size
         engine.zone, engine.cell, engine.kind = entry.zone, entry.cell, entry.kind
         engine.role = self.settings["roles"][entry.kind]
