An engine is set aside only where its faults stand out from those of its peers

Excluded by the job log: engines (the other node used them), the node's loop (its counts came on time), silent clients. Lines: rules.py _judge, _strike and _well: spoilt streams and resets that any engine sends alike set all writers aside in turn, 1 to 4 s each.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -216,6 +216,18 @@
     assert not front._well(reader, 0) and front._well(reader, 1)
 
 
+def test_faults_that_all_engines_share_set_none_of_them_aside():
+    front, (_, *writers) = fleet((0, 0, 0), *[(1, 0, 0)] * 4)
+    for writer in writers:
+        writer.faults.add(NOW, 1.0, 2.0)
+    trip = i.Trip(job(), writers[0], 0, NOW)
+    front._judge(i.Ended(trip, i.Outcome.RESET, 5.0, False))
+    assert front._well(writers[0], 0)
+    for _ in range(2):                               # now it stands out
+        front._judge(i.Ended(trip, i.Outcome.RESET, 5.0, False))
+    assert not front._well(writers[0], 0)
+
+
 def test_engines_known_to_serve_come_first_while_an_offering_fails():
     front, (_, *writers) = fleet((0, 0, 0), (1, 0, 0), (1, 0, 0), (1, 0, 0))
     front.fates[0].add(NOW, 1.0)
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -28,6 +28,7 @@
 MEMORY = 16 * MARK       # how long faults, good turns and usual times are remembered
 LONGEST_ASIDE = 2        # doublings of MARK at most
 FAILING = 0.25           # of an offering's trips: above it, engines known to serve the offering come first
+SHARED = 1.5             # times the faults of the others of its role: an engine with fewer is like them
 PRESS = 1.0              # times the usual need that a job is given up early, by chance
 REPEAT = 4.0             # the same for a client's repeat, whose promised time is partly spent
 LATELY = 3               # buckets of the newest: a trouble that is over is forgotten
@@ -43,7 +44,9 @@
         self.offerings = settings["offerings"]
         self.quickest: float = min(offering["promised_time"] for offering in self.offerings)
         self.beat: float = max(settings["tick"], (settings["release_within"] or MARK) / BEATS)
-        self.now, self.alarm_at = 0.0, -inf
+        self.now, self.alarm_at, self.reckoned = 0.0, -inf, -inf
+        # Faults and ready engines, by role, at the last reckoning.
+        self.shared: dict[str, tuple[float, int]] = defaultdict(lambda: (0.0, 0))
         self.actions: list[Action] = [Watch(True)] if settings["ask_for_list"] else []
         self.engines: dict[Engine, None] = {}
         self.awaited: dict[Engine, None] = {}        # no sign of life since a send
@@ -215,11 +218,27 @@
         self._earn([other for other in self.cold if other.role == trip.engine.role], 1.0)
         self._alive(trip.engine)
 
-    def _strike(self, engine: Engine, offering: int = ALL) -> None:
+    def _worse(self, engine: Engine) -> bool:
+        """Guards against faults that come from any engine alike, such as a network's: setting engines aside
+        for them one after the other would empty the stage. Many dead at once still stand out."""
+        if self.now >= self.reckoned + self.beat:
+            self.reckoned = self.now
+            self.shared.clear()
+            for one in self.engines:
+                if one.state == "ready":
+                    faults, peers = self.shared[one.role]
+                    self.shared[one.role] = faults + one.faults.count(self.now), peers + 1
+        faults, peers = self.shared[engine.role]
+        own = engine.faults.count(self.now)
+        return own > SHARED * max(0.0, faults - own) / max(1, peers - 1)
+
+    def _strike(self, engine: Engine, offering: int = ALL, shared: bool = False) -> None:
         """Sets an engine aside, longer with each fault in memory: one that fails fast loses its turns.
         An error or an unanswered job sets it aside for that offering alone: it may serve the others. A front
         that meets its engines seldom keeps the mark until about the next meeting."""
         engine.faults.add(self.now)
+        if shared and not self._worse(engine):
+            return
         meetings = sum(fate.count(self.now) for fate in self.fates)
         aside = max(MARK * 2 ** min(engine.faults.count(self.now) - 1, LONGEST_ASIDE),
                     MEMORY * min(1.0, len(self.engines) / max(1, 2 * meetings)))
@@ -384,7 +403,7 @@
             waits.add(self.now, self.quickest, of)
         elif outcome in (Outcome.ERROR, Outcome.UNREACHABLE, Outcome.RESET):
             self.fates[offering].add(self.now)
-            self._strike(engine, offering if outcome is Outcome.ERROR else ALL)
+            self._strike(engine, offering if outcome is Outcome.ERROR else ALL, shared=True)
         elif outcome is Outcome.TIMED_OUT and event.elapsed > self._patience(engine):    # not a short try
             self.fates[offering].add(self.now)
             self._strike(engine)
