What both protocols share stands once: small calls, probes, streams, start and end

Cause: a second reading found the platform's side beside twins of the published one: the small call with its time-out, the probe, pools and addresses, head, pieces and end of a stream, the link of a client's pace, signals and the wait for the last answers; also a second parser of addresses, a second hash, an error body of its own, and parts that nothing used any more (shares of idle connections, an idle time, a second stopping flag). Change: front/core.py has small calls, probes and addresses, and each protocol says only what they look like; places held ahead moved to front/published.py, the one protocol that has them; front/carriage.py, streams.py and process.py serve both; units.address, membership.keys.key_of and api/errors are called. Two tests of the client's connection stand with the others, their assertions as they were. Not quite the same as before: a node's error bodies carry the fields of the published form; a node's log counts a job's time from its arrival and no longer 10 ms earlier (the job is given up at the same moment); a small call to an engine never listed ends a turn later in serve, as it did in the node.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -21,10 +21,9 @@
     ask,
     chunk,
 )
-from twisted.internet.testing import StringTransport
 
 from worksmux import interface as i
-from worksmux.net import client, clock
+from worksmux.net import clock
 from worksmux.node import config, protocol
 from worksmux.node.listing import Endpoint, HostList, listing
 from worksmux.node.trips import Reading
@@ -101,51 +100,6 @@
     assert protocol.load_report("inflight=\xff", ["inflight"]) is None
 
 
-# What may have run.
-
-class Told:
-    def __init__(self) -> None:
-        self.trouble: Any = None
-
-    def head(self, status: int, headers: dict[str, str]) -> None: ...
-
-    def piece(self, data: bytes) -> None: ...
-
-    def done(self) -> None: ...
-
-    def failed(self, trouble: client.Trouble) -> None:
-        self.trouble = trouble
-
-
-def connection() -> tuple[Any, Any, Told]:
-    pool: Any = client.Pool(None, "127.0.0.1", 1, 250.0, 5000.0, 8, 2**14)  # type: ignore[arg-type]
-    one, wire, told = client.Connection(pool), StringTransport(), Told()
-    pool.open[one] = None
-    wire.abortConnection = wire.setTcpNoDelay = lambda *_: None  # type: ignore[attr-defined, method-assign]
-    one.makeConnection(wire)  # type: ignore[arg-type]
-    one.send(b"POST / HTTP/1.1\r\n\r\n", told)
-    wire.producer.resumeProducing()
-    return one, wire, told
-
-
-def test_call_that_still_lies_in_the_buffer_never_ran() -> None:
-    one, _, told = connection()
-    one.connectionLost()
-    assert isinstance(told.trouble, client.Unsent)
-    one, wire, told = connection()
-    wire.producer.resumeProducing()                  # the buffer is empty: the last byte has left
-    one.connectionLost()
-    assert isinstance(told.trouble, client.Broken)
-
-
-def test_heads_of_1xx_do_not_go_on_for_ever() -> None:
-    one, wire, told = connection()
-    wire.producer.resumeProducing()
-    for _ in range(2000):
-        one.dataReceived(b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n")
-    assert isinstance(told.trouble, client.Malformed)
-
-
 # Trips.
 
 def rig_of_two(writer: Any = None, sockets: int = 256) -> Rig:
--- a/tests/test_wire_forms.py
+++ b/tests/test_wire_forms.py
@@ -63,15 +63,30 @@
         self.aborted = True
 
 
-def talk(
-    reply: bytes, sizes: list[int] | None = None, closes: bool = False
-) -> tuple[Heard, client.Connection, Wire]:
-    """One call whose reply comes in pieces of the given sizes."""
+class Buffer(Wire):
+    """Keeps what is written until it is asked to let it out."""
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:
+        StringTransport.registerProducer(self, producer, streaming)
+        producer.resumeProducing()
+
+
+def asked_by(wire: Wire) -> tuple[Heard, client.Connection]:
+    """A call just sent on a connection."""
     pool = client.Pool(Now(), "h", 1, 100.0, 100.0, 4, 2000)  # type: ignore[arg-type]
-    connection, wire, heard = client.Connection(pool), Wire(), Heard()
+    connection, heard = client.Connection(pool), Heard()
     pool.open[connection] = None
     connection.makeConnection(wire)
     connection.send(client.request("POST", "/x", "h:1", [("A", "b")], b"{}"), heard)
+    return heard, connection
+
+
+def talk(
+    reply: bytes, sizes: list[int] | None = None, closes: bool = False
+) -> tuple[Heard, client.Connection, Wire]:
+    """One call whose reply comes in pieces of the given sizes."""
+    wire = Wire()
+    heard, connection = asked_by(wire)
     left = reply
     for size in sizes or []:
         connection.dataReceived(left[:size])
@@ -127,6 +142,22 @@
     assert heard.body == b"hello" and heard.status == 200
 
 
+def test_call_that_still_lies_in_the_buffer_never_ran() -> None:
+    heard, connection = asked_by(Buffer())
+    connection.connectionLost()
+    assert heard.end == "Unsent"
+    wire = Buffer()
+    heard, connection = asked_by(wire)
+    wire.producer.resumeProducing()                  # the buffer is empty: the last byte has left
+    connection.connectionLost()
+    assert heard.end == "Broken"
+
+
+def test_heads_of_1xx_do_not_go_on_for_ever() -> None:
+    heard, _, _ = talk(b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" * 2000)
+    assert heard.end == "Malformed"
+
+
 @given(
     st.lists(st.binary(max_size=20).filter(lambda data: b"\n" not in data and b"\r" not in data), min_size=1),
     st.data(),
--- a/worksmux/door.py
+++ b/worksmux/door.py
@@ -32,8 +32,11 @@
     def decide(self, now: float, events: list[i.Event]) -> list[i.Action]:
         """One call to the module for all that happened, in order; its actions, in order."""
         # Guards against jobs kept for ever that were delivered: no action names them any more.
-        self._touched += [event.trip.job for event in events if isinstance(event, i.Ended)]
-        self._touched += [event.job for event in events if isinstance(event, i.Left)]
+        for event in events:
+            if isinstance(event, i.Ended):
+                self._touched.append(event.trip.job)
+            elif isinstance(event, i.Left):
+                self._touched.append(event.job)
         actions = self.module.decide(now, events)
         for action in actions:
             if isinstance(action, (i.Defer, i.BreakOff, i.Release, i.Hold, i.Move)):
--- a/worksmux/drill/instance.py
+++ b/worksmux/drill/instance.py
@@ -6,7 +6,7 @@
 
 from .. import interface as i
 from ..door import Door
-from ..settings.told import Untold, settings_from
+from ..settings.told import settings_from
 from .codec import ENTRY, Record, WireError
 
 OUTCOMES = {1: i.Outcome.DELIVERED, 0: i.Outcome.ERROR, 2: i.Outcome.FULL, 3: i.Outcome.TIMED_OUT,
@@ -25,7 +25,7 @@
         self.number = number
         try:
             self.settings = settings_from(json.loads(settings))
-        except (Untold, ValueError) as error:
+        except ValueError as error:
             raise WireError(str(error)) from error
         self.door = Door(self.settings, seed)
 
--- a/worksmux/front/carriage.py
+++ b/worksmux/front/carriage.py
@@ -53,6 +53,8 @@
         """The load report that came along."""
         raise NotImplementedError
 
+    # Its end.
+
     def cancel(self) -> None:
         """Calls the trip off: the connection closes, by which the engine knows."""
         self._end(i.Outcome.CANCELLED)
@@ -95,9 +97,40 @@
 
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
+        self.streaming = False
         self.last = 0.0
         self.paused = False
 
+    # What a protocol brings.
+
+    def _stream(self, data: bytes) -> None:
+        """Takes a piece of the stream."""
+        raise NotImplementedError
+
+    def _stream_over(self) -> None:
+        """The reply has ended cleanly, the stream with it."""
+        raise NotImplementedError
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        super().head(status, headers)
+        self.streaming = status == 200 and headers.get("content-type", "").startswith("text/event-stream")
+
+    def piece(self, data: bytes) -> None:
+        if self.over:                                # after its end: no harm to the trip
+            return
+        if self.streaming:
+            self._stream(data)
+        else:
+            super().piece(data)
+
+    def done(self) -> None:
+        if self.over:
+            return
+        if self.streaming:
+            self._stream_over()
+        else:
+            super().done()
+
     def _pass_on(self, content: Any) -> None:
         """A piece of the answer goes to the client; with the first one the answer has begun."""
         if not self.last:
--- a/worksmux/front/carriers.py
+++ b/worksmux/front/carriers.py
@@ -56,19 +56,10 @@
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
         self.events = Events(self.bound)
-        self.streaming = False
         self.finish = ""
         self.usage = Usage()
 
-    def head(self, status: int, headers: dict[str, str]) -> None:
-        super().head(status, headers)
-        self.streaming = status == 200 and headers.get("content-type", "").startswith("text/event-stream")
-
-    def piece(self, data: bytes) -> None:
-        if self.over:                                # after its end: no harm to the trip
-            return
-        if not self.streaming:
-            return super().piece(data)
+    def _stream(self, data: bytes) -> None:
         try:
             for event in self.events.feed(data):
                 self._event(event)
@@ -91,10 +82,5 @@
                 self._pass_on(content)
             self.finish = choice.finish_reason or self.finish
 
-    def done(self) -> None:
-        if self.over:
-            return
-        if self.streaming:
-            self._end(i.Outcome.ERROR)               # the reply ended cleanly, yet without [DONE]
-        else:
-            super().done()
+    def _stream_over(self) -> None:
+        self._end(i.Outcome.ERROR)                   # the reply ended cleanly, yet without [DONE]
--- a/worksmux/front/clients.py
+++ b/worksmux/front/clients.py
@@ -21,6 +21,7 @@
 from ..tokens.service import Prompt, Result, TokenService
 from .case import Case
 from .published import PublishedCore
+from .streams import StreamSide
 from .vectors import PATHS, VectorSide
 
 LOG = structlog.get_logger()
@@ -29,14 +30,13 @@
 BROKEN = "the job was broken off: it may have run, and trying again is not known to be harmless"
 
 
-class ChatClient:
+class ChatClient(StreamSide):
     """One client's job over HTTP; see `case.Client`."""
 
     def __init__(self, exchange: Exchange, asked: Asked) -> None:
-        self.exchange, self.asked = exchange, asked
+        super().__init__(exchange)
+        self.asked = asked
         self.parts: list[str] = []
-        self.begun = False
-        self.case: Case | None = None
 
     @property
     def _tags(self) -> tuple[tuple[str, str], ...]:
@@ -46,23 +46,9 @@
         if not self.asked.stream:
             self.parts.append(content)
             return
-        first, self.begun = not self.begun, True
-        if first:
-            self.exchange.begin("text/event-stream", self._tags)
-            self._link()
+        first = self._begin(self._tags)
         self.exchange.more(event(chat.chunk(self.asked.answer_id, self.asked.name, content, first=first)))
 
-    def _link(self) -> None:
-        """A client that reads slowly slows its engine down, instead of filling this process."""
-        if self.case is not None and not self.exchange.over:
-            for trip, carrier in self.case.out.items():
-                if trip.began:
-                    self.exchange.registerProducer(carrier, True)
-
-    def _unlink(self) -> None:
-        if self.begun and not self.exchange.over:
-            self.exchange.unregisterProducer()
-
     def delivered(self, finish: str, usage: Usage) -> None:
         if not self.asked.stream:
             self.exchange.answer(
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -3,7 +3,7 @@
 The front decides nothing.  It keeps what the interface promises the module: each trip has exactly one
 outcome, what is sent for a job that has ended is moot, a stream that began belongs to its client, and
 whatever may hold state for a job is let go when the module says so.  A protocol derives from it and brings
-its carriers, its small calls and its clients' side.
+its carriers, what its small calls look like and its clients' side.
 """
 from __future__ import annotations
 
@@ -14,8 +14,9 @@
 
 from .. import interface as i
 from ..door import Door
-from ..net import clock
+from ..net import client, clock
 from ..net.loop import Reactor
+from .carriage import outcome_of
 from .case import Carrying, Case
 from .counts import Counts
 from .turns import Turns
@@ -28,6 +29,7 @@
         super().__init__(door, reactor, metrics)
         self.module_settings = door.settings
         self.cases: dict[i.Job, Case] = {}
+        self.pools: dict[i.Engine, client.Pool] = {}
         self.number = 0
         self.fleet: Any = None                       # the source of the list, set by who builds both
         self.on_fault: Any = None                    # called when the module has failed
@@ -37,25 +39,32 @@
 
     # What a protocol brings.
 
-    def _carry(self, case: Case, trip: i.Trip, time_out: float) -> Carrying:
-        """Starts a trip; what it meets is told later, never before this returns.  LookupError where the
-        engine has no address."""
+    def _carry(self, case: Case, trip: i.Trip, pool: client.Pool, time_out: float) -> Carrying:
+        """Starts a trip; what it meets is told later, never before this returns."""
         raise NotImplementedError
 
-    def probe(self, engine: i.Engine, tell: Callable[[i.Event], None]) -> None:
-        """Asks an engine how it does; `tell` gets the answer."""
+    def _pool(self, host: str, port: int) -> client.Pool:
+        """Connections to an engine's address."""
         raise NotImplementedError
 
-    def _hold(self, job: i.Job, engine: i.Engine) -> None:
-        """Asks for a place ahead of a job."""
+    def _small_bounds(self) -> tuple[float, int, client.Headers]:
+        """A small call's time-out in milliseconds, the bytes of its reply, and its headers."""
         raise NotImplementedError
 
-    def _call_release(self, case: Case, engine: i.Engine) -> None:
-        """Lets go of all that the engine holds for a job, until it is known to have heard."""
+    def _probe_path(self) -> str:
         raise NotImplementedError
 
-    def _shut(self, engine: i.Engine) -> None:
-        """Closes the idle connections to an engine."""
+    def _probed(self, status: int, headers: dict[str, str], reply: bytes
+                ) -> tuple[i.Outcome, dict[str, float] | None]:
+        """Outcome and load report of a whole reply to a probe."""
+        raise NotImplementedError
+
+    def _hold(self, job: i.Job, engine: i.Engine) -> None:
+        """Asks for a place ahead of a job."""
+        raise NotImplementedError
+
+    def _release(self, job: i.Job) -> None:
+        """Lets go of all that is held for a job, until that is known to have been heard."""
         raise NotImplementedError
 
     def _ended_with(self, case: Case) -> dict[str, Any]:
@@ -254,22 +263,77 @@
             self.metrics.trip("moot")
             self.tell(i.Ended(trip, i.Outcome.MOOT, 0.0, case is None or bool(case.answered)))
             return
-        if case.place not in (None, trip.engine) and not trip.reading:
-            self._let_go(case, case.place)           # a send to another writer gives the place up
-        case.out[trip] = self._carry(case, trip, min(action.time_out, left) if action.time_out else left)
+        if trip.engine not in self.pools:
+            raise LookupError(f"the module sends to an engine without an address: {trip.engine.id!r}")
+        time_out = min(action.time_out, left) if action.time_out else left
+        case.out[trip] = self._carry(case, trip, self.pools[trip.engine], time_out)
         self.metrics.trip("read" if trip.reading else "write")
 
-    def _release(self, job: i.Job) -> None:
-        case = self.cases.get(job)
-        if case is None:
-            return
-        case.state = None
-        for engine in list(case.held):
-            self._let_go(case, engine)
-
-    def _let_go(self, case: Case, engine: i.Engine) -> None:
-        case.held.pop(engine, None)
-        if case.place is engine:
-            case.place = None
-        self._call_release(case, engine)
-        self.metrics.release()
+    # Small calls.
+
+    def _small(self, engine: i.Engine, method: str, path: str, body: bytes, on_end: client.OnEnd
+               ) -> Callable[[], None]:
+        """A call beside the jobs, with its own time-out; gives what ends it without a word.  One to an engine
+        never listed is unreachable."""
+        time_out, bound, headers = self._small_bounds()
+        call: client.Call | None = None
+
+        def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
+            if timer.active():
+                timer.cancel()
+            on_end(status, headers, reply, trouble)
+
+        def late() -> None:
+            drop()
+            on_end(0, {}, b"", None)
+
+        def drop() -> None:
+            if timer.active():
+                timer.cancel()
+            if call is not None:
+                call.abandon()
+
+        if engine in self.pools:
+            timer = self.reactor.callLater(time_out / 1000, late)
+            call = self.pools[engine].call(method, path, client.Whole(bound, ended), headers, body)
+        else:
+            timer = self.reactor.callLater(0, on_end, 0, {}, b"", client.Unsent("no address is known"))
+        return drop
+
+    def probe(self, engine: i.Engine, tell: Callable[[i.Event], None]) -> None:
+        """Asks an engine how it does; `tell` gets the answer."""
+        sent = clock.now()
+
+        def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
+            report = None
+            if trouble is not None:
+                outcome = outcome_of(trouble)
+            elif not status:
+                outcome = i.Outcome.TIMED_OUT
+            else:
+                outcome, report = self._probed(status, headers, reply)
+            self.metrics.probe(outcome.value)
+            tell(i.Probed(engine, outcome, clock.now() - sent, report))
+
+        self._small(engine, "GET", self._probe_path(), b"", ended)
+
+    # The fleet.
+
+    def _shut(self, engine: i.Engine) -> None:
+        """Closes the idle connections to an engine."""
+        if engine in self.pools:
+            self.pools[engine].close()
+
+    def listed(self, event: i.Listed) -> None:
+        for entry in event.entries:
+            if entry.state == "gone":
+                self._shut(entry.engine)
+        self._tell_list(event)
+
+    def _tell_list(self, event: i.Listed) -> None:
+        self.tell(event)
+
+    def moved(self, engine: i.Engine, host: str, port: int) -> None:
+        """An engine has a new address: trips that are out go on where they are."""
+        self._shut(engine)
+        self.pools[engine] = self._pool(host, port)
--- a/worksmux/front/published.py
+++ b/worksmux/front/published.py
@@ -2,18 +2,16 @@
 and the small calls beside them."""
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 from .. import interface as i
 from ..api import chat
 from ..api import engine as calls
 from ..door import Door
-from ..net import client, clock
+from ..net import client
 from ..net.loop import Reactor
 from ..settings.front import FrontSettings
 from . import carriers
-from .carriage import outcome_of
 from .case import Case, Client
 from .core import Core
 from .metrics import Metrics
@@ -28,7 +26,6 @@
         super().__init__(door, reactor, metrics)
         self.settings = settings
         self.name = name                             # of this front and this start of it
-        self.pools: dict[i.Engine, client.Pool] = {}
         self.lanes: list[Any] = []                   # of one-stage calls, set by who builds both
 
     def arrived(self, asked: chat.Asked, client_side: Client, arrived: float) -> Case:
@@ -57,13 +54,12 @@
 
     # Trips.
 
-    def _carry(self, case: Case, trip: i.Trip, time_out: float) -> carriers.Carrier:
-        if trip.engine not in self.pools:
-            raise LookupError(f"the module sends to an engine without an address: {trip.engine.id!r}")
+    def _carry(self, case: Case, trip: i.Trip, pool: client.Pool, time_out: float) -> carriers.Carrier:
+        if case.place is not None and case.place is not trip.engine and not trip.reading:
+            self._let_go(case, case.place)           # a send to another writer gives the place up
         transport, asked = self.settings.transport, case.asked
         make = carriers.Reading if trip.reading else carriers.Writing
-        carrier = make(self.reactor, self.pools[trip.engine], trip, self, time_out, transport.stream_silence,
-                       transport.reply)
+        carrier = make(self.reactor, pool, trip, self, time_out, transport.stream_silence, transport.reply)
         headers = [("Content-Type", "application/json"), (chat.REQUEST_ID, f"{case.key}.{trip.number}"),
                    (calls.JOB, case.key), (calls.FRONT, self.settings.name), (chat.LABEL, asked.label)]
         if asked.exact:
@@ -76,47 +72,19 @@
 
     # Small calls.
 
-    def _small(self, engine: i.Engine, method: str, path: str, body: bytes, on_end: client.OnEnd) -> None:
-        """A call beside the jobs, with its own time-out; one to an engine never listed is unreachable."""
-        pool = self.pools.get(engine)
-        if pool is None:
-            on_end(0, {}, b"", client.Unsent("no address is known"))
-            return
-        call: client.Call | None = None
-        timer: Any = None
-
-        def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
-            if timer.active():
-                timer.cancel()
-            on_end(status, headers, reply, trouble)
+    def _small_bounds(self) -> tuple[float, int, client.Headers]:
+        transport = self.settings.transport
+        return transport.call_time_out, transport.reply, [
+            ("Content-Type", "application/json"), (calls.FRONT, self.settings.name)]
 
-        def late() -> None:
-            if call is not None:
-                call.abandon()
-            on_end(0, {}, b"", None)
+    def _probe_path(self) -> str:
+        return calls.PROBE
 
-        timer = self.reactor.callLater(self.settings.transport.call_time_out / 1000, late)
-        call = pool.call(method, path, client.Whole(self.settings.transport.reply, ended),
-                         [("Content-Type", "application/json"), (calls.FRONT, self.settings.name)], body)
-
-    def probe(self, engine: i.Engine, tell: Callable[[i.Event], None]) -> None:
-        """Asks an engine how it does; `tell` gets the answer."""
-        sent = clock.now()
-
-        def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
-            report = None
-            if trouble is not None:
-                outcome = outcome_of(trouble)
-            elif not status:
-                outcome = i.Outcome.TIMED_OUT
-            elif status != 200:
-                outcome = carriers.refusal(status, reply)[0]
-            else:
-                outcome, report = i.Outcome.DELIVERED, calls.load_report(headers.get(calls.LOAD))
-            self.metrics.probe(outcome.value)
-            tell(i.Probed(engine, outcome, clock.now() - sent, report))
-
-        self._small(engine, "GET", calls.PROBE, b"", ended)
+    def _probed(self, status: int, headers: dict[str, str], reply: bytes
+                ) -> tuple[i.Outcome, dict[str, float] | None]:
+        if status != 200:
+            return carriers.refusal(status, reply)[0], None
+        return i.Outcome.DELIVERED, calls.load_report(headers.get(calls.LOAD))
 
     def _hold(self, job: i.Job, engine: i.Engine) -> None:
         case = self.cases.get(job)
@@ -127,7 +95,7 @@
         if reading is not None and reading.engine in self.pools:
             pool = self.pools[reading.engine]
             reader = chat.KvParams(reading.engine.id.decode(), pool.host, pool.port, [], case.key)
-        if case.place not in (None, engine):
+        if case.place is not None and case.place is not engine:
             self._let_go(case, case.place)
         case.place = engine
         case.held[engine] = None
@@ -149,8 +117,20 @@
         body = chat.ENCODE.encode(calls.Place(case.key, job.prompt, reader))
         self._small(engine, "POST", calls.PLACE, body, ended)
 
-    def _call_release(self, case: Case, engine: i.Engine) -> None:
+    def _release(self, job: i.Job) -> None:
+        case = self.cases.get(job)
+        if case is None:
+            return
+        case.state = None
+        for engine in list(case.held):
+            self._let_go(case, engine)
+
+    def _let_go(self, case: Case, engine: i.Engine) -> None:
+        case.held.pop(engine, None)
+        if case.place is engine:
+            case.place = None
         self._release_until(engine, chat.ENCODE.encode(calls.Release(case.key)), 1)
+        self.metrics.release()
 
     def _release_until(self, engine: i.Engine, body: bytes, tries: int) -> None:
         """Guards against a release that gets lost, which would leave state pinned: it is harmless to
@@ -165,14 +145,7 @@
 
     # The fleet.
 
-    def _shut(self, engine: i.Engine) -> None:
-        if engine in self.pools:
-            self.pools[engine].close()
-
-    def listed(self, event: i.Listed) -> None:
-        for entry in event.entries:
-            if entry.state == "gone" and entry.engine in self.pools:
-                self.pools[entry.engine].close()
+    def _tell_list(self, event: i.Listed) -> None:
         self.tell(self._of("chat", event))
         for lane in self.lanes:
             lane.tell(self._of(lane.settings.call, event))
@@ -182,10 +155,7 @@
         kinds = self.settings.kinds
         return i.Listed(event.scope, [entry for entry in event.entries if kinds[entry.kind].call == call])
 
-    def moved(self, engine: i.Engine, host: str, port: int) -> None:
-        """An engine has a new address: trips that are out go on where they are."""
-        old, bounds = self.pools.get(engine), self.settings.transport
-        self.pools[engine] = client.Pool(self.reactor, host, port, bounds.connect_time_out, bounds.keep_alive,
-                                         bounds.idle_connections, bounds.head)
-        if old:
-            old.close()
+    def _pool(self, host: str, port: int) -> client.Pool:
+        bounds = self.settings.transport
+        return client.Pool(self.reactor, host, port, bounds.connect_time_out, bounds.keep_alive,
+                           bounds.idle_connections, bounds.head)
--- a/worksmux/front/serve.py
+++ b/worksmux/front/serve.py
@@ -1,9 +1,7 @@
 """Builds a front from its settings and runs it: sockets, signals, an orderly end."""
 from __future__ import annotations
 
-import os
 import secrets
-import signal
 from collections.abc import Callable
 from typing import Any
 
@@ -13,7 +11,6 @@
 from ..api import chat
 from ..baselines import POLICIES
 from ..door import Door, Maker
-from ..net import clock
 from ..net.loop import Reactor, listen, the_reactor
 from ..net.server import Exchange, Server
 from ..settings.document import SettingsError
@@ -28,11 +25,11 @@
 from .memory import Memory
 from .logbook import Writer, set_up
 from .metrics import Metrics
+from .process import let_out, run_reactor
 from .vectors import VectorSide
 from .watchman import Watchman
 
 LOG = structlog.get_logger()
-FLUSH, LOOK = 1000.0, 5.0             # milliseconds that the last answers have to get out, and between looks
 
 
 def vocabularies(settings: FrontSettings) -> list[Vocabulary]:
@@ -174,13 +171,9 @@
             )
         for channel in list(self.client_server.channels):
             channel.transport.loseConnection()       # once what was written is out
-        self._last(clock.now() + FLUSH)
+        let_out(self.reactor, lambda: self.client_server.channels, self._over)
 
-    def _last(self, until: float) -> None:
-        """Guards against an end that cuts off the last answers, which still wait to be written."""
-        if self.client_server.channels and clock.now() < until:
-            self.reactor.callLater(LOOK / 1000, self._last, until)
-            return
+    def _over(self) -> None:
         self.close()
         self.on_end()
 
@@ -277,24 +270,8 @@
         status = 1
         reactor.callLater(0.2, reactor.stop)         # a moment for the last answers to leave
 
-    def end() -> None:
-        reactor.stop()
-
-    front.on_end = end
+    front.on_end = reactor.stop
     front.core.on_fault = fault
-
-    def signals() -> None:
-        signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(front.stop))
-        signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(front.stop))
-        signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(front.reload, path))
-
-    reactor.callLater(0, signals)                    # after Twisted's own
-    try:
-        front.start()
-    except Exception as error:
-        LOG.error("cannot listen", why=str(error), pid=os.getpid())
-        writer.close()
+    if not run_reactor(reactor, writer, front.start, front.stop, lambda: front.reload(path)):
         return 1
-    reactor.run()
-    writer.close()
     return status
--- a/worksmux/membership/keys.py
+++ b/worksmux/membership/keys.py
@@ -1,4 +1,4 @@
-"""By which number an engine with a speaking name is hashed."""
+"""By which number an engine, or anything else with a speaking name, is hashed."""
 from __future__ import annotations
 
 import xxhash
--- a/worksmux/net/client.py
+++ b/worksmux/net/client.py
@@ -223,7 +223,7 @@
         )
         self._left = int(length or 0) if not bare and coding is None else 0
         self.receiver.head(self._status, headers)
-        if not self.receiver:                    # its receiver gave the call up
+        if self.receiver is None:                    # its receiver gave the call up
             return
         if self._at == "body" and not self._left:
             self._finish()
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -256,12 +256,15 @@
         self._look, now = None, clock.now()
         for channel in list(self.channels):
             since = now - channel.since
-            if channel.busy or channel.spoilt:
-                if channel.spoilt and since > 2 * self.patience:
+            if channel.spoilt:
+                if since > 2 * self.patience:
                     channel.transport.abortConnection()
-            elif channel.receiving and since > self.patience * (1 - 1 / LOOKS):
-                channel.refuse(b"408 Request Timeout")
-            elif not channel.receiving and since > self.keep_alive:
+            elif channel.busy:
+                continue
+            elif channel.receiving:
+                if since > self.patience * (1 - 1 / LOOKS):
+                    channel.refuse(b"408 Request Timeout")
+            elif since > self.keep_alive:
                 channel.transport.loseConnection()
         if self.channels:
             self._look_later()
--- a/worksmux/node/clients.py
+++ b/worksmux/node/clients.py
@@ -1,48 +1,23 @@
 """The clients' side of a node: heads checked, streams passed on unchanged, one answer to each job."""
 from __future__ import annotations
 
-import msgspec
-
-from ..front.case import Case
+from ..api import errors
+from ..front.streams import StreamSide
 from ..net import clock
 from ..net.server import Exchange
 from . import protocol
 from .core import NodeCore
 
 DEFERRED, BROKEN_OFF, TIMED_OUT = 503, 502, 504
-MARGIN = 10.0            # milliseconds off a client's time for both ways; 99 of 100 took under 6 on the bench
-
-
-def problem(message: str) -> bytes:
-    return msgspec.json.encode({"error": {"message": message}})
 
 
-class StreamClient:
+class StreamClient(StreamSide):
     """One client's job; see `case.Client`."""
 
-    def __init__(self, exchange: Exchange) -> None:
-        self.exchange = exchange
-        self.begun = False
-        self.case: Case | None = None
-
     def text(self, content: bytes) -> None:
-        if not self.begun:
-            self.begun = True
-            self.exchange.begin("text/event-stream")
-            self._link()
+        self._begin()
         self.exchange.more(content)
 
-    def _link(self) -> None:
-        """A client that reads slowly slows its engine down, instead of filling this process."""
-        if self.case is not None and not self.exchange.over:
-            for trip, carrier in self.case.out.items():
-                if trip.began:
-                    self.exchange.registerProducer(carrier, True)
-
-    def _unlink(self) -> None:
-        if not self.exchange.over:
-            self.exchange.unregisterProducer()
-
     def delivered(self, *result: object) -> None:
         self._unlink()
         self.exchange.end()
@@ -59,25 +34,24 @@
             self._unlink()
             self.exchange.cut()                      # without the last chunk
         else:
-            self.exchange.answer(status, problem(message), headers=headers)
+            self.exchange.answer(status, errors.error(message, "server_error"), headers=headers)
 
 
 class NodeClients:
-    """Takes the calls of clients; `ready` says whether the node can serve."""
+    """Takes the calls of clients; `ready` says whether new ones should come."""
 
     def __init__(self, core: NodeCore) -> None:
         self.core = core
         self.offerings = {name: at for at, name in enumerate(core.offerings)}
-        self.stopping = False
         self.ready = False
 
     def __call__(self, exchange: Exchange) -> None:
-        path, _, query = exchange.uri.decode("latin-1").partition("?")
+        path = exchange.uri.decode("latin-1").partition("?")[0]
         if path == protocol.CHAT and exchange.method == b"POST":
             self._chat(exchange)
         elif path == protocol.READY and exchange.method in (b"GET", b"HEAD"):
-            serving = self.ready and not self.stopping
-            exchange.answer(200 if serving else 503, b"serving\n" if serving else b"stopping\n", "text/plain")
+            status, text = (200, b"serving\n") if self.ready else (503, b"stopping\n")
+            exchange.answer(status, text, "text/plain")
         elif path in (protocol.CHAT, protocol.READY):
             self._no(exchange, 405, "another method was expected")
         else:
@@ -87,7 +61,7 @@
         """An error for what is no job; its connection is not trusted further."""
         self.core.metrics.turned_away(str(status))
         exchange.last()
-        exchange.answer(status, problem(message))
+        exchange.answer(status, errors.error(message, "invalid_request_error"))
 
     def _chat(self, exchange: Exchange) -> None:
         try:
@@ -101,5 +75,5 @@
         if len(self.core.cases) >= self.core.share.jobs:
             self.core.metrics.turned_away("too many open")
             return side.deferred(0.0)
-        case = side.case = self.core.arrived(asked, side, clock.now() - MARGIN)
+        case = side.case = self.core.arrived(asked, side, clock.now())
         exchange.on_gone = lambda: self.core.left(case)
--- a/worksmux/node/config.py
+++ b/worksmux/node/config.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..interface import Settings
+from ..settings import units
 from ..settings.told import Place, Untold, settings_from
 from .listing import HostList
 
@@ -16,7 +17,6 @@
 FILE, NAME, LISTEN, DISCOVERY = "LB_CONFIG", "LB_NAME", "LB_LISTEN", "LB_DISCOVERY"
 
 
-
 class BadConfig(Exception):
     """One line: the file or variable, the place in it, and what was expected."""
 
@@ -66,10 +66,10 @@
     """
     if not text:
         raise BadConfig(f"{place}: an address host:port was expected, it is missing")
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not (port.isascii() and port.isdigit()) or not 0 <= int(port) < 2**16:
-        raise BadConfig(f"{place}: an address host:port was expected, found {text[:60]}")
-    return host, int(port)
+    try:
+        return units.address(text)
+    except ValueError:
+        raise BadConfig(f"{place}: an address host:port was expected, found {text[:60]}") from None
 
 
 def _seed(told: str | int, place: str) -> int:
@@ -88,9 +88,7 @@
         offerings = [Place(one, f"$.settings.services[{at}]").text("name")
                      for at, one in enumerate(told.settings["services"])]
         kinds, zones = root.texts("kinds"), root.texts("zones")
-    except Untold as error:
-        raise BadConfig(f"{place}: {error}") from None
-    except msgspec.ValidationError as error:         # it names the place itself
+    except (Untold, msgspec.ValidationError) as error:       # they name the place themselves
         raise BadConfig(f"{place}: {error}") from None
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise BadConfig(f"{place}: {len(data)} bytes: whole JSON was expected: {error}") from None
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -1,11 +1,8 @@
 """The life of jobs on the platform's protocol: trips to engines, releases and probes."""
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from .. import interface as i
 from ..door import Door
-from ..front.carriage import outcome_of
 from ..front.case import Case, Client
 from ..front.core import Core
 from ..net import client, clock
@@ -22,7 +19,8 @@
 # Each call opens a connection of its own.  On a day when engines closed or reset connections that they had
 # kept, 50 of 70 broken trips were on reused ones, idle for as little as 11 ms; a broken trip may have run,
 # while a connection that can't be opened proves that it has not.  Opening one costs an engine 2 ms at most.
-MOST_IDLE, IDLE_TIME = 0, 1000.0
+MOST_IDLE = 0
+MARGIN = 10.0                        # off a client's time for both ways; 99 of 100 took under 6 on the bench
 SETTLING = 20.0                      # for the close of a trip's connection to be seen, before a deferral is
 
 
@@ -34,7 +32,6 @@
         super().__init__(door, reactor, counts)
         self.offerings = offerings
         self.share = share
-        self.pools: dict[i.Engine, client.Pool] = {}
         self.keys: dict[str, Case] = {}              # of the jobs that are open
         self.releases = Releases(reactor, self._small, self._other, float(door.settings["release_within"]))
         self._letting_go: list[Case] = []
@@ -43,7 +40,7 @@
         """A job that came at `arrived` is told to the module; from here on it is owed one answer."""
         self.number += 1
         job = i.Job(self.number, asked.offering, asked.session, asked.prefix, asked.prompt,
-                    asked.prefix_tokens, asked.most, arrived, arrived + asked.time_left,
+                    asked.prefix_tokens, asked.most, arrived, arrived + max(0.0, asked.time_left - MARGIN),
                     repeat=asked.repeat, resumed=asked.resumed)
         case = Case(job, asked, client_side, asked.key, self.offerings[asked.offering])
         self.keys[case.key] = case
@@ -91,11 +88,9 @@
 
     # Trips.
 
-    def _carry(self, case: Case, trip: i.Trip, time_out: float) -> Trip:
-        if trip.engine not in self.pools:
-            raise LookupError(f"the module sends to an engine without an address: {trip.engine.id!r}")
+    def _carry(self, case: Case, trip: i.Trip, pool: client.Pool, time_out: float) -> Trip:
         make = Reading if trip.reading else Writing
-        carrier = make(self.reactor, self.pools[trip.engine], trip, self, time_out, SILENCE, BODY)
+        carrier = make(self.reactor, pool, trip, self, time_out, SILENCE, BODY)
         self.releases.stop(case)
         carrier.fields = self.module_settings["report_fields"]
         carrier.send(case.asked, time_out)
@@ -103,84 +98,32 @@
 
     # Small calls.
 
-    def _small(self, engine: i.Engine, method: str, path: str, on_end: client.OnEnd) -> Callable[[], None]:
-        """A call beside the jobs, with its own time-out, and what ends it without a word; one to an engine
-        never listed is unreachable."""
-        pool = self.pools.get(engine)
-        call: client.Call | None = None
-
-        def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
-            if timer.active():
-                timer.cancel()
-            on_end(status, headers, reply, trouble)
-
-        def late() -> None:
-            drop()
-            on_end(0, {}, b"", None)
-
-        def drop() -> None:
-            if timer.active():
-                timer.cancel()
-            if call is not None:
-                call.abandon()
-
-        if pool is None:
-            timer = self.reactor.callLater(0, on_end, 0, {}, b"", client.Unsent("no address is known"))
-        else:
-            timer = self.reactor.callLater(self.module_settings["connect_time_out"] / 1000, late)
-            call = pool.call(method, path, client.Whole(BODY, ended))
-        return drop
+    def _small_bounds(self) -> tuple[float, int, client.Headers]:
+        return self.module_settings["connect_time_out"], BODY, ()
 
     def _other(self, known: set[i.Engine]) -> i.Engine | None:
         """The engine heard last that is ready and not among those known."""
         able = [engine for engine in self.pools if engine.state == "ready" and engine not in known]
         return max(able, key=lambda engine: self.pools[engine].heard, default=None)
 
-    def probe(self, engine: i.Engine, tell: Callable[[i.Event], None]) -> None:
-        reports = self.module_settings["reports"] != "off"
-        sent = clock.now()
-
-        def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
-            report = None
-            if trouble is not None:
-                outcome = outcome_of(trouble)
-            elif not status:
-                outcome = i.Outcome.TIMED_OUT
-            elif status == 200:
-                fields = self.module_settings["report_fields"]
-                outcome = i.Outcome.DELIVERED
-                report = protocol.load_report(
-                    headers.get(protocol.LOAD) or reply[:1000].decode("latin-1"), fields)
-            else:
-                outcome = protocol.refusal(status, headers)[0]
-            self.metrics.probe(outcome.value)
-            tell(i.Probed(engine, outcome, clock.now() - sent, report))
-
-        self._small(engine, "GET", protocol.LOAD_PATH if reports else protocol.ALIVE, ended)
+    def _probe_path(self) -> str:
+        return protocol.ALIVE if self.module_settings["reports"] == "off" else protocol.LOAD_PATH
+
+    def _probed(self, status: int, headers: dict[str, str], reply: bytes
+                ) -> tuple[i.Outcome, dict[str, float] | None]:
+        if status != 200:
+            return protocol.refusal(status, headers)[0], None
+        text = headers.get(protocol.LOAD) or reply[:1000].decode("latin-1")
+        return i.Outcome.DELIVERED, protocol.load_report(text, self.module_settings["report_fields"])
 
     def _hold(self, job: i.Job, engine: i.Engine) -> None:
         raise LookupError("the platform's protocol has no places held ahead")
 
     # The fleet.
 
-    def _shut(self, engine: i.Engine) -> None:
-        if engine in self.pools:
-            self.pools[engine].close()
-
-    def listed(self, event: i.Listed) -> None:
-        for entry in event.entries:
-            if entry.state == "gone" and entry.engine in self.pools:
-                self.pools[entry.engine].close()
-        self.tell(event)
-
-    def moved(self, engine: i.Engine, host: str, port: int) -> None:
-        """An engine has a new address: trips that are out go on where they are."""
-        old = self.pools.get(engine)
-        self.pools[engine] = client.Pool(
-            self.reactor, host, port, self.module_settings["connect_time_out"], IDLE_TIME,
-            MOST_IDLE, HEAD, BODY, HOST)
-        if old:
-            old.close()
+    def _pool(self, host: str, port: int) -> client.Pool:
+        return client.Pool(self.reactor, host, port, self.module_settings["connect_time_out"], 0.0, MOST_IDLE,
+                           HEAD, BODY, HOST)
 
     def forget_gone(self) -> list[i.Engine]:
         """Guards against a fleet that is replaced all day; gives the engines forgotten."""
--- a/worksmux/node/discovery.py
+++ b/worksmux/node/discovery.py
@@ -29,14 +29,12 @@
     def __init__(self, discovery: Discovery) -> None:
         self.discovery = discovery
         self.rest = b""
-        self.status = 0
         self.call: client.Call | None = None
         self.over = False
 
     def head(self, status: int, headers: dict[str, str]) -> None:
-        self.status = status
         if status != 200:
-            self._end(f"status {status}")
+            self.end(f"status {status}")
 
     def piece(self, data: bytes) -> None:
         *lines, self.rest = (self.rest + data).split(b"\n")
@@ -44,22 +42,21 @@
             if not self.over:
                 self.discovery.line(self, line)
         if len(self.rest) > LINE:
-            self._end("a line is too long")
+            self.end("a line is too long")
 
     def done(self) -> None:
-        self._end("it ended")
+        self.end("it ended")
 
     def failed(self, trouble: client.Trouble) -> None:
-        self._end(str(trouble))
+        self.end(str(trouble))
 
-    def _end(self, why: str) -> None:
+    def end(self, why: str) -> None:
         if not self.over:
-            self.over = True
-            if self.call is not None:
-                self.call.abandon()
+            self.close()
             self.discovery.lost(self, why)
 
     def close(self) -> None:
+        """Ends it without a word."""
         self.over = True
         if self.call is not None:
             self.call.abandon()
@@ -136,8 +133,7 @@
         now = clock.now()
         for watching, since in ((self.watching, self.heard), (self.coming, self.asked)):
             if watching is not None and now - since > SILENCE * BEAT:
-                watching.close()
-                self.lost(watching, "silent")
+                watching.end("silent")
         self.look = self.reactor.callLater(BEAT / 8000, self._listen)
 
     def lost(self, watching: Watching, why: str) -> None:
@@ -166,9 +162,8 @@
             told = READ_HOSTS.decode(line)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             LOG.error("a line of discovery makes no sense; the watch is opened again", why=str(error))
-            watching.close()
             self.index = 0                           # the whole list is asked for
-            return self.lost(watching, "nonsense")
+            return watching.end("nonsense")
         self._take(told, "")
 
     def _take(self, told: HostList, scope: str) -> None:
--- a/worksmux/node/listing.py
+++ b/worksmux/node/listing.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..api.fleet import Line, Listing
+from ..settings import units
 
 STATES: dict[str, Literal["ready", "draining", "gone"]] = {
     "SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
@@ -41,12 +42,17 @@
     """
     lines, notes = [], []
     for one in told.endpoints:
-        host, _, port = one.address.rpartition(":")
         if one.status not in STATES:
             notes.append(f"engine {one.name}: unknown status {one.status[:40]}")
-        elif STATES[one.status] != "gone" and not (host and port.isascii() and port.isdigit()):
-            notes.append(f"engine {one.name}: no address host:port: {one.address[:60]}")
-        else:
-            lines.append(Line(one.name, host, int(port or 0), one.type, STATES[one.status], one.zone,
-                              one.group, one.weight, one.since_ms))
+            continue
+        state = STATES[one.status]
+        try:
+            host, port = units.address(one.address)
+        except ValueError:
+            if state != "gone":
+                notes.append(f"engine {one.name}: no address host:port: {one.address[:60]}")
+                continue
+            host, port = "", 0
+        lines.append(Line(one.name, host, port, one.type, state, one.zone, one.group, one.weight,
+                          one.since_ms))
     return Listing("full" if told.snapshot else "delta", told.index, previous, wall, lines), notes
--- a/worksmux/node/protocol.py
+++ b/worksmux/node/protocol.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 import msgspec
-import xxhash
 
 from .. import interface as i
+from ..membership.keys import key_of
 
 CHAT, READY, HOLDS, ALIVE, LOAD_PATH = "/v1/chat/completions", "/up", "/v1/holds/", "/alive", "/metrics/load"
 ID, OFFERING, SESSION, TIME_LEFT = "X-Request-ID", "X-Priority-Class", "X-Route-Key", "X-Timeout-Ms"
@@ -59,10 +59,14 @@
     >>> number_of("00000000000000ff"), number_of(""), number_of("a course") == number_of("a course")
     (255, 0, True)
     """
+    if not text:
+        return 0
     try:
-        return int(text, 16) % 2**64 if text and len(text) <= 16 else 0 if not text else int("", 16)
+        if len(text) <= 16:
+            return int(text, 16) % 2**64
     except ValueError:
-        return xxhash.xxh3_64_intdigest(text.encode())
+        pass
+    return key_of(text.encode())
 
 
 def whole_number(text: str | None, most: int) -> int | None:
@@ -152,27 +156,24 @@
     return i.Outcome.ERROR, 0
 
 
-class _Read(msgspec.Struct):
+class _Found(msgspec.Struct):
+    """What of a prompt was found kept."""
     cached_tokens: int = 0
 
 
-READ_READ = msgspec.json.Decoder(_Read)
+READ_FOUND = msgspec.json.Decoder(_Found)
 
 
 def cached_tokens(body: bytes) -> int:
     """Tokens found kept, by a reader's reply; 0 where it does not say."""
     try:
-        return max(0, READ_READ.decode(body).cached_tokens)
+        return max(0, READ_FOUND.decode(body).cached_tokens)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return 0
 
 
-class _Details(msgspec.Struct):
-    cached_tokens: int = 0
-
-
 class _Usage(msgspec.Struct):
-    prompt_tokens_details: _Details | None = None
+    prompt_tokens_details: _Found | None = None
 
 
 class _Chunk(msgspec.Struct):
@@ -207,8 +208,8 @@
         self._rest = b""
 
     def feed(self, data: bytes) -> bytes:
-        """The whole events so far that were not given before.  Raises Spoilt with `good`, what came whole
-        before the fault."""
+        """The whole events so far that were not given before.  Raises Spoilt with what came whole before the
+        fault as its second argument."""
         *events, self._rest = (self._rest + data).split(b"\n\n")
         good: list[bytes] = []
         for event in events:
--- a/worksmux/node/releases.py
+++ b/worksmux/node/releases.py
@@ -21,7 +21,7 @@
 class Calls(Protocol):
     """Sends one small call; what it returns ends it without a word."""
 
-    def __call__(self, engine: i.Engine, method: str, path: str, on_end: client.OnEnd, /
+    def __call__(self, engine: i.Engine, method: str, path: str, body: bytes, on_end: client.OnEnd, /
                  ) -> Callable[[], None]: ...
 
 
@@ -64,7 +64,7 @@
             if not self.engines and not self.out:
                 self.stop()
 
-        self.out[engine] = self.releases.call(engine, "DELETE", self.path, ended)
+        self.out[engine] = self.releases.call(engine, "DELETE", self.path, b"", ended)
 
     def _missed(self, engine: i.Engine, tries: int) -> None:
         if not tries:
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -11,7 +11,7 @@
 
 from ..door import Door
 from ..front.logbook import set_up
-from ..net import clock
+from ..front.process import let_out, run_reactor
 from ..net.loop import Reactor, listen, the_reactor
 from ..net.server import Server
 from .clients import NodeClients
@@ -26,7 +26,6 @@
 IDLE = 2000.0            # a client's connection without an open job, milliseconds
 PATIENCE = 2600.0        # for a request to come whole: who sends none is owed an end within 3 s
 ACCEPTING = 700.0        # after SIGTERM: connections may still come
-FLUSH, LOOK = 1000.0, 5.0            # that the last answers have to get out, and between looks
 TELL = 1000.0            # between two lines of counts
 
 
@@ -58,7 +57,8 @@
         self.discovery.start()
         self._tell_counts()
         self.clients.ready = True
-        LOG.info("serving", port=self.port, cores=self.config.cores, sockets=self.config.sockets)
+        LOG.info("serving", port=self.port, cores=self.config.cores, sockets=self.config.sockets,
+                 memory=round(self.config.memory))
 
     def _tell_counts(self) -> None:
         if counts := self.counts.take():
@@ -84,7 +84,7 @@
     def stop(self) -> None:
         if self.stopping:
             return
-        self.stopping = self.clients.stopping = True
+        self.stopping, self.clients.ready = True, False
         LOG.info("stopping", open=len(self.core.cases))
         self.server.close_idle()
         self.reactor.callLater(ACCEPTING / 1000, self._accepted)
@@ -99,13 +99,9 @@
     def _emptied(self) -> None:
         if self.stopping and not self.accepting and not self.core.cases and not self.ended:
             self.ended = True
-            self._last(clock.now() + FLUSH)
+            let_out(self.reactor, lambda: self.server.channels or self.core.releases.running, self._over)
 
-    def _last(self, until: float) -> None:
-        """Guards against an end that cuts off the last answers and releases."""
-        if (self.server.channels or self.core.releases.running) and clock.now() < until:
-            self.reactor.callLater(LOOK / 1000, self._last, until)
-            return
+    def _over(self) -> None:
         self.close()
         self.on_end()
 
@@ -134,19 +130,5 @@
     writer = set_up("json", "info", node=config.name)
     node = Node(config, reactor)
     node.on_end = reactor.stop
-
-    def signals() -> None:
-        signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(node.stop))
-        signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(node.stop))
-        signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reload, variables))
-
-    reactor.callLater(0, signals)                    # after Twisted's own
-    try:
-        node.start()
-    except Exception as error:
-        LOG.error("cannot start", why=str(error))
-        writer.close()
-        return 1
-    reactor.run()
-    writer.close()
-    return 0
+    started = run_reactor(reactor, writer, node.start, node.stop, lambda: node.reload(variables))
+    return int(not started)
--- a/worksmux/node/trips.py
+++ b/worksmux/node/trips.py
@@ -38,17 +38,8 @@
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
         self.stream = protocol.Stream(self.bound)
-        self.streaming = False
 
-    def head(self, status: int, headers: dict[str, str]) -> None:
-        super().head(status, headers)
-        self.streaming = status == 200 and headers.get("content-type", "").startswith("text/event-stream")
-
-    def piece(self, data: bytes) -> None:
-        if self.over:                                # after its end: no harm to the trip
-            return
-        if not self.streaming:
-            return super().piece(data)
+    def _stream(self, data: bytes) -> None:
         try:
             self._whole(self.stream.feed(data))
         except protocol.Spoilt as fault:
@@ -59,11 +50,7 @@
         if events and not self.over:
             self._pass_on(events)
 
-    def done(self) -> None:
-        if self.over:
-            return
-        if not self.streaming:
-            return super().done()
+    def _stream_over(self) -> None:
         if self.last and not self.stream.cut and self.headers.get("transfer-encoding"):
             self._end(i.Outcome.DELIVERED, self.stream.cached, ())
         else:
--- a/worksmux/settings/units.py
+++ b/worksmux/settings/units.py
@@ -37,7 +37,7 @@
 
 
 def address(text: object) -> tuple[str, int]:
-    """A loopback host and port such as "127.0.0.1:8080"; port 0 lets the system choose.
+    """A host and port such as "127.0.0.1:8080"; port 0 lets the system choose.
 
     >>> address("127.0.0.1:0")
     ('127.0.0.1', 0)
