--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -56,6 +56,7 @@
         self.streams = Ring(4 * MARK, BUCKETS)       # our own jobs at writers, seen at each placement
         self.per_token = Ring(MEMORY, BUCKETS)       # reading time for a token of the prompt
         self.first = Ring(MEMORY, BUCKETS)           # time to a first token
+        self.lines = Ring(MEMORY, BUCKETS)           # time that prompts waited to be read
         self.fates = [Ring(MEMORY, BUCKETS) for _ in self.offerings]     # 1 for each fault, else 0
         self._index()
 
@@ -251,8 +252,11 @@
         return max([0.0, *(self.now - trip.sent - self._reads(trip) for trip in engine.unanswered[:1])])
 
     def _patience(self, engine: Engine) -> float:
-        waits = 0.0 if engine.role == "read" else SLOWNESS * self.first.mean(self.now)    # slow for all alike
-        return UNHEARD * self.quickest + waits + sum(self._reads(trip) for trip in engine.unanswered)
+        """Guards against what is slow for all alike: hundreds of fronts that call off what waits in a line,
+        and send it to the end of another, lengthen every line."""
+        waits = self.lines if engine.role == "read" else self.first
+        return (UNHEARD * self.quickest + SLOWNESS * waits.mean(self.now)
+                + sum(self._reads(trip) for trip in engine.unanswered))
 
     def _probed(self, engine: Engine, outcome: Outcome) -> None:
         engine.suspected = False
@@ -391,6 +395,7 @@
         trip, engine, outcome = event.trip, event.trip.engine, event.outcome
         offering = trip.job.offering
         if outcome is Outcome.READ:
+            self.lines.add(self.now, max(0.0, event.elapsed - self._reads(trip)))
             self.per_token.add(self.now, event.elapsed, max(1.0, trip.work))
             self._praise(trip)
         elif outcome is Outcome.DELIVERED:
