--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -181,6 +181,37 @@
     assert jobs[2].writer is cold and cold.credit < 0.1
 
 
+def cold_readers(seed=1):
+    """A front with one warm reader and four cold ones."""
+    front, engines = fleet((1, 0, 0), *[(0, 0, 0)] * 5, seed=seed)
+    front.decide(NOW, [i.Listed("delta", [i.Entry(engine, "ready", NOW - 1, 0, 0, 0, 1.0)
+                                          for engine in engines[2:]])])
+    return front, engines
+
+
+def test_cold_readers_earn_their_jobs_together():
+    # Guards against budgets that hundreds of fronts hold and never spend: each waited for a job that the hash
+    # sends to the very engine that had earned it, while the few warm readers were sent all.
+    front, (_, warm, *cold) = cold_readers()
+    front.read_credit = 0.0
+    sent = []
+    for number in range(1, 41):
+        one = job(number, now=NOW + 100 * number)
+        front.decide(one.arrived, [i.Arrived(one)])
+        sent.append(one.trips[0].engine)
+        ended(front, one.trips[0], i.Outcome.READ)
+        front.decide(one.arrived + 60, [i.Began(one.trips[1], 10.0)])
+        ended(front, one.trips[1], i.Outcome.DELIVERED, closed=True)
+    to_cold = sum(engine is not warm for engine in sent)
+    assert 12 <= to_cold <= 40 * 0.3 * 3.0 * 0.5 * 1.25 * 0.8 + 1      # the budget of four in five
+    assert len({engine for engine in sent if engine is not warm}) == len(cold)
+
+
+def test_fronts_without_history_do_not_all_send_to_cold_readers():
+    credits = [cold_readers(seed)[0].read_credit for seed in range(8)]
+    assert max(credits) < 1 and max(credits) - min(credits) > 0.3
+
+
 def test_fronts_without_history_do_not_all_send_to_a_cold_engine():
     credits = []
     for seed in range(8):
@@ -245,6 +276,24 @@
     assert not front._well(reader, 0)
 
 
+def test_read_is_left_in_its_line_where_all_readers_are_slow_alike():
+    # Guards against hundreds of fronts that call off what waits in a line and send it to the end of another.
+    front, (reader, _) = fleet(*PAIR)
+    front.lines.add(NOW, 400.0)
+    front.decide(NOW, [i.Arrived(job())])
+    assert kinds(front.decide(NOW + 700, [i.Probed(reader, i.Outcome.DELIVERED, 2.0)])) == []
+    assert kinds(front.decide(NOW + 2200, [i.Probed(reader, i.Outcome.DELIVERED, 2.0)])) == ["Cancel"]
+
+
+def test_reads_called_off_in_a_jam_count_as_waits():
+    # Guards against a jam that looks quick, since only the reads that got through showed their times.
+    front, (_, _) = fleet(*PAIR)
+    one = job()
+    front.decide(NOW, [i.Arrived(one)])
+    ended(front, one.trips[0], i.Outcome.CANCELLED, after=900.0)
+    assert front._late(job(2, now=NOW + 900)) and front.lines.mean(NOW + 900) == 900.0
+
+
 def test_job_whose_client_leaves_before_the_next_beat_is_answered_at_once():
     front, _ = fleet((0, 0, 0))
     assert kinds(front.decide(NOW, [i.Arrived(job(left=30.0))])) == ["Defer"]
--- a/worksmux/interface.py
+++ b/worksmux/interface.py
@@ -52,7 +52,7 @@
     salt: int = 0                    # the key, hashed
     part: float = 0.0                # of its role's size
     weight: float = 1.0              # among those that read
-    credit: float = 0.0              # while it is cold: jobs that it may be sent
+    credit: float = 0.0              # while it is cold: jobs that it may be sent, as a writer or mixed
     quiet_since: float = 0.0         # the first send since its last sign of life; 0: none is awaited
     unwell: dict[int, float] = field(default_factory=dict)    # by offering: set aside until then
     good: dict[int, float] = field(default_factory=dict)      # by offering: when it last served one
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -45,6 +45,8 @@
         self.quickest: float = min(offering["promised_time"] for offering in self.offerings)
         self.beat: float = max(settings["tick"], (settings["release_within"] or MARK) / BEATS)
         self.now, self.alarm_at, self.reckoned = 0.0, -inf, -inf
+        self.cold: list[Engine] = []
+        self.read_credit = 0.0                       # jobs that cold readers may be sent, earned together
         # Faults and ready engines, by role, at the last reckoning.
         self.shared: dict[str, tuple[float, int]] = defaultdict(lambda: (0.0, 0))
         self.actions: list[Action] = [Watch(True)] if settings["ask_for_list"] else []
@@ -169,7 +171,9 @@
         self.readers, self.writers, mixed = ([engine for engine in ready if engine.role == role]
                                              for role in ("read", "write", "both"))
         self.hosts, self.answering = self.readers + mixed, self.writers + mixed
-        self.cold = [engine for engine in ready if self._cold(engine)]
+        before, self.cold = self.cold, [engine for engine in ready if self._cold(engine)]
+        if not any(engine.role == "read" for engine in before):
+            self.read_credit = self.chance.share()
         reads: dict[int, float] = defaultdict(float)
         answers: dict[int, float] = defaultdict(float)
         for engines, parts in ((self.readers, reads), (self.writers, answers), (mixed, defaultdict(float))):
@@ -201,10 +205,15 @@
     def _earn(self, engines: list[Engine], part: float) -> None:
         """Guards against pushing a cold engine over: this front's part of its budget, in any window.
         Each serve at engines of its role, which no storm of retries can raise, earns it its even share, made
-        smaller; a job costs one. Fronts start at different parts of one: hundreds must not begin at once."""
+        smaller; a job costs one. Fronts start at different parts of one: hundreds must not begin at once.
+        Cold readers earn together: the hash spreads their jobs, and a front that meets its readers seldom
+        would wait for ever for a job that falls to the very one that has earned it."""
         budget = self.settings["cold_share"] * self.settings["fall_multiple"] * PRUDENCE * part
         for engine in engines:
-            engine.credit = min(1.0, engine.credit + budget * engine.part)
+            if engine.role == "read":
+                self.read_credit = min(1.0, self.read_credit + budget * engine.part)
+            else:
+                engine.credit = min(1.0, engine.credit + budget * engine.part)
 
     # How engines fare, judged from this front's own trips.
 
@@ -294,8 +303,9 @@
         return not on_trial
 
     def _usable(self, engine: Engine, job: Job) -> bool:
+        credit = self.read_credit if engine.role == "read" else engine.credit
         return (engine.skip_until <= self.now and self._well(engine, job.offering)
-                and (engine.credit >= 1.0 or engine not in self.cold or not self._cold(engine)))
+                and (credit >= 1.0 or engine not in self.cold or not self._cold(engine)))
 
     def _vouched(self, engine: Engine, offering: int) -> bool:
         return self.now - engine.good.get(offering, -inf) < MEMORY
@@ -394,9 +404,11 @@
     def _judge(self, event: Ended) -> None:
         trip, engine, outcome = event.trip, event.trip.engine, event.outcome
         offering = trip.job.offering
-        if outcome is Outcome.READ:
+        if trip.reading and outcome in (Outcome.READ, Outcome.CANCELLED, Outcome.TIMED_OUT):
+            # Guards against a jam that shows only the reads that got through: each that ends in vain counts.
             self.lines.add(self.now, max(0.0, event.elapsed - self._reads(trip)))
             self.per_token.add(self.now, event.elapsed, max(1.0, trip.work))
+        if outcome is Outcome.READ:
             self._praise(trip)
         elif outcome is Outcome.DELIVERED:
             engine.narrowed = max(0.0, engine.narrowed - 1.0)
@@ -546,7 +558,8 @@
         if reader is writer:
             self._send(job, writer, reading=False)
             return True
-        reader.credit -= 1.0
+        if self._cold(reader):
+            self.read_credit -= 1.0
         job.writer = writer
         writer.paired[job] = None
         self.out += 1
