A node listens only after discovery's first word, so no job goes by a list of an earlier life

Ruled out: a late reactor (lines of counts drift by 1 ms a second, none more), late lists (all 208 nodes hear each change within 36 ms), sends to an engine told draining (no trip left after its list line was heard; nearest 2 ms before it), the module (its list code was untouched). Lines at fault: node/serve.py, start, which listened before it asked discovery, and took jobs by the list in the configuration. Measured on the 146 restarts: 0 to 3 ms lie between that list (index 2, nobody leaving) and the watch's first line (index 3 or 4, 15 engines draining); the nearest job came 41 ms after the start. One front seldom meets it, 146 at once do. Change: discovery is asked first; the node listens with its first word, or after 250 ms where its agent says nothing. A log line tells each list.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -26,6 +26,7 @@
 from worksmux.net import clock
 from worksmux.node import config, protocol
 from worksmux.node.listing import Endpoint, HostList, listing
+from worksmux.node.serve import Node
 from worksmux.node.trips import Reading
 
 FULL = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -357,6 +358,30 @@
     rig.until(lambda: old.watches[0].ended and all(engine.state == "draining" for engine in states()))
 
 
+def test_no_job_is_taken_before_discoverys_first_word_is_heard() -> None:
+    """Guards against a job sent by the list of an earlier life to an engine that left meanwhile."""
+    rig = Rig()
+    leaving, staying = rig.engine("prefill"), rig.engine("prefill")
+    rig.engine("decode")
+    line = json.dumps({"index": 2, "snapshot": False, "endpoints": [leaving.entry("DRAINING")]}).encode()
+    rig.hosts.first = chunk(line + b"\n")
+    node = rig.node = Node(rig.config(), rig.reactor)
+    node.start()
+    assert node.listener is None and not node.clients.ready
+    rig.until(lambda: node.listener)
+    for at in range(4):
+        assert rig.answered(rig.client(ask(f"a{at}"))) == b"200"
+    assert "POST" not in str(leaving.verbs()) and staying.verbs().count(b"POST") == 4
+
+
+def test_node_serves_by_its_last_list_where_discovery_says_nothing() -> None:
+    rig = Rig()
+    rig.hosts.first = b""
+    rig.engine("prefill")
+    rig.engine("decode")
+    assert rig.answered(rig.start().client(ask())) == b"200"
+
+
 def test_lost_watch_is_opened_again_and_nonsense_asks_for_the_whole_list() -> None:
     rig = rig_of_two()
     rig.hosts.watches[0].transport.abortConnection()  # type: ignore[union-attr]
--- a/worksmux/node/discovery.py
+++ b/worksmux/node/discovery.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -82,6 +83,7 @@
         self.timer: Any = None
         self.look: Any = None
         self.stopped = False
+        self.on_word: Callable[[], None] | None = None       # called once, with discovery's first word
 
     def engine(self, name: str) -> i.Engine:
         address = name.encode()
@@ -156,8 +158,13 @@
                 old.close()
         self.heard = clock.now()
         self.pause = PAUSES[0]
-        if not line.strip():
-            return
+        if line.strip():
+            self._read(watching, line)
+        word, self.on_word = self.on_word, None
+        if word is not None:
+            word()
+
+    def _read(self, watching: Watching, line: bytes) -> None:
         try:
             told = READ_HOSTS.decode(line)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
@@ -175,6 +182,8 @@
             self.keeper.known.pop(engine.id.decode(), None)
         for note in (*notes, *made.notes):
             LOG.warning("list of engines", note=note)
+        LOG.info("list of engines", index=told.index, whole=told.snapshot,
+                 leaving=[line.id for line in lines.engines if line.state != "ready"])
         for known in made.moved:
             self.core.moved(known.engine, known.line.host, known.line.port)
         if made.event is not None:
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -27,6 +27,7 @@
 PATIENCE = 2600.0        # for a request to come whole: who sends none is owed an end within 3 s
 ACCEPTING = 700.0        # after SIGTERM: connections may still come
 TELL = 1000.0            # between two lines of counts
+FIRST_WORD = 250.0       # what discovery's agent has it tells at once; a silent one has nothing to tell
 
 
 class Node:
@@ -49,13 +50,30 @@
         self.stopping = False
         self.accepting = True
         self.ended = False
+        self.failed = False                          # it could not listen
         self.timer: Any = None
+        self.waiting: Any = None                     # for discovery's first word
 
     def start(self) -> None:
-        self.listener, self.port = listen(self.reactor, self.config.listen, self.server)
         self.discovery.remember(self.config.known)
+        self.discovery.on_word = self._serve
         self.discovery.start()
+        self.waiting = self.reactor.callLater(FIRST_WORD / 1000, self._serve)
         self._tell_counts()
+
+    def _serve(self) -> None:
+        """Guards against jobs sent by the list of an earlier life: what left meanwhile counts as told from the
+        node's first moment, and a job can come within the milliseconds before the watch speaks."""
+        if self.listener is not None or self.stopping or self.failed:
+            return
+        if self.waiting.active():
+            self.waiting.cancel()
+        try:
+            self.listener, self.port = listen(self.reactor, self.config.listen, self.server)
+        except Exception as error:
+            LOG.error("cannot listen", why=str(error))
+            self.failed = True
+            return self._over()
         self.clients.ready = True
         LOG.info("serving", port=self.port, cores=self.config.cores, sockets=self.config.sockets,
                  memory=round(self.config.memory))
@@ -92,7 +110,8 @@
     def _accepted(self) -> None:
         """No more connections are to come: what is left is answered and the node ends."""
         self.accepting = False
-        self.listener.stopListening()
+        if self.listener is not None:
+            self.listener.stopListening()
         self.server.close_idle()
         self._emptied()
 
@@ -108,8 +127,9 @@
     def close(self) -> None:
         self.discovery.stop()
         self.server.stop()
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        for timer in (self.timer, self.waiting):
+            if timer is not None and timer.active():
+                timer.cancel()
         if self.listener is not None:
             self.listener.stopListening()
         for pool in self.core.pools.values():
@@ -131,4 +151,4 @@
     node = Node(config, reactor)
     node.on_end = reactor.stop
     started = run_reactor(reactor, writer, node.start, node.stop, lambda: node.reload(variables))
-    return int(not started)
+    return int(not started or node.failed)
