--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -62,8 +62,8 @@
         self._tell_counts()
 
     def _serve(self) -> None:
-        """Guards against jobs sent by the list of an earlier life: what left meanwhile counts as told from the
-        node's first moment, and a job can come within the milliseconds before the watch speaks."""
+        """Guards against jobs sent by the list of an earlier life: what left meanwhile counts as told from
+        the node's first moment, and a job can come within the milliseconds before the watch speaks."""
         if self.listener is not None or self.stopping or self.failed:
             return
         if self.waiting.active():
