Releases reach past a zone that is cut off: time runs on through trips that never arrive

By its id through the logs of n71 (zone 2, cut off from zones 0 and 1, whose 13 engines had come back cold): state read at 16.43 s, the write called off at 17.71 s as its writer fell silent, two more writers tried for 250 ms each (connections that never came up), release first tried at 18.21 s, at the holder, then one engine after the other, 250 ms each, always the one heard last, which lay on the other side; the rule's time ended at 18.51 s, the first to hear did so at 20.47 s. Ruled out by the same logs: no read or release ended by stop(), no trip out that had arrived, no change of the list, node neither killed nor starved (turns of 0.2 s CPU at most), the holder listed ready throughout. At fault: rules.py _ended, which began the time to let go anew at each trip that never arrived; node/core.py _other and node/releases.py _missed, which asked one engine at a time by when it was heard; node/core.py _let_all_go and _carry, which put a release off for a trip whose connection had not come up. Now: the time runs on; a release asks one engine more at each eighth of the time, of zones not asked first, the node's own before others; only a trip whose connection is up puts it off. The published front goes on asking an engine that is cut off, slowly, where it gave up after three tries.

--- a/tests/node_rig.py
+++ b/tests/node_rig.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Callable
 from time import monotonic
 from typing import Any
@@ -102,6 +103,25 @@
                 "group": 1, "status": status, "weight": 1.0, "since_ms": 0}
 
 
+class Silent:
+    """An address where connections never come up: its queue of one is full and nobody accepts."""
+
+    def __init__(self) -> None:
+        self.sockets = [socket.socket()]
+        self.sockets[0].bind(("127.0.0.1", 0))
+        self.sockets[0].listen(0)
+        self.port = self.sockets[0].getsockname()[1]
+        for _ in range(3):
+            filling = socket.socket()
+            filling.setblocking(False)
+            filling.connect_ex(("127.0.0.1", self.port))
+            self.sockets.append(filling)
+
+    def close(self) -> None:
+        for one in self.sockets:
+            one.close()
+
+
 class Hosts:
     """Discovery: each watch gets a head and then the lines it is told."""
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -8,6 +8,7 @@
 
 import msgspec
 import pytest
+from twisted.internet import task
 from worksmux.trial.small import FIGURES, Rig
 
 from worksmux import interface as i
@@ -70,6 +71,24 @@
     assert "broken off" in ends(records)
 
 
+@pytest.mark.parametrize(("state", "asked"), [("ready", 30), ("gone", 4)])
+def test_release_goes_on_slowly_until_heard_or_its_engine_is_gone(
+        tmp_path: Path, state: str, asked: int) -> None:
+    """Guards against state pinned at an engine that is cut off for longer than the quick tries last."""
+    core: Any = Rig(tmp_path, PAIR).front().core
+    core.reactor, engine, tries = task.Clock(), i.Engine(b"far", 1, state="ready"), []
+
+    def call(to: i.Engine, method: str, path: str, body: bytes, on_end: Any) -> None:
+        tries.append(core.reactor.seconds())
+        engine.state = state if len(tries) == 4 else engine.state
+        on_end(200 if len(tries) == asked else 0, {}, b"", None)
+
+    core._small = call
+    core._release_until(engine, b"", 1)
+    core.reactor.pump([0.01] * 3000)
+    assert len(tries) == asked and tries[2] - tries[0] < 0.2 and tries[-1] < asked * 0.3
+
+
 def test_state_held_when_its_client_leaves_is_let_go(tmp_path: Path) -> None:
     rig = Rig(tmp_path, PAIR, read_speed=300.0)      # reads last longer than the clients stay
     front = rig.front()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,14 +18,18 @@
     STREAM,
     Hosts,
     Rig,
+    Silent,
     ask,
     chunk,
 )
+from twisted.internet import task
 
 from worksmux import interface as i
+from worksmux.front.case import Case
 from worksmux.net import clock
 from worksmux.node import config, protocol
 from worksmux.node.listing import Endpoint, HostList, listing
+from worksmux.node.releases import Releases
 from worksmux.node.serve import Node
 from worksmux.node.trips import Reading
 
@@ -232,6 +236,82 @@
     rig.idle()                                       # one engine has heard: that is enough
 
 
+class Ways:
+    """Calls of releases as a test sees them: `asked` in order, each with what ends it."""
+
+    def __init__(self, engines: list[i.Engine]) -> None:
+        self.clock, self.engines = task.Clock(), engines
+        self.asked: list[tuple[i.Engine, Any]] = []
+        self.releases = Releases(self.clock, self._call, self._other, 400.0)  # type: ignore[arg-type]
+
+    def _call(self, engine: i.Engine, method: str, path: str, body: bytes, on_end: Any) -> Any:
+        self.asked.append((engine, on_end))
+        return lambda: None
+
+    def _other(self, known: set[i.Engine]) -> i.Engine | None:
+        return next((engine for engine in self.engines if engine not in known), None)
+
+    def start(self) -> Ways:
+        case: Any = Case(None, None, None, "a1", "chat")  # type: ignore[arg-type]
+        case.held[self.engines[0]] = None
+        self.releases.start(case)
+        return self
+
+
+def test_release_asks_one_engine_more_at_each_step_while_none_answers() -> None:
+    """Guards against state pinned where connections do not come up, each known only after half the time."""
+    ways = Ways([i.Engine(bytes([at]), at, state="ready") for at in range(20)]).start()
+    for _ in range(3):
+        ways.clock.advance(0.05)
+    assert [engine for engine, _ in ways.asked] == ways.engines[:4]
+    ways.asked[3][1](204, {}, b"", None)
+    ways.clock.advance(10.0)
+    assert len(ways.asked) == 4 and not ways.releases.running
+
+
+def test_release_that_nobody_hears_asks_a_bounded_number_of_engines() -> None:
+    ways = Ways([i.Engine(bytes([at]), at, state="ready") for at in range(20)]).start()
+    for _ in range(100):
+        ways.clock.advance(0.05)
+    assert [engine for engine, _ in ways.asked] == ways.engines[:9]
+
+
+def test_release_turns_to_zones_that_were_not_asked_this_nodes_own_first() -> None:
+    rig = rig_of_two()
+    core = rig.node.core
+    first, *rest = [i.Engine(b"%d" % zone, at, zone=zone, state="ready")
+                    for at, zone in enumerate((1, 1, 2, 0))]
+    for heard, engine in enumerate((first, rest[2], rest[1], rest[0])):
+        core.pools[engine] = core._pool("127.0.0.1", 1)
+        core.pools[engine].heard = 1000.0 + heard    # the one in its own zone longest ago
+    for engine in list(core.pools):
+        if engine not in (first, *rest):
+            del core.pools[engine]
+    asked = {first}
+    for expected in (rest[2], rest[1], rest[0]):
+        assert core._other(asked) is expected
+        asked.add(expected)
+
+
+def test_release_goes_out_while_a_trip_only_waits_for_its_connection() -> None:
+    """Guards against a release put off by trips that never arrive, such as into a zone that is cut off."""
+    rig, silent = Rig(), Silent()
+    readers = [rig.engine("prefill", lambda _: None) for _ in range(2)]
+    rig.engine("decode")
+    rig.start()
+    peer = rig.client(ask())
+    rig.until(lambda: any(engine.asked for engine in readers))
+    (broken, other) = sorted(readers, key=lambda engine: not engine.asked)
+    for engine, pool in rig.node.core.pools.items():
+        if engine.id.decode() == other.name:
+            pool.port = silent.port
+    broken.script = lambda _: b""
+    rig.until(lambda: b"DELETE" in broken.verbs())
+    (case,) = rig.node.core.cases.values()
+    assert [carrier.call.up for carrier in case.out.values()] == [False] and not peer.got
+    silent.close()
+
+
 def test_deferral_of_an_irreversible_job_waits_until_its_trip_is_seen_to_end() -> None:
     """Guards against a deferral that the client reads before the engine sees its read called off."""
     rig = Rig()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -319,6 +319,26 @@
     assert "Release" in kinds(front.decide(NOW + 250, [i.Rang(0)]))
 
 
+def test_time_to_let_go_runs_on_through_trips_that_never_arrived():
+    """Guards against state pinned in a zone that is cut off, while one connection after the other fails."""
+    front, _ = fleet(*PAIR, (1, 0, 0), (1, 0, 0))
+    one = job()
+    read(front, one)
+    ended(front, one.trips[1], i.Outcome.CANCELLED, after=1000.0)
+    held = one.held_since
+    actions = ended(front, one.trips[2], i.Outcome.UNREACHABLE, after=250.0)
+    assert one.held_since == held and "Release" in kinds(actions)
+    assert one.holder is None and not any(not trip.reading for trip in one.out)
+
+
+def test_state_stays_for_the_next_writer_after_a_connection_refused_at_once():
+    front, (reader, *_) = fleet(*TWO_WRITERS)
+    one = job()
+    read(front, one)
+    actions = ended(front, one.trips[1], i.Outcome.UNREACHABLE, after=1.0)
+    assert kinds(actions) == ["Send"] and one.holder is reader and one.trips[2].engine.role == "write"
+
+
 def test_state_read_for_a_client_that_left_is_released():
     front, _ = fleet(*PAIR)
     one = job()
--- a/worksmux/front/published.py
+++ b/worksmux/front/published.py
@@ -17,6 +17,9 @@
 from .metrics import Metrics
 
 
+PATIENT = 20             # times the tries that a release has: what lies cut off for longer ends by its lease
+
+
 class PublishedCore(Core):
     metrics: Metrics
 
@@ -134,12 +137,14 @@
 
     def _release_until(self, engine: i.Engine, body: bytes, tries: int) -> None:
         """Guards against a release that gets lost, which would leave state pinned: it is harmless to
-        repeat."""
+        repeat, and only the engine that holds can be asked.  Where that one is cut off it goes on, slowly,
+        until it has been heard or the engine has left the list."""
         def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
-            most = self.settings.transport.release_tries
-            if status != 200 and tries < most:
-                pause = self.settings.module["release_within"] / (2 * most)      # a refusal comes at once
-                self.reactor.callLater(pause / 1000, self._release_until, engine, body, tries + 1)
+            most, within = self.settings.transport.release_tries, self.settings.module["release_within"]
+            if status == 200 or engine.state == "gone" or tries >= PATIENT * most:
+                return
+            pause = within / (2 * most) if tries < most else within      # a refusal comes at once
+            self.reactor.callLater(pause / 1000, self._release_until, engine, body, tries + 1)
 
         self._small(engine, "POST", calls.RELEASE, body, ended)
 
--- a/worksmux/net/client.py
+++ b/worksmux/net/client.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from socket import MSG_PEEK
 from typing import Any, Protocol, cast
 
@@ -280,8 +280,14 @@
         self.data, self.receiver = data, receiver
         self.connection: Connection | None = None
         self.connector: Any = None
+        self.on_up: Callable[[], None] | None = None         # called as its connection comes up
         self.over = False
 
+    @property
+    def up(self) -> bool:
+        """Whether its connection has come up: until then nothing of it has arrived anywhere."""
+        return self.connection is not None
+
     def abandon(self) -> None:
         if self.over:
             return
@@ -340,6 +346,8 @@
         call, self._first = self._first, None
         if call is not None and not call.over:
             call.connection = self
+            if call.on_up is not None:
+                call.on_up()
             self.send(call.data, call)
         else:
             self.pool._idle(self)
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -70,11 +70,19 @@
         for case in due:
             self._let_all_go(case)
 
-    def _let_all_go(self, case: Case) -> None:
-        """Guards against a release that takes the state from under a trip: it is due after that."""
-        if case.held and not case.out:
-            self.releases.start(case)
-            self.metrics.release()
+    def _let_all_go(self, case: Case, late: bool = False) -> None:
+        """Guards against a release that takes the state from under a trip: it is due after that.
+
+        A trip whose connection does not come up (`late`) is none to the engines, and time runs on: in a zone
+        that is cut off from the others, one such trip after the other put the release off for good.
+        """
+        if not case.held or any(carrier.call.up for carrier in case.out.values()):
+            return
+        if case.out and not late:
+            self.reactor.callLater(self.releases.step / 1000, self._let_all_go, case, True)
+            return
+        self.releases.start(case)
+        self.metrics.release()
 
     def _release(self, job: i.Job) -> None:
         case = self.cases.get(job)
@@ -91,9 +99,12 @@
     def _carry(self, case: Case, trip: i.Trip, pool: client.Pool, time_out: float) -> Trip:
         make = Reading if trip.reading else Writing
         carrier = make(self.reactor, pool, trip, self, time_out, SILENCE, BODY)
-        self.releases.stop(case)
         carrier.fields = self.module_settings["report_fields"]
-        carrier.send(case.asked, time_out)
+        call = carrier.send(case.asked, time_out)
+        if call.up:
+            self.releases.stop(case)
+        else:
+            call.on_up = lambda: self.releases.stop(case)
         return carrier
 
     # Small calls.
@@ -102,9 +113,13 @@
         return self.module_settings["connect_time_out"], BODY, ()
 
     def _other(self, known: set[i.Engine]) -> i.Engine | None:
-        """The engine heard last that is ready and not among those known."""
+        """An engine that is ready and not among those known: of a zone that was not asked, this node's own
+        first, the one heard last.  Guards against a zone that is cut off: all that were heard lately may lie
+        on the other side."""
+        asked, here = {engine.zone for engine in known}, self.module_settings["zone"]
         able = [engine for engine in self.pools if engine.state == "ready" and engine not in known]
-        return max(able, key=lambda engine: self.pools[engine].heard, default=None)
+        return max(able, default=None, key=lambda engine: (
+            engine.zone not in asked, engine.zone == here, self.pools[engine].heard))
 
     def _probe_path(self) -> str:
         return protocol.ALIVE if self.module_settings["reports"] == "off" else protocol.LOAD_PATH
--- a/worksmux/node/releases.py
+++ b/worksmux/node/releases.py
@@ -1,8 +1,10 @@
 """Lets go of what engines hold for a job, until it is known to have been heard.
 
 One call releases all that is held for a job, at whichever engine it arrives, and also what a trip that is out
-was about to leave.  So no call is made while a trip of the job is out, and one that waits is given up as a
-trip is sent; and where the engine that holds the state can't be reached, any other will do.
+was about to leave.  So no call is made while a trip of the job is out, and one that waits is given up as the
+connection of a trip comes up; and where the engine that holds the state does not answer at once, any other
+will do: one more is asked at each step, for a connection that does not come up is known only after half of
+the time there is.
 """
 from __future__ import annotations
 
@@ -15,7 +17,8 @@
 from ..net.loop import Reactor
 from . import protocol
 
-GROWTH = 8               # the first pause before a repeat is this part of the time there is
+GROWTH = 8               # a step, and the first pause before a repeat, is this part of the time there is
+WIDEST = 8               # engines asked beside those that hold
 
 
 class Calls(Protocol):
@@ -34,11 +37,27 @@
         self.engines = dict.fromkeys(engines)        # that have not yet heard
         self.over = False
         self.out: dict[i.Engine, Callable[[], None]] = {}
-        self.timers: dict[i.Engine, Any] = {}
+        self.timers: dict[i.Engine | None, Any] = {}         # of the repeats; None: of the next step
+        self.wider = 0
 
     def start(self) -> None:
         for engine in list(self.engines):
             self._call(engine, 0)
+        self._step()
+
+    def _step(self) -> None:
+        self.timers[None] = self.releases.reactor.callLater(self.releases.step / 1000, self._widen, True)
+
+    def _widen(self, on_time: bool = False) -> None:
+        """Asks one engine more."""
+        other = self.releases.other(set(self.engines) | set(self.out))
+        if other is None or self.wider == WIDEST or self.over:
+            return
+        self.wider += 1
+        self.engines[other] = None
+        self._call(other, 0)
+        if on_time:
+            self._step()
 
     def stop(self) -> None:
         self.over = True
@@ -68,15 +87,12 @@
 
     def _missed(self, engine: i.Engine, tries: int) -> None:
         if not tries:
-            other = self.releases.other(set(self.engines) | set(self.out))
-            if other is not None:
-                self.engines[other] = None
-                self._call(other, 0)
+            self._widen()
         if engine.state == "gone":
             self.engines.pop(engine, None)
             return
         within = self.releases.within
-        pause = min(within, within / GROWTH * 2 ** min(tries, GROWTH))
+        pause = min(within, self.releases.step * 2 ** min(tries, GROWTH))
         self.timers[engine] = self.releases.reactor.callLater(pause / 1000, self._call, engine, tries + 1)
 
 
@@ -85,6 +101,7 @@
                  within: float) -> None:
         """`other` gives an engine outside a set that is likely to hear, or None."""
         self.reactor, self.call, self.other, self.within = reactor, call, other, within
+        self.step = within / GROWTH
         self.running: dict[str, Releasing] = {}
 
     def start(self, case: Case) -> None:
--- a/worksmux/node/trips.py
+++ b/worksmux/node/trips.py
@@ -5,6 +5,7 @@
 
 from .. import interface as i
 from ..front.carriage import Carriage, Streaming
+from ..net import client
 from . import protocol
 
 
@@ -13,10 +14,11 @@
 
     fields: list[str] = []
 
-    def send(self, asked: protocol.Asked, time_out: float) -> None:
+    def send(self, asked: protocol.Asked, time_out: float) -> client.Call:
         self.call = self.pool.call("POST", asked.path, self, [
             ("Content-Type", "application/json"), (protocol.ID, asked.key),
             (protocol.TIME_LEFT, str(max(1, round(time_out))))], asked.body)
+        return self.call
 
     def _refusal(self) -> tuple[i.Outcome, int]:
         return protocol.refusal(self.status, self.headers)
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -396,8 +396,9 @@
             self.holding[job] = None
         elif (job.holder and not (outcome is Outcome.FULL and event.note == 1) and not self._spent(job)
                 and self._may_repeat(job)):
-            job.held_since = self.now                # the state still waits: the next writer gets it
-            self.holding[job] = None
+            if outcome not in (Outcome.UNREACHABLE, Outcome.MOOT):
+                job.held_since = self.now            # time runs on through trips that never arrived
+            self.holding[job] = None                 # the state still waits: the next writer gets it
         else:
             self._again(job)
 
@@ -574,6 +575,9 @@
             if self.waiting and self.now > job.promised_at:
                 self._end(job)                       # guards against late answers that make others late too
                 continue
+            if self._pinned(job):
+                self._read_anew(job)                 # guards against one vain connection after the other
+                continue
             writer = job.writer
             self._unpair(job)
             if not (writer and self._may_send(job, writer) and self._well(writer, job.offering)):
@@ -583,11 +587,17 @@
             if writer:
                 self._send(job, writer, reading=False)
 
+    def _pinned(self, job: Job) -> bool:
+        return bool(self.now > job.held_since + self.settings["release_within"] / 2)
+
+    def _read_anew(self, job: Job) -> None:
+        self.holding.pop(job)
+        self._again(job)
+
     def _look_round(self) -> None:
         for job in list(self.holding):
-            if self._spent(job) or self.now > job.held_since + self.settings["release_within"] / 2:
-                self.holding.pop(job)                # guards against pinned state: it is read anew if in time
-                self._again(job)
+            if self._spent(job) or self._pinned(job):
+                self._read_anew(job)                 # guards against pinned state: it is read anew if in time
         for engine in list(self.awaited):
             if engine.quiet_since and not engine.suspected and engine.unwell.get(ALL, 0.0) <= self.now \
                     and self.now - engine.quiet_since > self._patience(engine):
