A tokenising worker takes its first count once it has loaded, and is not called hung before

Seen: on a machine with all cores taken two tests of tokens failed, prompts going by their bound. Measured with eight busy processes beside the suite: 'a tokenising worker hangs' in the log of each failed run. Cause, pool.py connectionMade and use(): a worker counted as free as soon as its process was spawned, so the time of a count (200 ms at least in the one test) ran while Python started and vocabularies loaded, which take seconds there; two such losses and the prompt goes by its bound. A real loss under load, not only a test's bound. Now a worker says when a version is loaded; it is given counts after its first, a count's time begins when the versions before it are loaded, and a reactor that is late hears its workers before it calls time.

--- a/worksmux/tokens/pool.py
+++ b/worksmux/tokens/pool.py
@@ -1,4 +1,8 @@
-"""The worker processes of one front: one count at a time each; those that die or hang are replaced."""
+"""The worker processes of one front: one count at a time each; those that die or hang are replaced.
+
+A worker takes its first count once it has said that it has loaded what it was given: starting a process and
+loading a vocabulary take longer than a count, on a busy machine by seconds, and are no sign of a hang.
+"""
 from __future__ import annotations
 
 import os
@@ -20,6 +24,7 @@
     0.05,
     5.0,
 )  # seconds before a dead worker is replaced; doubled while they die at once
+LOADING = 25.0           # times the patience with a count: a worker that has not loaded by then hangs
 OnCounted = Callable[[Counted | None], None]
 
 
@@ -32,29 +37,59 @@
         self.timer: Any = None
         self.process: Any = None
         self.counted = 0
+        self.loading = 0                             # versions that it was given and has not yet loaded
+        self.started = False                         # it has loaded all that it was given first
+        self.patience = pool.patience                # milliseconds for what it does now
 
     def connectionMade(self) -> None:
         self.process = self.transport
         for vocabulary in self.pool.vocabularies.values():
-            self.tell(Load(vocabulary.version, vocabulary.text))
-        self.pool.free(self)
+            self.load(vocabulary)
+        self._await()
+
+    def load(self, vocabulary: Vocabulary) -> None:
+        self.loading += 1
+        self.tell(Load(vocabulary.version, vocabulary.text))
 
     def tell(self, message: Any) -> None:
         self.process.write(frame(message))
 
+    def _await(self) -> None:
+        """Times what is due from it: a count, or the end of its loading."""
+        self._rest()
+        patience = self.patience * (LOADING if self.loading else 1.0)
+        self.timer = self.pool.reactor.callLater(patience / 1000, self._look_again)
+
+    def _rest(self) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+    def _loaded(self) -> None:
+        self.loading -= 1
+        if self.loading:
+            return
+        if not self.started:
+            self.started = True
+            self._rest()
+            self.pool.free(self)
+        elif self.waiting:
+            self._await()                            # the count that waited behind it begins
+
     def count(
         self, version: int, texts: list[str], most: int, patience: float, on_counted: OnCounted
     ) -> None:
         self.number += 1
-        self.waiting = on_counted
-        self.timer = self.pool.reactor.callLater(patience / 1000, self._hung)
+        self.waiting, self.patience = on_counted, patience
         self.tell(Count(self.number, version, texts, most))
+        self._await()
 
     def outReceived(self, data: bytes) -> None:
         try:
             for one in self.frames.feed(data):
                 told = READ_COUNTED.decode(one)
-                if told.number == self.number and self.waiting:
+                if not told.number:
+                    self._loaded()
+                elif told.number == self.number and self.waiting:
                     self.counted += 1
                     self._end(told)
         except msgspec.DecodeError:
@@ -66,13 +101,16 @@
 
     def _end(self, told: Counted | None) -> None:
         on_counted, self.waiting = self.waiting, None
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        self._rest()
         if on_counted:
             on_counted(told)
         if told is not None:
             self.pool.free(self)
 
+    def _look_again(self) -> None:
+        """Guards against a reactor that is late: what the worker has said is heard before time is called."""
+        self.timer = self.pool.reactor.callLater(0, self._hung)
+
     def _hung(self) -> None:
         LOG.error("a tokenising worker hangs; it is replaced")
         self.kill()
@@ -87,11 +125,13 @@
 
 
 class Workers:
-    """`on_free` is called with a lane whenever one of its workers has nothing to do."""
+    """`on_free` is called with a lane whenever one of its workers has nothing to do; `patience` is the
+    settings' time limit of a count, milliseconds."""
 
-    def __init__(self, reactor: Reactor, short: int, long: int, on_free: Callable[[bool], None]) -> None:
+    def __init__(self, reactor: Reactor, short: int, long: int, patience: float,
+                 on_free: Callable[[bool], None]) -> None:
         self.reactor: Any = reactor
-        self.on_free = on_free
+        self.on_free, self.patience = on_free, patience
         self.sizes = {False: short, True: long}
         self.vocabularies: dict[int, Vocabulary] = {}
         self.workers: dict[Worker, None] = {}
@@ -121,7 +161,7 @@
             if worker.process is None:               # not started yet: it will be given all
                 continue
             for version in fresh.keys() - self.vocabularies.keys():
-                worker.tell(Load(version, fresh[version].text))
+                worker.load(fresh[version])
             for version in self.vocabularies.keys() - fresh.keys():
                 worker.tell(Forget(version))
         self.vocabularies = fresh
--- a/worksmux/tokens/service.py
+++ b/worksmux/tokens/service.py
@@ -66,7 +66,7 @@
         self.shared = Shared(bounds.shared_blocks, bounds.shared_sessions)
         self.deepest = max(1, round(DEEPEST * bounds.shared_blocks))
         self.desk = Desk(bounds.long, bounds.line, bounds.workers, bounds.long_workers, bounds.time_limit)
-        self.workers = Workers(reactor, bounds.workers, bounds.long_workers, self._feed)
+        self.workers = Workers(reactor, bounds.workers, bounds.long_workers, bounds.time_limit, self._feed)
         self.open: dict[Ask, Prompt] = {}            # counted or waiting
         self.strangers = 0                           # jobs without a session: each is one of its own
         self.hits = self.misses = self.bytes_counted = self.recounted = 0
--- a/worksmux/tokens/worker.py
+++ b/worksmux/tokens/worker.py
@@ -33,7 +33,8 @@
 
 
 class Counted(msgspec.Struct):
-    """The packed ids of each text, and how many more it has than were wanted; empty with an error."""
+    """The packed ids of each text, and how many more it has than were wanted; empty with an error.  Number 0
+    says that a version is loaded."""
     number: int
     version: int
     ids: list[bytes] = []
@@ -86,6 +87,8 @@
         match READ_ORDER.decode(data):
             case Load(version, text):
                 loaded[version] = Tokenizer.from_str(text)
+                sink.write(frame(Counted(0, version)))
+                sink.flush()
             case Forget(version):
                 loaded.pop(version, None)
             case Count(number, version, texts, most):
