--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -54,7 +54,7 @@
         self.awaited: dict[Engine, None] = {}        # no sign of life since a send
         self.waiting: dict[Job, None] = {}           # before their read
         self.holding: dict[Job, None] = {}           # read, and no trip out
-        self.turns, self.out, self.reading = 0, 0, 0.0
+        self.turns, self.out, self.reading, self.unended = 0, 0, 0.0, 0.0
         self.streams = Ring(4 * MARK, BUCKETS)       # our own jobs at writers, seen at each placement
         self.per_token = Ring(MEMORY, BUCKETS)       # reading time for a token of the prompt
         self.first = Ring(MEMORY, BUCKETS)           # time to a first token
@@ -92,7 +92,8 @@
                                    + offering["promised_per_k"] * job.prompt / 1000)
                 job.luck = self.chance.share()
                 self.waiting[job] = None
-                self._earn(self.cold, 0.25)          # a little, so that a fleet all cold is not left alone
+                # A part, so that a fleet all cold is not left alone; the least for repeats, which can storm.
+                self._earn(self.cold, 0.25 if job.repeat else 0.5)
             case Began(trip, elapsed):
                 trip.began, trip.job.began, trip.job.holder = self.now, True, None
                 wait = max(0.0, elapsed - self._reads(trip))
@@ -513,6 +514,7 @@
 
     def _place_waiting(self) -> None:
         self.streams.add(self.now, self.out)
+        self.unended = self._unended()
         closed = False                               # where one new job finds no place, none does
         for job in sorted(self.waiting, key=lambda job: job.promised_at):
             if self._late(job):
@@ -523,12 +525,20 @@
                 else:
                     closed = closed or not job.trips
 
+    def _unended(self) -> float:
+        """Reading time for a token by the reads that are still out, once most readers have been replaced:
+        what ended before tells of others, and a jam of cold ones shows late in what ends."""
+        if 2 * sum(map(self._cold, self.readers)) <= len(self.readers):
+            return 0.0
+        out = [trip for engine in self.readers for trip in engine.unanswered]
+        return sum(self.now - trip.sent for trip in out) / max(1.0, sum(trip.work for trip in out))
+
     def _late(self, job: Job) -> bool:
         """Chance gives up some of the jobs before the usual need no longer fits: a line is cut by degrees."""
         first, read = (min(ring.mean(self.now), ring.mean(self.now, inf, LATELY))
                        for ring in (self.first, self.per_token))
         press = 1 + PRESS * job.luck + REPEAT * job.repeat
-        need = (first + read * job.prompt) * press * (job.luck > TRIAL)
+        need = (first + max(read, self.unended) * job.prompt) * press * (job.luck > TRIAL)
         return self.now + max(need, 2 * self.beat) > min(job.promised_at, job.give_up_at)
 
     def _place(self, job: Job) -> bool:
