--- a/benchmarks/calibration.py
+++ b/benchmarks/calibration.py
@@ -15,8 +15,9 @@
 
 from worksmux.audit.report import summary
 from worksmux.model.day import Model
-from worksmux.trial.runner import figures_of, play
-from worksmux.trial.scenario import Scenario, load_scenario
+from worksmux.days.figures import figures_of
+from worksmux.trial.runner import play
+from worksmux.days.scenario import Scenario, load_scenario
 
 DAYS = ["examples/no-discovery-day.kdl"]
 SEEDS = 5
--- a/benchmarks/front_against_relay.py
+++ b/benchmarks/front_against_relay.py
@@ -20,7 +20,7 @@
 from worksmux.api import chat
 from worksmux.api import engine as calls
 from worksmux.api.events import DONE, event
-from worksmux.api.fleet import Line
+from worksmux.api.listing import Line
 from worksmux.net import client, clock
 from worksmux.net.loop import listen, the_reactor
 from worksmux.net.server import Exchange, Server
--- a/benchmarks/mass_restart.py
+++ b/benchmarks/mass_restart.py
@@ -11,12 +11,12 @@
 import sys
 from dataclasses import dataclass
 
-from worksmux.api.fleet import Line
+from worksmux.api.listing import Line
 from worksmux.interface import Listed
 from worksmux.membership.trust import Saved, Turnover
 from worksmux.model.day import EPOCH, Model, Remembered
 from worksmux.settings.document import parse
-from worksmux.trial.scenario import Scenario, read_scenario
+from worksmux.days.scenario import Scenario, read_scenario
 
 AGES = {"1 s": 1e3, "1 min": 6e4, "1 h": 3.6e6, "1 day": 8.64e7, "3 weeks": 1.8e9}
 PARTS = {"none": 0.0, "a tenth": 0.1, "half": 0.5, "all": 1.0}
@@ -111,7 +111,7 @@
             saved = Line(old, "", 0, place.kind, "ready", place.zone, place.cell)
             lines.append(Saved(saved, EPOCH - age))
             if (at * 11) % len(places) < COLD * len(places):
-                model.fleet.engines[place.id].started = EPOCH - 500.0
+                model.engines[place.id].started = EPOCH - 500.0
                 model.registry.lines[place.id].started = EPOCH - 500.0
         model.registry.lost = how != "live"
         model.registry.last_up = EPOCH - age
@@ -128,7 +128,7 @@
     model.clients.on_end = lambda end, now: ends.append(now) if end in ("delivered", "late") else None
     model.run()
     fronts = [front for front in model.fronts if front]
-    counts = [engine.counts for engine in model.fleet.engines.values()]
+    counts = [engine.counts for engine in model.engines.values()]
     return Found(
         min(ends) - start if ends else None, model.clients.totals.ends.get("delivered", 0),
         sum(front.counts.unreachable for front in fronts),
--- a/benchmarks/remembering.py
+++ b/benchmarks/remembering.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from worksmux.api.fleet import Line
+from worksmux.api.listing import Line
 from worksmux.membership.trust import Beliefs, Saved, Turnover
 from worksmux.store.database import open_store
 
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -14,7 +14,7 @@
 from worksmux.experiment.runner import run_all
 from worksmux.experiment.stats import mean, paired
 from worksmux.settings.document import SettingsError
-from worksmux.trial.scenario import load_scenario
+from worksmux.days.scenario import load_scenario
 
 DAY = Path("examples/no-discovery-day.kdl").resolve()
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -87,7 +87,7 @@
     rig.registry.cut()
     records = rig.day(length=2500.0, rate=20.0)
     assert kept(records) and not records.falls and cold.spec.id == "e4"
-    known = rig.fronts[0].fleet.keeper.known["e4"]
+    known = rig.fronts[0].engine_list.keeper.known["e4"]
     assert clock.now() - known.started < 20_000
 
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -11,8 +11,8 @@
 from worksmux.interface import Action, Arrived, Engine, Event, Listed, Send, Settings, Trip
 from worksmux.model.day import Model, NotPlayed
 from worksmux.model.sim import Sim
-from worksmux.trial.runner import figures_of
-from worksmux.trial.scenario import Scenario, load_scenario, read_scenario
+from worksmux.days.figures import figures_of
+from worksmux.days.scenario import Scenario, load_scenario, read_scenario
 from worksmux.settings.document import parse
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
@@ -86,7 +86,7 @@
     scenario = replace(day(), troubles=[])
     model = Model(scenario)
     model.run()
-    reads = [engine.counts.trips for name, engine in model.fleet.engines.items() if "prefill" in name]
+    reads = [engine.counts.trips for name, engine in model.engines.items() if "prefill" in name]
     assert min(reads) > max(reads) / 4
 
 
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from worksmux.api.fleet import Line, Listing
+from worksmux.api.listing import Line, Listing
 from worksmux.interface import Began, Ended, Engine, Entry, Job, Outcome, Trip
 from worksmux.membership.damping import HOLD, PART, Damping
 from worksmux.membership.learned import FLEET, Kept, Learner, Marks, Pace, recall
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -9,7 +9,7 @@
 from worksmux.experiment.worst import one
 from worksmux.model.day import PLAYED
 from worksmux.settings.document import parse
-from worksmux.trial.scenario import load_scenario, read_scenario
+from worksmux.days.scenario import load_scenario, read_scenario
 
 FILE = Path(__file__).parent.parent / "examples" / "no-discovery-day.kdl"
 BASE = load_scenario(FILE)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,7 +8,7 @@
 
 from worksmux.settings.document import SettingsError, load, parse
 from worksmux.settings.front import read_front
-from worksmux.trial.scenario import load_scenario, read_scenario
+from worksmux.days.scenario import load_scenario, read_scenario
 
 
 def faults(text: str) -> list[str]:
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -6,8 +6,8 @@
 import sys
 from pathlib import Path
 
-from worksmux.trial.fleet import capacity, struck
-from worksmux.trial.scenario import load_scenario
+from worksmux.days.engines import capacity, struck
+from worksmux.days.scenario import load_scenario
 
 
 def command(*args: str) -> subprocess.CompletedProcess[str]:
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from worksmux.api.fleet import Line
+from worksmux.api.listing import Line
 from worksmux.membership.trust import Answer, Beliefs, Saved, Stand, Turnover, trust
 
 HOUR = 3_600_000.0
--- a/tests/test_wire_forms.py
+++ b/tests/test_wire_forms.py
@@ -14,7 +14,7 @@
 from worksmux.api import chat
 from worksmux.api.errors import BadJob
 from worksmux.api.events import DONE, Events, TooLong, event
-from worksmux.api.fleet import Line, Listing
+from worksmux.api.listing import Line, Listing
 from worksmux.front import carriers
 from worksmux.front.carriers import Reading, Writing
 from worksmux.membership.listing import ListKeeper
--- a/worksmux/commands/experiments.py
+++ b/worksmux/commands/experiments.py
@@ -96,7 +96,7 @@
     """Look for a day on which the decisions do worst against plain policies, and make it small."""
     from ..experiment.search import Search, written
     from ..experiment.worst import Field
-    from ..trial.scenario import load_scenario
+    from ..days.scenario import load_scenario
     try:
         base = load_scenario(day)
     except SettingsError as error:
--- a/worksmux/commands/main.py
+++ b/worksmux/commands/main.py
@@ -85,7 +85,7 @@
     Exit codes: 0 all rules kept, 1 a rule was broken or the day could not be run, 2 the file is wrong.
     """
     from ..trial.runner import TrialError, play
-    from ..trial.scenario import load_scenario
+    from ..days.scenario import load_scenario
     from .trials import finish, run_all
     try:
         day = load_scenario(file)
@@ -118,8 +118,8 @@
     from ..audit.report import summary
     from ..model.day import Model, NotPlayed
     from ..settings.front import POLICIES
-    from ..trial.runner import figures_of
-    from ..trial.scenario import load_scenario
+    from ..days.figures import figures_of
+    from ..days.scenario import load_scenario
     from .trials import finish
     try:
         day = load_scenario(file)
@@ -146,8 +146,8 @@
     """Check the five rules again from the records of a day."""
     from ..audit.records import load
     from ..audit.report import summary
-    from ..trial.runner import figures_of
-    from ..trial.scenario import load_scenario
+    from ..days.figures import figures_of
+    from ..days.scenario import load_scenario
     from .trials import finish
     try:
         told = summary(load(folder), figures_of(load_scenario(file)))
--- a/worksmux/experiment/plan.py
+++ b/worksmux/experiment/plan.py
@@ -19,7 +19,7 @@
 
 from ..settings.document import Section, SettingsError, load
 from ..settings.front import POLICIES
-from ..trial.scenario import Place, Scenario, load_scenario
+from ..days.scenario import Place, Scenario, load_scenario
 
 Value = float | str
 
--- a/worksmux/experiment/play.py
+++ b/worksmux/experiment/play.py
@@ -6,8 +6,8 @@
 
 from ..audit.rules import check
 from ..model.day import EPOCH, Model
-from ..trial.runner import figures_of
-from ..trial.scenario import Scenario
+from ..days.figures import figures_of
+from ..days.scenario import Scenario
 
 BACK = 0.9               # of the delivered before the first trouble: service counts as whole again
 PERCENT = (50, 90, 99)
@@ -25,7 +25,7 @@
     jobs = max(1, totals.jobs)
     firsts = sorted(totals.firsts)
     fronts = [front for front in model.fronts if front is not None]
-    engines = [engine.counts for engine in model.fleet.engines.values()]
+    engines = [engine.counts for engine in model.engines.values()]
     found = {
         "jobs": float(totals.jobs), "unanswered": float(model.clients.open),
         "credit": totals.credit / (totals.asked or 1.0),
--- a/worksmux/experiment/search.py
+++ b/worksmux/experiment/search.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
-from ..trial.scenario import Scenario, Trouble
+from ..days.scenario import Scenario, Trouble
 
 KINDS = ("crash", "vanish", "hang", "slow", "fast-errors", "offering-fails", "drain", "mass-restart",
          "zone-loss", "list-stale", "list-lost", "front-crash", "burst", "hot-beginning", "heavy-tail",
--- a/worksmux/experiment/worst.py
+++ b/worksmux/experiment/worst.py
@@ -7,7 +7,7 @@
 from types import TracebackType
 
 from ..settings.front import POLICIES
-from ..trial.scenario import Scenario
+from ..days.scenario import Scenario
 from .play import play
 from .search import Found
 
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -31,7 +31,7 @@
         self.cases: dict[i.Job, Case] = {}
         self.pools: dict[i.Engine, client.Pool] = {}
         self.number = 0
-        self.fleet: Any = None                       # the source of the list, set by who builds both
+        self.engine_list: Any = None                       # the source of the list, set by who builds both
         self.on_fault: Any = None                    # called when the module has failed
         self.on_trip: Any = None                     # called with an engine and an outcome, at a trip's end
         self.on_empty: Any = None                    # called at each end of a job
@@ -237,9 +237,9 @@
             case i.Release(job):
                 self._release(job)
             case i.Watch(on):
-                self.fleet.watch(on)
+                self.engine_list.watch(on)
             case i.Fetch():
-                self.fleet.fetch()
+                self.engine_list.fetch()
             case i.Close(engine):
                 self._shut(engine)
             case i.Log(text):
@@ -317,7 +317,7 @@
 
         self._small(engine, "GET", self._probe_path(), b"", ended)
 
-    # The fleet.
+    # The engines.
 
     def _shut(self, engine: i.Engine) -> None:
         """Closes the idle connections to an engine."""
--- a/worksmux/front/fleet.py
+++ b/worksmux/front/engine_list.py
@@ -13,7 +13,7 @@
 from twisted.python.failure import Failure
 
 from .. import interface as i
-from ..api.fleet import READ_LISTING, Hello
+from ..api.listing import READ_LISTING, Hello
 from ..membership.keys import key_of
 from ..membership.roster import Roster
 from ..net import clock
@@ -30,15 +30,15 @@
 
     delimiter = b"\n"
 
-    def __init__(self, fleet: Fleet) -> None:
-        self.fleet = fleet
-        self.MAX_LENGTH = fleet.source.longest_line
+    def __init__(self, engine_list: EngineList) -> None:
+        self.engine_list = engine_list
+        self.MAX_LENGTH = engine_list.source.longest_line
 
     def connectionMade(self) -> None:
-        self.fleet.opened(self)
+        self.engine_list.opened(self)
 
     def lineReceived(self, line: bytes) -> None:
-        self.fleet.line(line)
+        self.engine_list.line(line)
 
     def lineLengthExceeded(self, line: bytes) -> None:
         LOG.error("a line of the registry is too long", bound=self.MAX_LENGTH)
@@ -51,10 +51,10 @@
         cast(Transport, self.transport).write(msgspec.json.encode(message) + b"\n")
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.fleet.lost(self, reason)
+        self.engine_list.lost(self, reason)
 
 
-class Fleet(ClientFactory):
+class EngineList(ClientFactory):
     """Keeps one connection to the registry and tells the core of each list."""
 
     noisy = False
--- a/worksmux/front/memory.py
+++ b/worksmux/front/memory.py
@@ -9,7 +9,7 @@
 
 from .. import interface as i
 from ..api import engine as calls
-from ..api.fleet import Line
+from ..api.listing import Line
 from ..membership.learned import EVERY, FLEET, Kept, Learner, Marks, Pace, recall
 from ..membership.trust import Answer, Belief, Beliefs, Saved, Stand, Step, Turnover
 from ..net import client, clock
@@ -57,7 +57,7 @@
         self.learner = Learner([one.name for one in core.settings.offerings])
         self.timer: Any = None
         self.keep_timer: Any = None
-        self.fleet: Any = None                       # set by who builds both
+        self.engine_list: Any = None                       # set by who builds both
 
     # At a start.
 
@@ -74,7 +74,7 @@
                 self.writer = Writer(store, self.settings.write_pause / 1000, self._store_failed)
         except Unusable as error:
             LOG.error("no memory", why=str(error))
-        self.fleet.keeper.serial, self.fleet.keeper.theirs = self.facts.serial, self.facts.theirs
+        self.engine_list.keeper.serial, self.engine_list.keeper.theirs = self.facts.serial, self.facts.theirs
         source = "the store" if saved else "seeds" if self.settings.seeds else "nothing"
         if not saved:
             saved = [Saved(line, 0.0) for line in self.settings.seeds]   # an age of decades: addresses to ask
@@ -103,7 +103,7 @@
 
     def _engines(self) -> list[tuple[i.Engine, float]]:
         """Each engine with its start as it was listed."""
-        return [(known.engine, known.line.started) for known in self.fleet.keeper.known.values()]
+        return [(known.engine, known.line.started) for known in self.engine_list.keeper.known.values()]
 
     def _keep_later(self) -> None:
         self.keep_timer = self.reactor.callLater(MEMORY * EVERY / 1000, self._keep)
@@ -148,13 +148,13 @@
 
     def _entry(self, belief: Belief) -> i.Entry | None:
         state = belief.stand.listed
-        if state == "gone" and belief.line.id not in self.fleet.keeper.known:
-            self.core.moved(self.fleet.engine(belief.line.id), belief.line.host, belief.line.port)
+        if state == "gone" and belief.line.id not in self.engine_list.keeper.known:
+            self.core.moved(self.engine_list.engine(belief.line.id), belief.line.host, belief.line.port)
             return None                              # an address to ask; the module has never heard of it
-        entry: i.Entry | None = self.fleet.keeper.remember(
+        entry: i.Entry | None = self.engine_list.keeper.remember(
             clock.now(), clock.wall(), belief.line, state, careful=belief.stand is Stand.LIKELY)
         if entry is not None:
-            self.fleet.roster.remembered([entry])
+            self.engine_list.roster.remembered([entry])
             self.core.moved(entry.engine, belief.line.host, belief.line.port)
         return entry
 
@@ -171,7 +171,7 @@
             self._watch()
 
     def _probe(self, line: Line) -> None:
-        engine = self.fleet.engine(line.id)
+        engine = self.engine_list.engine(line.id)
 
         def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
             if self.beliefs is None:
@@ -245,7 +245,7 @@
         if whole and self.beliefs is not None:
             for name in self.beliefs.beliefs.keys() - named:
                 self._put(LINES, name, None)
-        self.facts.serial, self.facts.theirs = serial, self.fleet.keeper.theirs
+        self.facts.serial, self.facts.theirs = serial, self.engine_list.keeper.theirs
         self.alive()
 
     def alive(self) -> None:
--- a/worksmux/front/published.py
+++ b/worksmux/front/published.py
@@ -148,7 +148,7 @@
 
         self._small(engine, "POST", calls.RELEASE, body, ended)
 
-    # The fleet.
+    # The engines.
 
     def _tell_list(self, event: i.Listed) -> None:
         self.tell(self._of("chat", event))
--- a/worksmux/front/serve.py
+++ b/worksmux/front/serve.py
@@ -20,7 +20,7 @@
 from ..tokens.vocabulary import load as load_vocabulary
 from .clients import ClientSide
 from .published import PublishedCore
-from .fleet import Fleet
+from .engine_list import EngineList
 from .lane import Lane
 from .memory import Memory
 from .logbook import Writer, set_up
@@ -65,12 +65,12 @@
         door = Door(settings.module, seed, make or POLICIES[settings.policy])
         self.core = PublishedCore(settings, door, reactor, self.metrics,
                                   f"{settings.name}-{secrets.token_hex(4)}")
-        self.fleet = Fleet(settings.source, self.core, reactor)
-        self.core.fleet = self.fleet
+        self.engine_list = EngineList(settings.source, self.core, reactor)
+        self.core.engine_list = self.engine_list
         self.memory: Memory | None = None
         if settings.memory:
-            self.memory = self.fleet.memory = Memory(settings.memory, self.core, reactor, seed)
-            self.memory.fleet = self.fleet
+            self.memory = self.engine_list.memory = Memory(settings.memory, self.core, reactor, seed)
+            self.memory.engine_list = self.engine_list
             self.core.on_trip = self.memory.trip_ended
         self.core.on_empty = self._emptied
         self.tokens: TokenService | None = None
@@ -119,7 +119,7 @@
         if self.memory:
             self.memory.start()
             self.clients.on_job = self.memory.job_came
-        self.fleet.start()
+        self.engine_list.start()
         if self.watchman:
             self.watchman.start()
         LOG.info("serving", port=self.port, watch=self.watch_port, policy=self.settings.policy)
@@ -134,7 +134,7 @@
         elif path == "/live":
             exchange.answer(200, b"running\n", "text/plain")
         elif path in ("/health", "/ready"):
-            ready = self.fleet.keeper.ready
+            ready = self.engine_list.keeper.ready
             state = "stopping" if self.stopping else "serving" if ready else "no engine is listed as ready"
             exchange.answer(200 if ready and not self.stopping else 503,
                             f"{state}; engines ready: {ready}; open jobs: {len(self.core.cases)}\n".encode(),
@@ -178,7 +178,7 @@
         self.on_end()
 
     def close(self) -> None:
-        self.fleet.stop()
+        self.engine_list.stop()
         if self.watchman:
             self.watchman.stop()
         if self.tokens:
--- a/worksmux/membership/listing.py
+++ b/worksmux/membership/listing.py
@@ -12,7 +12,7 @@
 from copy import copy
 from dataclasses import dataclass, field
 
-from ..api.fleet import Line, Listing
+from ..api.listing import Line, Listing
 from ..interface import Engine, Entry, Listed
 
 
--- a/worksmux/membership/roster.py
+++ b/worksmux/membership/roster.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from ..api.fleet import Listing
+from ..api.listing import Listing
 from ..interface import Engine, Entry, Listed
 from .damping import Damping
 from .listing import ListKeeper, Told
--- a/worksmux/membership/trust.py
+++ b/worksmux/membership/trust.py
@@ -21,7 +21,7 @@
 
 import msgspec
 
-from ..api.fleet import Line
+from ..api.listing import Line
 from ..interface import Outcome
 from ..measure import Chance
 
--- a/worksmux/model/clients.py
+++ b/worksmux/model/clients.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field, replace
 
 from ..settings.shared import Offering
-from ..trial.scenario import Scenario, Traffic, Trouble
+from ..days.scenario import Scenario, Traffic, Trouble
 from .engine import Note
 from .front import Ask, ModelFront
 from .sim import Sim
--- a/worksmux/model/day.py
+++ b/worksmux/model/day.py
@@ -13,16 +13,16 @@
 
 import msgspec
 
-from ..api.fleet import Line, Listing
+from ..api.listing import Line, Listing
 from ..audit.records import Records, gather
 from ..baselines import POLICIES
 from ..door import Maker
 from ..membership.learned import Kept, Learner, Marks, Pace, recall
 from ..membership.trust import Beliefs, Saved, Turnover
-from ..trial.fleet import spec_of, struck, struck_fronts
-from ..trial.scenario import OF_CLIENTS, OF_FRONTS, OF_THE_LIST, Place, Scenario, Trouble
+from ..days.engines import spec_of, struck, struck_fronts
+from ..days.scenario import OF_CLIENTS, OF_FRONTS, OF_THE_LIST, Place, Scenario, Trouble
 from .clients import Clients
-from .engine import Fleet, ModelEngine
+from .engine import ModelEngine
 from .front import ModelFront
 from .sim import Sim
 
@@ -114,7 +114,7 @@
         self.sim.now = EPOCH
         self.chance = random.Random(day.seed)
         self.lines: list[dict[str, Any]] | None = [] if journal else None
-        self.fleet = Fleet()
+        self.engines: dict[str, ModelEngine] = {}
         self.starts: dict[str, int] = {}
         self.fronts: list[ModelFront | None] = [None] * day.fronts
         self.saved: list[Remembered | None] = [None] * day.fronts
@@ -136,17 +136,17 @@
         number = self.starts[place.id] = self.starts.get(place.id, 0) + 1
         spec = spec_of(self.day, place, "", 0, cold, number)
         engine = ModelEngine(self.sim, spec, self.note, HOP, self.sim.now if cold else None)
-        self.fleet.engines[place.id] = engine
+        self.engines[place.id] = engine
         self.tell(place, "ready", at_once=not cold)
         return engine
 
     def tell(self, place: Place, state: Any, at_once: bool = False) -> None:
-        started = self.fleet.engines[place.id].started or 0.0
+        started = self.engines[place.id].started or 0.0
         self.registry.change(Line(place.id, "", 0, place.kind, state, place.zone, place.cell, 1.0, started),
                              at_once)
 
     def kill(self, place: Place) -> None:
-        engine = self.fleet.engines[place.id]
+        engine = self.engines[place.id]
         if engine.alive:
             engine.die()
             self.tell(place, "gone")
@@ -157,7 +157,7 @@
         day = self.day
         zone = day.zones[at % len(day.zones)]
         front = ModelFront(
-            self.sim, self.fleet, f"front-{at + 1}", day.module_settings(at, zone), day.zones,
+            self.sim, self.engines, f"front-{at + 1}", day.module_settings(at, zone), day.zones,
             [kind.name for kind in day.kinds], self.make,
             day.seed * 7919 + at * 31 + int(self.sim.now - EPOCH), self.note, HOP)
         self.fronts[at] = front
@@ -232,7 +232,7 @@
                 self._strike_engine(trouble, place, order)
 
     def _strike_engine(self, trouble: Trouble, place: Place, order: int) -> None:
-        engine, after = self.fleet.engines[place.id], self.sim.after
+        engine, after = self.engines[place.id], self.sim.after
         match trouble.kind:
             case "crash" | "zone-loss":
                 self.kill(place)
--- a/worksmux/model/engine.py
+++ b/worksmux/model/engine.py
@@ -11,7 +11,7 @@
 import random
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from ..interface import Outcome
@@ -437,9 +437,3 @@
         if state and not state.asked:
             self._free_state(job, "release")
         self._unplace(job, "release")
-
-
-@dataclass(slots=True)
-class Fleet:
-    """All engines of the model by id; one that started anew replaces the old."""
-    engines: dict[str, ModelEngine] = field(default_factory=dict)
--- a/worksmux/model/front.py
+++ b/worksmux/model/front.py
@@ -7,14 +7,14 @@
 from typing import Any
 
 from .. import interface as i
-from ..api.fleet import Listing
+from ..api.listing import Listing
 from ..door import Door, Maker
 from ..membership.keys import key_of
 from ..membership.roster import Roster
 from ..membership.trust import Answer, Beliefs, Stand, Step
 from ..membership.learned import Learner
 from ..standins.model import Spec
-from .engine import Call, Fleet, ModelEngine, Note
+from .engine import Call, ModelEngine, Note
 from .sim import Sim, Timer
 
 NOWHERE = Spec("nowhere", "", "both", "", -1, 0, 0, 0.0)      # where an engine that is no more was
@@ -63,10 +63,10 @@
 
 
 class ModelFront:
-    def __init__(self, sim: Sim, fleet: Fleet, name: str, settings: i.Settings, zones: list[str],
-                 kinds: list[str], make: Maker, seed: int, note: Note, hop: float,
+    def __init__(self, sim: Sim, engines: dict[str, ModelEngine], name: str, settings: i.Settings,
+                 zones: list[str], kinds: list[str], make: Maker, seed: int, note: Note, hop: float,
                  doubt: float = 5000.0, margin: float = 30.0) -> None:
-        self.sim, self.fleet, self.name, self.settings, self.note = sim, fleet, name, settings, note
+        self.sim, self.engines, self.name, self.settings, self.note = sim, engines, name, settings, note
         self.door = Door(settings, seed, make)
         self.roster = Roster(kinds, zones, self._engine, doubt, max(doubt, settings["warm_up"]))
         self.hop, self.margin, self.turn = hop, margin, float(settings["tick"])
@@ -177,7 +177,7 @@
             self._watch()
 
     def _ask(self, name: str) -> None:
-        engine = self.fleet.engines.get(name)
+        engine = self.engines.get(name)
         self.counts.probes += 1
 
         def heard(answered: bool, one: ModelEngine | None) -> None:
@@ -281,7 +281,7 @@
             self.counts.stale_last = self.sim.now
         if trip.reading:
             if outcome is i.Outcome.READ:
-                case.holder = self.fleet.engines.get(trip.engine.id.decode())
+                case.holder = self.engines.get(trip.engine.id.decode())
             if outcome not in (i.Outcome.FULL, i.Outcome.UNREACHABLE, i.Outcome.MOOT):
                 case.held[trip.engine] = None
         elif outcome is i.Outcome.DELIVERED:
@@ -347,7 +347,7 @@
         call = Call(case.key, facts["trip"], self.name, asked.name, asked.prompt, asked.answer, trip.reading,
                     case.holder if job.holder is not None else None, beginnings,
                     lambda: self._began(trip), lambda outcome, note: self._ended(trip, outcome, note), facts)
-        engine = self.fleet.engines.get(trip.engine.id.decode())
+        engine = self.engines.get(trip.engine.id.decode())
         if engine is None:
             case.out[trip] = call, self.nowhere
             self.sim.after(2 * self.hop, self._ended, trip, i.Outcome.UNREACHABLE, 0)
@@ -363,7 +363,7 @@
 
     def _probe(self, engine: i.Engine) -> None:
         self.counts.probes += 1
-        sent, target = self.sim.now, self.fleet.engines.get(engine.id.decode())
+        sent, target = self.sim.now, self.engines.get(engine.id.decode())
         told: list[i.Outcome] = []
 
         def end(outcome: i.Outcome) -> None:
@@ -382,7 +382,7 @@
 
     def _hold(self, job: i.Job, engine: i.Engine) -> None:
         case = self.cases.get(job)
-        target = self.fleet.engines.get(engine.id.decode())
+        target = self.engines.get(engine.id.decode())
         if case is None or case.over or target is None:
             return
         reading = next((trip for trip in case.out if trip.reading), None)
@@ -418,6 +418,6 @@
         case.held.pop(engine, None)
         if case.place is engine:
             case.place = None
-        target = self.fleet.engines.get(engine.id.decode())
+        target = self.engines.get(engine.id.decode())
         if target is not None:
             self.sim.after(self.hop, target.release, case.key)
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -134,7 +134,7 @@
     def _hold(self, job: i.Job, engine: i.Engine) -> None:
         raise LookupError("the platform's protocol has no places held ahead")
 
-    # The fleet.
+    # The engines.
 
     def _pool(self, host: str, port: int) -> client.Pool:
         return client.Pool(self.reactor, host, port, self.module_settings["connect_time_out"], 0.0, MOST_IDLE,
--- a/worksmux/node/listing.py
+++ b/worksmux/node/listing.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..api.fleet import Line, Listing
+from ..api.listing import Line, Listing
 from ..settings import units
 
 STATES: dict[str, Literal["ready", "draining", "gone"]] = {
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -40,7 +40,7 @@
         share = shares(config.sockets)
         self.core = NodeCore(door, reactor, self.counts, config.offerings, share)
         self.discovery = Discovery(config.discovery, self.core, reactor, config.kinds, config.zones)
-        self.core.fleet = self.discovery
+        self.core.engine_list = self.discovery
         self.core.on_empty = self._emptied
         self.clients = NodeClients(self.core)
         self.server = Server(self.clients, BODY, HEAD, IDLE, reactor, PATIENCE, share.clients)
--- a/worksmux/settings/front.py
+++ b/worksmux/settings/front.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Any
 
-from ..api.fleet import Line
+from ..api.listing import Line
 from . import shared
 from .document import Section, SettingsError, load
 
--- a/worksmux/standins/registry.py
+++ b/worksmux/standins/registry.py
@@ -11,7 +11,7 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
-from ..api.fleet import READ_HELLO, Line, Listing
+from ..api.listing import READ_HELLO, Line, Listing
 from ..net import clock
 from ..net.loop import Reactor, Transport, listen
 from .journal import Journal
--- a/worksmux/trial/fronts.py
+++ b/worksmux/trial/fronts.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from ..settings.shared import Kind, Offering
-from .scenario import Scenario
+from ..days.scenario import Scenario
 
 
 def _ms(value: float) -> str:
--- a/worksmux/trial/runner.py
+++ b/worksmux/trial/runner.py
@@ -13,20 +13,20 @@
 import msgspec
 
 from ..api import engine as calls
-from ..api.fleet import Line
+from ..api.listing import Line
 from ..audit.records import load
 from ..audit.report import summary
-from ..audit.rules import Figures
 from ..net import client, clock
 from ..net.loop import the_reactor
 from ..standins.clients import Burst, ClientsSpec, FrontSpec, OfferingSpec
 from ..standins.engine import Fault
 from ..standins.journal import Journal
 from ..standins.registry import Registry
-from .fleet import spec_of, struck, struck_fronts
+from ..days.engines import spec_of, struck, struck_fronts
+from ..days.figures import figures_of
 from .fronts import front_file
 from .processes import Child, port_of_engine, ports_of_front
-from .scenario import OF_CLIENTS, OF_FRONTS, OF_THE_LIST, Place, Scenario, Trouble
+from ..days.scenario import OF_CLIENTS, OF_FRONTS, OF_THE_LIST, Place, Scenario, Trouble
 
 START_WITHIN = 20_000.0              # milliseconds for all processes to tell their ports
 FAULTS = {"hang": "hang", "fast-errors": "fail_fast", "slow": "slow", "drop-streams": "drop_streams",
@@ -394,18 +394,6 @@
             self._start_engine(handle, cold=True)
 
 
-def figures_of(day: Scenario) -> Figures:
-    return Figures(
-        day.rules["answer_slack"],
-        day.rules["drain_grace"],
-        day.rules["release_within"],
-        day.rules["fall_time"],
-        {one.name: one.group for one in day.offerings},
-        {one.name: one.remembered for one in day.offerings},
-        day.slack,
-    )
-
-
 def play(day: Scenario, policy: str, say: Callable[[str], None], keep: Path | None = None,
          counting: bool = True) -> dict[str, Any]:
     """One day with one policy; its records stay in `keep`, or are removed if all went well."""
--- a/worksmux/trial/small.py
+++ b/worksmux/trial/small.py
@@ -10,7 +10,7 @@
 from twisted.internet.epollreactor import EPollReactor
 
 from worksmux.api import engine as calls
-from worksmux.api.fleet import Line
+from worksmux.api.listing import Line
 from worksmux.audit.records import Records, load
 from worksmux.audit.rules import Figures
 from worksmux.door import Maker
