The tests of tokenising workers reap their processes as the program does

Seen: one of ten runs of the suite with all cores taken failed, a killed worker never told as ended. Cause: the bench's reactor runs without signal handlers, so Twisted looks at a process only as its pipes close; one that the kernel had not quite ended by then (waitpid gave 0) was never looked at again. The program handles SIGCHLD and is not touched. The bench now reaps at each look.

--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -15,6 +15,7 @@
 from worksmux.trial.small import SETTINGS, Rig
 from twisted.internet import task
 from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.process import reapAllProcesses
 
 from worksmux.net import clock
 from worksmux.settings.front import Counting
@@ -326,6 +327,9 @@
         end = clock.now() + within * 1000
 
         def look() -> None:
+            # What SIGCHLD does in the program: without it Twisted looks at a process once, as its pipes end,
+            # and one that a busy machine has not quite ended by then would never be told as ended.
+            reapAllProcesses()
             if until() or clock.now() > end:
                 self.service.stop()
                 self.reactor.stop()
