Fronts know one another: membership by SWIM with Lifeguard's doubt of oneself, free of I/O

Need: fronts tell each other nothing, so none knows who else is there; failover, versions and keeping stand on that. Nothing in the program uses it yet.

--- a/worksmux/measure.py
+++ b/worksmux/measure.py
@@ -1,6 +1,10 @@
 """Chance, hashing and sums over time for the decision module.  No decision is taken here."""
 from __future__ import annotations
 
+from collections.abc import Iterable
+from typing import TypeVar
+
+T = TypeVar("T")
 WHOLE = 2**64
 
 
@@ -18,6 +22,17 @@
         self.state = (self.state * 6364136223846793005 + 1442695040888963407) % WHOLE
         return (self.state >> 32) / 2**32
 
+    def some(self, items: Iterable[T], count: int) -> list[T]:
+        """So many of them at most, in an order of its own.
+
+        >>> sorted(Chance(1).some("abc", 5)), len(Chance(1).some("abc", 2))
+        (['a', 'b', 'c'], 2)
+        """
+        left, found = list(items), []  # type: list[T], list[T]
+        while left and len(found) < count:
+            found.append(left.pop(int(self.share() * len(left))))
+        return found
+
 
 class Ring:
     """Sums and counts over the last `span` milliseconds, in fixed buckets that are used again.
--- /dev/null
+++ b/worksmux/model/peers.py
@@ -0,0 +1,121 @@
+"""Membership among many fronts in simulated time: the core itself over a network that loses, cuts and
+delays."""
+from __future__ import annotations
+
+from ..measure import mix
+from ..peers.members import Rumour, State
+from ..peers.messages import Message
+from ..peers.swim import Changed, Fact, Heard, Leave, Outlived, Swim, Tick, What
+from .sim import Sim, Timer
+from .wire import Weather, Wire
+
+
+class Peer:
+    """One front's membership.  `facts` are what it has found out, with the time."""
+
+    def __init__(self, world: World, name: str, life: int, seeds: list[str], address: str = "") -> None:
+        self.world, self.name, self.address = world, name, address or name
+        me = Rumour(name, life, 0, State.ALIVE, self.address, world.zone_of(name), "")
+        self.swim = Swim(me, seeds, world.period, mix(world.seed, hash_of(name) + life), world.sim.now)
+        self.facts: list[tuple[float, Fact]] = []
+        self.timer: Timer | None = None
+        self.frozen = False
+        self.unheard: list[tuple[str, tuple[str, Message]]] = []
+        world.wire.listen(self.address, self.take)
+        self.step(Tick())
+
+    def step(self, what: What) -> None:
+        out = self.swim.step(self.world.sim.now, what)
+        for post in out.posts:
+            self.world.wire.send(self.address, post.address, (self.name, post.message))
+        for fact in out.facts:
+            self.facts.append((self.world.sim.now, fact))
+            if isinstance(fact, Changed):
+                self.world.told.append((self.world.sim.now, self.name, fact))
+            if isinstance(fact, Outlived):
+                self.stop()
+                return
+        self.rest()
+
+    def rest(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.swim.due < float("inf"):
+            self.timer = self.world.sim.after(self.swim.due - self.world.sim.now, self.ring)
+
+    def ring(self) -> None:
+        if not self.frozen:
+            self.step(Tick())
+
+    def take(self, sender: str, told: tuple[str, Message]) -> None:
+        if self.frozen:
+            self.unheard.append((sender, told))
+            return
+        name, message = told
+        self.step(Heard(name, sender, message))
+
+    def freeze(self) -> None:
+        self.frozen = True
+
+    def go_on(self) -> None:
+        """As a process does: its timers ring first, then it reads what came meanwhile."""
+        self.frozen = False
+        self.step(Tick())
+        unheard, self.unheard = self.unheard, []
+        for sender, told in unheard:
+            self.take(sender, told)
+
+    def leave(self) -> None:
+        self.step(Leave())
+        self.stop()
+
+    def stop(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.world.wire.leave(self.address)
+        if self.world.peers.get(self.name) is self:
+            del self.world.peers[self.name]
+
+    def believes(self) -> dict[str, State]:
+        return {name: member.state for name, member in self.swim.members.known.items()}
+
+
+def hash_of(name: str) -> int:
+    return sum((at + 1) * byte for at, byte in enumerate(name.encode()))
+
+
+class World:
+    def __init__(self, seed: int = 1, period: float = 500.0, weather: Weather | None = None,
+                 zones: int = 3) -> None:
+        self.sim = Sim()
+        self.sim.now = 1000.0
+        self.seed, self.period, self.zones = seed, period, zones
+        self.wire = Wire(self.sim, seed, weather)
+        self.peers: dict[str, Peer] = {}
+        self.told: list[tuple[float, str, Changed]] = []
+
+    def zone_of(self, name: str) -> str:
+        return f"z{hash_of(name) % self.zones}"
+
+    def start(self, name: str, life: int = 1, seeds: list[str] | None = None, address: str = "") -> Peer:
+        peer = Peer(self, name, life, ["f0", "f1"] if seeds is None else seeds, address)
+        self.peers[name] = peer
+        return peer
+
+    def run(self, ms: float) -> None:
+        self.sim.run(self.sim.now + ms)
+
+    def agreed(self) -> bool:
+        """Everybody believes all that are there, and nobody else, to be there: alive, or suspected for
+        now."""
+        names = set(self.peers)
+        return all({name for name, state in peer.believes().items() if state <= State.SUSPECT}
+                   == names - {peer.name} for peer in self.peers.values())
+
+    def agree(self, within: float) -> float:
+        """Runs until all agree; the time it took, or fails."""
+        start = self.sim.now
+        while not self.agreed():
+            assert self.sim.now < start + within, "they do not agree in time"
+            self.run(self.period / 4)
+        return self.sim.now - start
