Failover: reports of zones become one numbered plan; the module learns of it by one event

Need: each front decides alone where a lost zone's jobs go. Ruled out: the lost engines counting as room (excluded, no change), the plan being told often. What moves has nothing read where it comes, several readers read each beginning, and the reads' memory pushes out what was read for those at home.

--- /dev/null
+++ b/worksmux/failover/watcher.py
@@ -0,0 +1,104 @@
+"""What one front sees of zones, from the events that its module is told.  Free of I/O."""
+from __future__ import annotations
+
+from collections import defaultdict
+
+from .. import interface as i
+from ..measure import Ring
+from .tally import Tally, ZoneTally
+
+SPAN = 1000.0            # milliseconds that a report looks back
+BUCKETS = 5
+ENOUGH = 3               # trips, before a front votes on a zone
+GREY = 0.25              # of trips fail: the zone is grey
+LATE = 0.9               # of what was promised is spent waiting, on average: the zone is grey
+FAULTS = frozenset({i.Outcome.ERROR, i.Outcome.UNREACHABLE, i.Outcome.RESET, i.Outcome.TIMED_OUT})
+GOOD = frozenset({i.Outcome.READ, i.Outcome.DELIVERED})
+
+
+class _Zone:
+    def __init__(self) -> None:
+        self.good, self.faults, self.press = (Ring(SPAN, BUCKETS) for _ in range(3))
+        self.last_good = 0.0
+
+
+class Watcher:
+    """`saw` each event, in the order told; `report` what came of it."""
+
+    def __init__(self, zones: list[str], offerings: list[str], settings: i.Settings) -> None:
+        self.zones, self.offerings, self.settings = zones, offerings, settings
+        self.seen: dict[int, _Zone] = defaultdict(_Zone)
+        self.asked = [Ring(SPAN, BUCKETS) for _ in offerings]
+        self.engines: dict[i.Engine, tuple[str, int, float, float]] = {}     # state, zone, size, started
+        self.open: dict[i.Job, float] = {}           # not yet begun, with what was promised
+
+    def saw(self, now: float, event: i.Event) -> None:
+        match event:
+            case i.Arrived(job):
+                self.asked[job.offering].add(now)
+                offering = self.settings["offerings"][job.offering]
+                self.open[job] = offering["promised_time"] + offering["promised_per_k"] * job.prompt / 1000
+            case i.Began(trip, _):
+                zone = self.seen[trip.engine.zone]
+                if promised := self.open.pop(trip.job, 0.0):
+                    zone.press.add(now, (now - trip.job.arrived) / promised)
+                self._good(now, zone)
+            case i.Ended(trip, outcome):
+                zone = self.seen[trip.engine.zone]
+                if outcome in FAULTS:
+                    zone.faults.add(now)
+                elif outcome in GOOD:
+                    self._good(now, zone)
+            case i.Listed(scope, entries) if scope != "failed":
+                if scope != "delta":
+                    self.engines = {}
+                for entry in entries:
+                    self.engines[entry.engine] = entry.state, entry.zone, entry.size, entry.started
+                    if entry.state == "gone":
+                        del self.engines[entry.engine]
+            case _:
+                pass
+
+    def _good(self, now: float, zone: _Zone) -> None:
+        zone.good.add(now)
+        zone.last_good = now
+
+    def report(self, now: float) -> Tally:
+        second = SPAN / 1000
+        asked = {name: ring.count(now) / second
+                 for name, ring in zip(self.offerings, self.asked, strict=True)}
+        told = Tally(1, {}, asked)
+        warm_up: float = self.settings["warm_up"]
+        waits = self._waits(now)
+        whole = sum(one[2] for one in self.engines.values() if one[0] == "ready") or 1.0
+        for at, name in enumerate(self.zones):
+            ready = [one for one in self.engines.values() if one[1] == at and one[0] == "ready"]
+            zone = self.seen[at]
+            good, faults = zone.good.count(now), zone.faults.count(now)
+            begun, size = zone.press.count(now), sum(one[2] for one in ready)
+            # Who waits for any engine waits for each, as far as it is there.
+            open_, aged = (waits[at][part] + waits[-1][part] * size / whole for part in (0, 1))
+            wait = (zone.press.mean(now) * begun + aged) / max(1.0, begun + open_)
+            # Votes need something seen; where nothing was sent, the list alone is told.
+            spoke = good + faults >= ENOUGH
+            lost = spoke and faults >= ENOUGH and now - zone.last_good > SPAN / 4 and faults > good
+            grey = spoke and not lost and (faults > GREY * (good + faults)
+                                           or begun >= ENOUGH and wait > LATE)
+            told.zones[name] = ZoneTally(
+                int(spoke), int(lost), int(grey), int(bool(ready)), size,
+                sum(one[2] * max(0.0, 1 - (now - one[3]) / warm_up) for one in ready if one[3] > 0),
+                begun / second, (begun + open_) / second, wait * (begun + open_) / second, faults / second)
+        return told
+
+    def _waits(self, now: float) -> dict[int, list[float]]:
+        """Of jobs that have not begun: how many, and the sum of their waits as parts of what was promised,
+        by the zone of their latest trip; -1 where they have none.  What began tells of a jam too late."""
+        found: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
+        for job, promised in list(self.open.items()):
+            if job.ended or job.began or now > job.give_up_at:
+                del self.open[job]
+                continue
+            entry = found[job.trips[-1].engine.zone if job.trips else -1]
+            entry[0] += 1
+            entry[1] += (now - job.arrived) / promised
+        return found
--- a/worksmux/interface.py
+++ b/worksmux/interface.py
@@ -198,7 +198,19 @@
     narrowed: list[tuple[Engine, float]]
 
 
-Event = Listed | Arrived | Began | Ended | Left | Rang | Probed | Placed | Heard | Recalled
+@dataclass(slots=True)
+class Planned:
+    """What the fronts have decided in common.  `rows`: by zone that is not to read all its own jobs, which
+    zones do, and what part each; a zone that is not in its own row reads nothing that others can.  `shed`:
+    by the zone where they belong and by offering, the part of new jobs that is deferred at once, to come back
+    after `stay_away` to twice it.  `near`: jobs go to no zone but the one that reads them."""
+    rows: dict[int, list[tuple[int, float]]]
+    shed: dict[int, list[float]]
+    stay_away: float
+    near: bool = False
+
+
+Event = Listed | Arrived | Began | Ended | Left | Rang | Probed | Placed | Heard | Recalled | Planned
 
 
 # What is to be done.
--- a/worksmux/model/clients.py
+++ b/worksmux/model/clients.py
@@ -163,16 +163,16 @@
                 if how == "delivered" and not job.stream:
                     state["first"] = self.sim.now
                 self.note("clients", "answer", try_id=name, how=how)
-                self._ended(job, how, state["first"])
+                self._ended(job, how, state["first"], asked.stay_away)
 
-        if front is None:
-            self.sim.after(2 * self.hop, answered, "unreachable")
-            return
         asked = Ask(name, session.offering, offering.name, session.id, session.prefix, job.prompt,
                     session.prefix_tokens, job.answer, offering.most_answer,
                     offering.outer_limit if job.leaves else stays, job.tries > 1,
                     lambda: self.sim.after(self.hop, began),
                     lambda how: self.sim.after(self.hop, answered, how))
+        if front is None:
+            self.sim.after(2 * self.hop, answered, "unreachable")
+            return
         self.sim.after(self.hop, front.ask, asked)
 
         def gives_up() -> None:
@@ -182,7 +182,7 @@
 
         self.sim.after(stays + whole, gives_up)
 
-    def _ended(self, job: ClientJob, how: str, first: float | bool | None) -> None:
+    def _ended(self, job: ClientJob, how: str, first: float | bool | None, stay_away: float) -> None:
         offering, session, totals = self.offerings[job.session.offering], job.session, self.totals
         if how in ("unreachable", "reset"):
             self.dead.setdefault(job.front, self.sim.now)
@@ -192,7 +192,7 @@
                     or offering.effect == "labelled" and how != "left")
         if how != "delivered" and harmless and job.left > 0:
             job.front = self._next_front()
-            self.sim.after(self._between(self.day.wait), self._try, job)
+            self.sim.after(max(stay_away, self._between(self.day.wait)), self._try, job)
             return
         promised = offering.promised_time + offering.promised_per_k * job.prompt / 1000
         wait = float(first) - job.intended if first else None
--- a/worksmux/model/front.py
+++ b/worksmux/model/front.py
@@ -9,6 +9,7 @@
 from .. import interface as i
 from ..api.listing import Listing
 from ..door import Door, Maker
+from ..failover.watcher import Watcher
 from ..membership.keys import key_of
 from ..membership.roster import Roster
 from ..membership.trust import Answer, Beliefs, Stand, Step
@@ -50,6 +51,7 @@
     repeat: bool
     began: Callable[[], object]
     answered: Callable[[str], object]
+    stay_away: float = 0.0           # told with a deferral
 
 
 @dataclass(slots=True)
@@ -78,6 +80,7 @@
         self.nowhere = ModelEngine(sim, NOWHERE, lambda *_, **__: None, hop)
         self.nowhere.alive = False
         self.learner: Learner | None = None
+        self.watcher: Watcher | None = None
         self.beliefs: Beliefs | None = None
         self.belief_timer: Timer | None = None
         self.counts = FrontCounts()
@@ -111,6 +114,9 @@
         if self.learner is not None:
             for event in events:
                 self.learner.saw(self.sim.now, event)
+        if self.watcher is not None:
+            for event in events:
+                self.watcher.saw(self.sim.now, event)
         for action in self.door.decide(self.sim.now, events):
             self._carry_out(action)
         closing, self.closing = self.closing, []
@@ -299,7 +305,9 @@
         match action:
             case i.Send():
                 self._send(action)
-            case i.Defer(job, _):
+            case i.Defer(job, stay_away):
+                if job in self.cases:
+                    self.cases[job].asked.stay_away = stay_away
                 self._final(job, "deferred")
             case i.BreakOff(job):
                 self._final(job, "broken off")
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -15,7 +15,7 @@
 
 from .interface import (
     Action, Alarm, Arrived, Began, BreakOff, Cancel, Defer, Ended, Engine, Entry, Event, Hold, Job,
-    Left, Listed, Outcome, Probe, Probed, Rang, Recalled, Release, Send, Settings, Trip, Watch)
+    Left, Listed, Outcome, Planned, Probe, Probed, Rang, Recalled, Release, Send, Settings, Trip, Watch)
 from .measure import Chance, Ring, mix, straw
 
 MARGIN = 0.25            # of an engine's even share, added to make its first window or its room
@@ -47,8 +47,7 @@
         self.now, self.alarm_at, self.reckoned = 0.0, -inf, -inf
         self.cold: list[Engine] = []
         self.read_credit = 0.0                       # jobs that cold readers may be sent, earned together
-        # Faults and ready engines, by role, at the last reckoning.
-        self.shared: dict[str, tuple[float, int]] = defaultdict(lambda: (0.0, 0))
+        self.shared: dict[str, tuple[float, int]] = defaultdict(lambda: (0.0, 0))     # by role: faults, ready
         self.actions: list[Action] = [Watch(True)] if settings["ask_for_list"] else []
         self.engines: dict[Engine, None] = {}
         self.awaited: dict[Engine, None] = {}        # no sign of life since a send
@@ -60,6 +59,8 @@
         self.first = Ring(MEMORY, BUCKETS)           # time to a first token
         self.lines = Ring(MEMORY, BUCKETS)           # time that prompts waited to be read
         self.fates = [Ring(MEMORY, BUCKETS) for _ in self.offerings]     # 1 for each fault, else 0
+        self.plan: Planned | None = None             # of all fronts; without one nothing is done for it
+        self.missed: list[Engine] = []               # of zones that it moves: where jobs belong stays known
         self._index()
 
     def decide(self, now: float, events: list[Event]) -> list[Action]:
@@ -91,6 +92,8 @@
                 job.promised_at = (self.now + offering["promised_time"]
                                    + offering["promised_per_k"] * job.prompt / 1000)
                 job.luck = self.chance.share()
+                if self._shed(job):
+                    return
                 self.waiting[job] = None
                 # A part, so that a fleet all cold is not left alone; the least for repeats, which can storm.
                 self._earn(self.cold, 0.25 if job.repeat else 0.5)
@@ -114,6 +117,22 @@
                 self._probed(engine, outcome)
             case Recalled():
                 self._recall(event)
+            case Planned():
+                self.plan = event
+                self._index()
+
+    def _shed(self, job: Job) -> bool:
+        """What the plan has no room for is deferred before any trip, with a time that spreads its return: by
+        its home, so that what is moved crowds nobody out, and by beginning, so that what is let in shares."""
+        if not (plan := self.plan) or not plan.shed:
+            return False
+        key, _, order = self._ranked(job)
+        shed = plan.shed.get(order[0].zone) if order else None
+        job.ended = shed is not None and straw(key, mix(job.offering, 3)) < shed[job.offering]
+        if job.ended:
+            stay = plan.stay_away if self.settings["stay_away"] else 0.0
+            self.actions.append(Defer(job, stay * (1 + self.chance.share())))
+        return job.ended
 
     def _recall(self, event: Recalled) -> None:
         """Takes on what was learned before a restart; it fades like what is seen now."""
@@ -141,7 +160,8 @@
         for entry in event.entries:
             self._enter(entry)
         for engine in [engine for engine in self.engines if engine.state == "gone" and not engine.trips
-                       and not engine.paired and self.now - engine.left > MEMORY]:
+                       and not engine.paired and engine not in self.missed
+                       and self.now - engine.left > MEMORY]:
             del self.engines[engine]                 # guards against a fleet that is replaced all day
         self._index()
 
@@ -168,7 +188,11 @@
         """Reckons, once a list, who reads and answers what part.
         Readers weigh as much as their cell's writers can answer: where racks hold the two unevenly, a plain
         hash would push a rack's few writers over, and a front that seldom meets them sees no window fill."""
-        ready = [engine for engine in self.engines if engine.state == "ready"]
+        listed = [engine for engine in self.engines if engine.state == "ready"]
+        rows = {zone: dict(row) for zone, row in self.plan.rows.items()} if self.plan else {}
+        ready = [one for one in listed if one.zone in rows.get(one.zone, {one.zone: 1})] or listed
+        self.missed = [engine for engine in self.engines if engine.zone in rows and engine not in ready
+                       and engine.role != "write" and engine.weight]
         self.readers, self.writers, mixed = ([engine for engine in ready if engine.role == role]
                                              for role in ("read", "write", "both"))
         self.hosts, self.answering = self.readers + mixed, self.writers + mixed
@@ -444,21 +468,39 @@
 
     # The ordinary path.
 
+    def _ranked(self, job: Job) -> tuple[int, int, list[Engine]]:
+        session = mix(job.session or job.id, 1)
+        key = mix(job.prefix, 0) if job.prefix else session
+        return key, session, sorted(self.hosts + self.missed,
+                                    key=lambda engine: -log(straw(key, engine.salt)) / engine.weight)
+
     def _order(self, job: Job) -> list[tuple[Engine, float]]:
         """Who may read, by hash: the shared beginning picks a few, the session one of them.
 
         Mixed engines stand among the readers and keep what they read, for they answer it too.
         """
-        session = mix(job.session or job.id, 1)
-        key = mix(job.prefix, 0) if job.prefix else session
-        order = sorted(self.hosts, key=lambda engine: -log(straw(key, engine.salt)) / engine.weight)
-        few = 1 + ceil(len(order) ** 0.5) if job.prefix else 0
+        key, session, order = self._ranked(job)
+        order, away = self._planned(order, self.plan, key) if self.plan and order else (order, False)
+        few = 1 + ceil(len(order) ** 0.5) * (not away) if job.prefix else 0
         order[:few] = sorted(order[:few], key=lambda engine: straw(session, engine.salt))
         if self._failing(job.offering):
             order.sort(key=lambda engine: not self._vouched(engine, job.offering))
         return ([(engine, 0.0) for engine in order[:few]] + [(engine, job.prompt) for engine in order[:few]]
                 + [(engine, 0.0) for engine in order[few:]])
 
+    def _planned(self, order: list[Engine], plan: Planned, key: int) -> tuple[list[Engine], bool]:
+        """The zone that the hash gives keeps the job, or the one that the plan draws for its beginning. Away
+        from home one engine reads each: a zone's beginnings read by several would push out the others'."""
+        home = zone = order[0].zone
+        luck = straw(key, mix(home, 2))
+        for other, share in plan.rows.get(home, []):
+            zone, luck = other, luck - share
+            if luck < 0:
+                break
+        able = [one for one in order if one not in self.missed]
+        near = [one for one in able if one.zone == zone]
+        return near if near and plan.near else sorted(able, key=lambda one: one.zone != zone), zone != home
+
     def _has_room(self, reader: Engine, job: Job, anew: float = 0.0) -> bool:
         """Little of our own out there; more (`anew`) before the shared beginning is read anew elsewhere."""
         ours = sum(trip.work for trip in reader.trips)
--- a/worksmux/settings/shared.py
+++ b/worksmux/settings/shared.py
@@ -96,6 +96,24 @@
     return found
 
 
+def regions(section: Section, zones: list[str]) -> dict[str, str]:
+    """The region of each zone, by sections `region "west" { zones "north" "south" }`; empty where none are
+    given.  A zone lies in one region."""
+    found: dict[str, str] = {}
+    for node in section.all("region"):
+        name = node.title()
+        for zone in node.texts("zones"):
+            if zone not in zones:
+                node.complain(f'region "{name}": zone "{zone}" is not among the zones {", ".join(zones)}')
+            elif zone in found:
+                node.complain(f'region "{name}": zone "{zone}" lies in "{found[zone]}" already')
+            found[zone] = name
+        node.end()
+    if found and (left := [zone for zone in zones if zone not in found]):
+        section.complain(f"no region has the zones {', '.join(left)}; put each zone in one")
+    return found
+
+
 def rules(section: Section) -> dict[str, float]:
     """The figures of the five rules, named as the module names them."""
     node = section.only("rules")
