--- a/tests/test_council_parts.py
+++ b/tests/test_council_parts.py
@@ -266,7 +266,7 @@
 
 def test_reports_run_up_the_tree_added_up() -> None:
     fleet = Fleet(80)
-    for name, one in fleet.followers.items():
+    for one in fleet.followers.values():
         one.report = lambda below: str(1 + sum(int(part) for part in below)).encode()
     fleet.run(3 * LEASE)
     assert sum(int(part) for part in fleet.followers["f0"].reports()) == 79
--- a/worksmux/api/engine.py
+++ b/worksmux/api/engine.py
@@ -20,6 +20,7 @@
 PULL, CONTROL = "/worksmux/state", "/worksmux/control"
 LOAD = "endpoint-load-metrics"
 JOB, FRONT, TRY = "x-worksmux-job", "x-worksmux-front", "x-worksmux-try"
+PLAN = "x-worksmux-plan"             # of the fleet's plans the one acted on, and whether the front is alone
 PROMPT_TOKENS = "x-worksmux-prompt-tokens"         # as the front counted them; left out where it guessed
 FULL, STATE_LOST, DRAINING = "full", "state_lost", "draining"
 
--- /dev/null
+++ b/worksmux/audit/fleet.py
@@ -0,0 +1,28 @@
+"""What is judged of a fleet of fronts beside the five rules, from the engines' records alone."""
+from __future__ import annotations
+
+from .records import Records
+from .rules import Verdict
+
+
+def one_plan(records: Records, lease: float, slack: float = 60.0) -> Verdict:
+    """Nobody acts on a plan longer than the lease after another has come into force: after its first trip,
+    which is no earlier than its agreement.  Trips of fronts that are alone say so and are not judged."""
+    verdict = Verdict(0, "one plan")
+    first: dict[int, float] = {}
+    trips = [(trip, int(trip.plan)) for trip in records.trips if trip.plan.isdigit()]
+    for trip, number in trips:
+        first[number] = min(first.get(number, trip.got), trip.got)
+    newer = sorted(first.items())
+    for trip, number in trips:
+        verdict.checked += 1
+        over = min((at for other, at in newer if other > number), default=None)
+        if over is not None and trip.got > over + lease + slack:
+            verdict.find(f"job {trip.job}: {trip.front} sent it to {trip.engine} by plan {number}, "
+                         f"{trip.got - over:.0f} ms after another was acted on", trip.job)
+    return verdict
+
+
+def plans_seen(records: Records) -> list[int]:
+    """The plans that trips were sent by, in order."""
+    return sorted({int(trip.plan) for trip in records.trips if trip.plan.isdigit()})
--- a/worksmux/audit/records.py
+++ b/worksmux/audit/records.py
@@ -30,6 +30,7 @@
     end: float | None = None
     how: str = ""
     made: int = 0
+    plan: str = ""                   # that its front acted on, where fronts decide in common
 
     @property
     def may_have_run(self) -> bool:
@@ -149,7 +150,7 @@
         case "got":
             place = engines[who]
             trip = TripRecord(who, place["role"], place["zone"], place["cell"], line["job"], line["front"],
-                              line["try"], line["offering"], time)
+                              line["try"], line["offering"], time, plan=str(line.get("plan", "")))
             open_trips[line["trip"]] = trip
             found.trips.append(trip)
             _close(holdings, who, line["job"], "place", time, "taken")
--- a/worksmux/council/following.py
+++ b/worksmux/council/following.py
@@ -153,6 +153,7 @@
         self.leads = False                           # this front's own seat does
         self.there: frozenset[str] = frozenset()
         self.seats: frozenset[str] = frozenset()
+        self.parent = ""
         self.below: dict[str, Below] = {}
         self.asked: dict[int, tuple[str, float]] = {}
         self.number = self.vain = 0
@@ -166,7 +167,13 @@
         return self.as_of + self.lease
 
     def reports(self) -> list[bytes]:
-        return [one.report for one in self.below.values() if one.report]
+        """Of those below.  Guards against reports that go in circles, and grow as they do: however unlike
+        fronts see the tree, only who leads takes those of seats, and others those of higher hashes."""
+        if self.leads:
+            return [one.report for one in self.below.values() if one.report]
+        top, own = self.me in self.seats, mix(hash_of(self.me), 5)
+        return [one.report for name, one in self.below.items() if one.report and name not in self.seats
+                and (top or mix(hash_of(name), 5) > own)]
 
     def step(self, now: float, what: What) -> Out:
         out = Out()
@@ -176,6 +183,7 @@
                     self._round(now, out)
             case Fronts(there, seats):
                 self.there, self.seats = there, seats
+                self.parent = parent_of(self.me, there, seats)
             case Agreed():
                 self._agreed(now, what, out)
             case Heard(name, Pull() as pull):
@@ -196,8 +204,7 @@
         if self.leads:
             self._spread(out)
             return
-        parent = self.leader if self.me in self.seats and self.leader in self.there else parent_of(
-            self.me, self.there, self.seats)
+        parent = self._above()
         if parent:
             self._ask(now, parent, out)
         self.vain += 1
@@ -206,10 +213,15 @@
                 for name in self.chance.some(sorted(others - {parent}), 1):
                     self._ask(now, name, out)
 
+    def _above(self) -> str:
+        """For a seat that is who leads; for others the same in the tree."""
+        return self.leader if self.me in self.seats and self.leader in self.there else self.parent
+
     def _ask(self, now: float, name: str, out: Out) -> None:
         self.number += 1
         self.asked[self.number] = name, now
-        out.posts.append((name, Pull(self.number, self.index, self.mark, self.report(self.reports()))))
+        report = self.report(self.reports()) if name == self._above() else b""
+        out.posts.append((name, Pull(self.number, self.index, self.mark, report)))
 
     def _pulled(self, now: float, name: str, pull: Pull, out: Out) -> None:
         if name in self.there:
--- a/worksmux/failover/planner.py
+++ b/worksmux/failover/planner.py
@@ -23,6 +23,8 @@
 FULL = 0.5               # of what was promised, spent waiting on average: above it a zone is full
 EASY = 0.25              # under it, what begins there shows what the zone carries
 LIGHT = 0.45             # of what those who take jobs carry: with less to come all is let in at once
+IDLE = 0.05              # of what was promised: waits of engines that have next to nothing to do
+GUESS = 3.0              # load, for each part of what was promised that jobs wait beyond that
 STEEP = 2.0              # what is held back to begin with, for each part of load above that
 SPARE = 1.25             # of what they carry, less the load: what can go into reading anew what moves
 LEAST_SPARE = 0.08
@@ -123,15 +125,19 @@
         return self.map.every / 1000
 
     def _load(self, serving: Iterable[str]) -> float:
-        """All that is asked, as a part of what these zones carry; 1 where that is not known."""
-        carried = 0.0
-        for name in serving:
-            view, told = self.zones.views[name], self.map.carries.get(name, 0.0)
-            size = view.ready / view.size if view.size else 0.0
-            carried += told * view.keep * size if told else self.seen.get(name, 0.0)
-        known = all(self.map.carries.get(name) for name in serving)
-        load = sum(self.asked.values()) / carried if carried else 1.0
-        return load if known else min(1.0, load)     # what was learned is the least that they carry
+        """All that is asked, as a part of what these zones carry.  Where that is not told it is guessed from
+        their waits, and taken for less where they were seen to carry as much at ease."""
+        names, asked = list(serving), sum(self.asked.values())
+        if all(self.map.carries.get(name) for name in names):
+            carried = 0.0
+            for name in names:
+                view = self.zones.views[name]
+                carried += self.map.carries[name] * view.keep * (view.ready / view.size if view.size else 0.0)
+            return asked / carried if carried else 1.0
+        seen = sum(self.seen.get(name, 0.0) for name in names)
+        waits = max((self.press.get(name, 1.0) for name in names), default=1.0)
+        guess = min(1.0, LIGHT + GUESS * max(0.0, waits - IDLE))
+        return min(guess, asked / seen) if seen else guess
 
     def _takers(self, name: str) -> tuple[dict[str, float], dict[str, float]]:
         """What is ready in the other zones of the region, and in those of others."""
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -33,6 +33,7 @@
         self.number = 0
         self.engine_list: Any = None                       # the source of the list, set by who builds both
         self.on_fault: Any = None                    # called when the module has failed
+        self.acts_on: Any = None                     # gives what of the fleet's decisions holds, for trips
         self.on_trip: Any = None                     # called with an engine and an outcome, at a trip's end
         self.on_empty: Any = None                    # called at each end of a job
         self._closing: list[Case] = []
--- /dev/null
+++ b/worksmux/front/council_disk.py
@@ -0,0 +1,168 @@
+"""What a front keeps on disk for its seat: term, vote, log and snapshot, and its own life.
+
+Written on a thread, several writes in one transaction, each told only once it is synced.  A disk that cannot
+be written holds up the seat, which is then as if it were frozen; the front goes on.  A disk whose records do
+not agree is no seat's any more: it starts as another one, which votes only after it has caught up.
+"""
+from __future__ import annotations
+
+import queue
+import secrets
+import sqlite3
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+import structlog
+
+from ..council.entries import Base, Entry, Saved, Write
+from ..store.database import Changes, Store, open_store
+
+LOG = structlog.get_logger()
+COUNCIL, FRONT = "council", "front"
+AGAIN = 0.3                          # seconds before a write that failed is tried again
+
+
+class Hard(msgspec.Struct):
+    term: int
+    vote: str
+
+
+class Own(msgspec.Struct):
+    """`mark` is of this disk; `life` counts the front's starts."""
+    mark: str
+    life: int
+
+
+def _key(index: int) -> str:
+    return f"e{index:015d}"
+
+
+class CouncilDisk:
+    """`told(number)` is called through `later` once a write is on disk."""
+
+    def __init__(self, folder: Path, later: Callable[..., object]) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self.path, self.later = folder / "council.db", later
+        self.store: Store = open_store(self.path)
+        self.store.database.execute("PRAGMA synchronous = FULL")
+        self.notes = list(self.store.notes)
+        self.saved = Saved()
+        self.first = self.last = 0                   # entries that are there
+        self.own = self._read()
+        self.failing = self.ended = False
+        self.waiting: queue.SimpleQueue[tuple[Write, Callable[[int], object]] | None] = queue.SimpleQueue()
+        self.thread = threading.Thread(target=self._run, name="council", daemon=True)
+        self.thread.start()
+
+    def _read(self) -> Own:
+        council, front = self.store.read(COUNCIL), self.store.read(FRONT)
+        own = None
+        try:
+            if front.whole and "own" in front.values:
+                own = msgspec.msgpack.decode(front.values["own"], type=Own)
+            if council.whole and own is not None:
+                self.saved = self._saved(council.values)
+            elif council.values or council.bad or front.values:
+                raise ValueError(f"{council.bad} records of the council fail their checks")
+        except (msgspec.DecodeError, ValueError) as error:
+            self.notes.append(f"{self.path}: {error}; this front takes a seat anew, under another mark")
+            self.saved = Saved()
+            life = own.life if own else 0
+            self.store.replace(COUNCIL, [], time.time() * 1000)
+            own = Own(secrets.token_hex(4), life)
+        if own is None:
+            own = Own(secrets.token_hex(4), 0)
+        # A clock that counts seconds is ahead of most lives that a lost disk knew.
+        own.life = max(own.life + 1, int(time.time()))
+        self._write({FRONT: {"own": msgspec.msgpack.encode(own)}})
+        if self.saved.entries:
+            self.first, self.last = self.saved.entries[0].index, self.saved.entries[-1].index
+        return own
+
+    @staticmethod
+    def _saved(values: dict[str, bytes]) -> Saved:
+        """Raises ValueError where something between is missing."""
+        hard = msgspec.msgpack.decode(values["hard"], type=Hard) if "hard" in values else Hard(0, "")
+        base = msgspec.msgpack.decode(values["base"], type=Base) if "base" in values else Base()
+        entries = [msgspec.msgpack.decode(values[key], type=Entry) for key in sorted(values)
+                   if key.startswith("e")]
+        entries = [entry for entry in entries if entry.index > base.index]
+        if [entry.index for entry in entries] != list(range(base.index + 1, base.index + 1 + len(entries))):
+            raise ValueError("entries of the council are missing")
+        return Saved(hard.term, hard.vote, base, entries)
+
+    def _write(self, changes: Changes) -> None:
+        self.store.write(changes, time.time() * 1000)
+
+    def put(self, write: Write, told: Callable[[int], object]) -> None:
+        self.waiting.put((write, told))
+
+    def found(self, base: Base) -> None:
+        """The first snapshot of a new council, at once."""
+        self.saved = Saved(base=base)
+        self._write({COUNCIL: {"base": msgspec.msgpack.encode(base), "hard": msgspec.msgpack.encode(
+            Hard(0, ""))}})
+
+    def _run(self) -> None:
+        while not self.ended:
+            taken = [self.waiting.get()]
+            while not self.waiting.empty():
+                taken.append(self.waiting.get())
+            writes = [one for one in taken if one is not None]
+            if writes and not self._keep([write for write, _ in writes]):
+                return
+            for write, told in writes[-1:]:          # the numbers before it are told with it
+                self.later(told, write.number)
+            if None in taken:
+                return
+
+    def _keep(self, writes: list[Write]) -> bool:
+        """Tries until they are on disk; false where the front ends meanwhile."""
+        while not self.ended:
+            changes, first, last = self._changes(writes)
+            try:
+                self._write({COUNCIL: changes})
+            except sqlite3.Error as error:
+                if not self.failing:
+                    LOG.error("the council's disk cannot be written; this front's seat stands still",
+                              file=str(self.path), why=str(error))
+                self.failing = True
+                time.sleep(AGAIN)
+                continue
+            if self.failing:
+                LOG.info("the council's disk is written again", file=str(self.path))
+            self.failing = False
+            self.first, self.last = first, last
+            return True
+        return False
+
+    def _changes(self, writes: list[Write]) -> tuple[dict[str, bytes | None], int, int]:
+        changes: dict[str, bytes | None] = {}
+        first, last = self.first, self.last
+        for write in writes:
+            if write.hard is not None:
+                changes["hard"] = msgspec.msgpack.encode(Hard(*write.hard))
+            if write.cut is not None and first:
+                for index in range(max(first, write.cut), last + 1):
+                    changes[_key(index)] = None
+                last = min(last, max(first, write.cut) - 1)
+            if write.base is not None:
+                changes["base"] = msgspec.msgpack.encode(write.base)
+                for index in range(first, min(last, write.base.index) + 1):
+                    changes[_key(index)] = None
+                first = max(first, write.base.index + 1)
+                last = max(last, write.base.index)
+            for entry in write.entries:
+                changes[_key(entry.index)] = msgspec.msgpack.encode(entry)
+                first, last = first or entry.index, entry.index
+        return changes, first, last
+
+    def close(self) -> None:
+        self.ended = True
+        self.waiting.put(None)
+        self.thread.join(2.0)
+        if not self.thread.is_alive():
+            self.store.close()
--- a/worksmux/front/metrics.py
+++ b/worksmux/front/metrics.py
@@ -1,7 +1,8 @@
 """Plain metrics of one front, in the Prometheus text form."""
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections import Counter as Counts
+from typing import TYPE_CHECKING, Any
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
@@ -71,6 +72,8 @@
         self.lines_lost = Gauge("worksmux_log_lines_lost", "Log lines dropped as their reader was too slow",
                                 registry=self.registry)
 
+        self._fleet: dict[str, Gauge] | None = None
+
     def brownout(self, level: float, lag: float) -> None:
         self._level.set(level)
         self._lag.set(lag / 1000)
@@ -100,6 +103,38 @@
         self._recounted.set(service.recounted)
         self._line.set(sum(lane.bytes for lane in service.desk.lanes.values()))
 
+    def fleet(self, status: dict[str, Any]) -> None:
+        """What the front knows of the others, when the metrics are asked for."""
+        if self._fleet is None:
+            def gauge(name: str, text: str, labels: tuple[str, ...] = ()) -> Gauge:
+                return Gauge(f"worksmux_fleet_{name}", text, labels, registry=self.registry)
+
+            self._fleet = {
+                "fronts": gauge("fronts", "Fronts known, by state", ("state",)),
+                "alone": gauge("alone", "1 while what was decided in common is too old to act on"),
+                "plan": gauge("plan", "Number of the plan that is acted on"),
+                "term": gauge("council_term", "Term of the council, as this front knows"),
+                "leads": gauge("council_leads", "1 while this front's seat leads the council"),
+                "lease": gauge("lease_seconds", "What is left of the lease"),
+                "sent": gauge("messages_sent", "Messages to other fronts"),
+                "bytes": gauge("bytes_sent", "Bytes of them"),
+                "refused": gauge("messages_refused", "Messages of others refused, by reason", ("reason",)),
+                "contradictions": gauge("contradictions", "Times that fronts told unlike things as agreed"),
+            }
+        found = self._fleet
+        states = Counts(one["state"] for one in status["fronts"])
+        for state in ("alive", "suspect", "dead", "left"):
+            found["fronts"].labels(state).set(states[state])
+        for reason, count in status["messages"]["refused"].items():
+            found["refused"].labels(reason).set(count)
+        for name, value in (("alone", status["alone"]), ("plan", status["plan"]["number"]),
+                            ("term", status["council"]["term"]),
+                            ("leads", status["council"]["role"] == "leader"),
+                            ("lease", status["lease_ms"] / 1000), ("sent", status["messages"]["sent"]),
+                            ("bytes", status["messages"]["bytes"]),
+                            ("contradictions", status["contradictions"])):
+            found[name].set(float(value))
+
     def turned_away(self, why: str) -> None:
         self._turned_away.labels(why).inc()
 
--- a/worksmux/front/published.py
+++ b/worksmux/front/published.py
@@ -65,6 +65,8 @@
         carrier = make(self.reactor, pool, trip, self, time_out, transport.stream_silence, transport.reply)
         headers = [("Content-Type", "application/json"), (chat.REQUEST_ID, f"{case.key}.{trip.number}"),
                    (calls.JOB, case.key), (calls.FRONT, self.settings.name), (chat.LABEL, asked.label)]
+        if self.acts_on is not None:
+            headers.append((calls.PLAN, self.acts_on()))
         if asked.exact:
             headers.append((calls.PROMPT_TOKENS, str(int(asked.prompt))))
         if asked.request_id:
--- a/worksmux/front/serve.py
+++ b/worksmux/front/serve.py
@@ -3,8 +3,9 @@
 
 import secrets
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+import msgspec
 import structlog
 
 from ..admission.gate import Gate, GateSettings, Share
@@ -29,6 +30,9 @@
 from .vectors import VectorSide
 from .watchman import Watchman
 
+if TYPE_CHECKING:
+    from .peering import Peering
+
 LOG = structlog.get_logger()
 
 
@@ -77,6 +81,11 @@
         if settings.counting:
             self.tokens = TokenService(reactor, settings.counting, vocabularies(settings))
         self.clients = ClientSide(self.core, self.tokens)
+        self.peering: Peering | None = None
+        if settings.fleet:
+            from .peering import Peering             # not loaded by a front that is alone by its settings
+            self.peering = Peering(settings, self.core, reactor, seed)
+            self.peering.on_outlived = self.stop
         self.watchman: Watchman | None = None
         if settings.admission:
             self._one_stage(settings.admission, seed, make)
@@ -119,6 +128,8 @@
         if self.memory:
             self.memory.start()
             self.clients.on_job = self.memory.job_came
+        if self.peering:
+            self.peering.start()
         self.engine_list.start()
         if self.watchman:
             self.watchman.start()
@@ -130,15 +141,20 @@
             self.metrics.lines_lost.set(self.writer.lost if self.writer else 0)
             if self.tokens:
                 self.metrics.tokens(self.tokens)
+            if self.peering:
+                self.metrics.fleet(self.peering.status())
             exchange.answer(200, self.metrics.text(), "text/plain; version=0.0.4; charset=utf-8")
         elif path == "/live":
             exchange.answer(200, b"running\n", "text/plain")
         elif path in ("/health", "/ready"):
             ready = self.engine_list.keeper.ready
             state = "stopping" if self.stopping else "serving" if ready else "no engine is listed as ready"
+            common = f"; {self.peering.stands()}" if self.peering else ""
             exchange.answer(200 if ready and not self.stopping else 503,
-                            f"{state}; engines ready: {ready}; open jobs: {len(self.core.cases)}\n".encode(),
-                            "text/plain")
+                            f"{state}; engines ready: {ready}; open jobs: {len(self.core.cases)}{common}\n"
+                            .encode(), "text/plain")
+        elif path == "/fleet" and self.peering:
+            exchange.answer(200, msgspec.json.encode(self.peering.status()))
         else:
             exchange.answer(404, b"known here: /metrics /health /ready /live\n", "text/plain")
 
@@ -149,6 +165,8 @@
         if self.clients.vectors:
             self.clients.vectors.stopping = True
         self.ports[0].stopListening()
+        if self.peering:
+            self.peering.leave()
         LOG.info("stopping", open=len(self.core.cases))
         self.timer = self.reactor.callLater(self.settings.transport.drain_time / 1000, self._end)
         self._emptied()
@@ -185,6 +203,8 @@
             self.tokens.stop()
         if self.memory:
             self.memory.stop()
+        if self.peering:
+            self.peering.close()
         for port in self.ports:
             port.stopListening()
         for pool in self.core.pools.values():
@@ -216,6 +236,8 @@
                 "admission",
                 "source",
                 "memory",
+                "regions",
+                "fleet",
                 "log_format",
             )
             if getattr(old, name) != getattr(fresh, name)
--- a/worksmux/front/turns.py
+++ b/worksmux/front/turns.py
@@ -22,6 +22,7 @@
         self.door, self.reactor, self.metrics = door, reactor, metrics
         self.failed = False                          # the module has: nothing more is asked of it
         self.on_event: Any = None                    # called with the time and each event told to the module
+        self.before_turn: Any = None                 # called with the time, before events are taken
         self._events: list[i.Event] = []
         self._due = False
 
@@ -34,7 +35,13 @@
             self._due = True
             self.reactor.callLater(0, self._turn)
 
+    def wake(self) -> None:
+        """A turn is due, though nothing has happened that the module is told of yet."""
+        self._soon()
+
     def _turn(self) -> None:
+        if self.before_turn:
+            self.before_turn(clock.now())
         self._due = False
         events, self._events = self._events, []
         if self.failed:
--- a/worksmux/settings/front.py
+++ b/worksmux/settings/front.py
@@ -7,6 +7,7 @@
 
 from ..api.listing import Line
 from . import shared
+from .fleet import FleetSettings, read_fleet
 from .document import Section, SettingsError, load
 
 Address = tuple[str, int]
@@ -112,6 +113,8 @@
     module: dict[str, Any]           # what the decision module is given
     lanes: list[Lane]
     admission: Admission | None
+    regions: dict[str, str]          # by zone; empty where none are told
+    fleet: FleetSettings | None      # other fronts, and what is decided in common; none: alone as ever
 
 
 def read_transport(section: Section) -> Transport:
@@ -236,6 +239,7 @@
     memory = _memory(root, kinds, zones)
     one_stage = [one for one in offered if one.call != "chat"]
     admission = read_admission(root, bool(one_stage))
+    regions, fleet = shared.regions(root, zones), read_fleet(root, zones)
     log = root.maybe("log") or Section("log", root.line, complaints=root.complaints)
     log_format, level = log.choice("format", ["json", "console"], "json"), log.choice(
         "level", ["debug", "info", "warning", "error"], "info")
@@ -263,7 +267,7 @@
             own, kinds, figures, {**allowed, "may_hold": False}, priced, **place, ask_for_list=False)))
     return FrontSettings(name, listen, watch, turn, None if seed < 0 else seed, policy, zones, chat, kinds,
                          transport, source, tokenizers, counting, memory, log_format, level, module, lanes,
-                         admission)
+                         admission, regions, fleet)
 
 
 def load_front(path: str | Path) -> FrontSettings:
--- a/worksmux/standins/engine.py
+++ b/worksmux/standins/engine.py
@@ -185,7 +185,8 @@
     def _facts(self, exchange: Exchange, job: Job | None = None) -> dict[str, Any]:
         return {"job": exchange.header(calls.JOB) or "", "trip": exchange.header(chat.REQUEST_ID) or "",
                 "front": exchange.header(calls.FRONT) or "", "try": exchange.header(calls.TRY) or "",
-                "label": exchange.header(chat.LABEL) or "", "offering": job.model if job else ""}
+                "label": exchange.header(chat.LABEL) or "", "offering": job.model if job else "",
+                **({"plan": plan} if (plan := exchange.header(calls.PLAN)) else {})}
 
     def facts(self, exchange: Exchange, offering: str) -> dict[str, Any]:
         return {**self._facts(exchange), "offering": offering}
--- a/worksmux/standins/registry.py
+++ b/worksmux/standins/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any, cast
 
 import msgspec
@@ -51,6 +52,10 @@
                 list=message.scope,
                 engines=[[line.id, line.state, line.started] for line in message.engines],
             )
+        way = self.registry.way
+        if way is not None:
+            engines = [way(self.front, one) for one in message.engines]
+            message = msgspec.structs.replace(message, engines=engines)
         line = msgspec.json.encode(message) + b"\n"
         if self.registry.half:
             cast(Transport, self.transport).write(line[: len(line) // 2])
@@ -80,6 +85,7 @@
         self.failing = False
         self.mute = False                            # takes connections and says nothing
         self.half = False                            # breaks off in the middle of each list
+        self.way: Callable[[str, Line], Line] | None = None      # how a front is told to reach an engine
 
     def start(self) -> int:
         self.port_object, self.port = listen(self.reactor, ("127.0.0.1", self.port), self)
