Tests of several processes: council, plans and leases under kills, freezes, cuts and full disks

Need: what five processes do is shown from outside, by engines', clients' and relays' records. Fifteen tests start five serve processes each, with a relay for every pair: leader killed amid a change, frozen beyond its lease, cut one way, its disk full or stalled; minority and no majority; a zone with its fronts; two of three seats with their disks; rolling restart; discovery dead. Found by them and mended: a seat that begins to lead after a loss took the lost zone for one that never was (fronts now report what they remember of it); a zone that fails while the list stands drew no votes at a few trips a second, as the module sets engines aside after one (how each engine was last found counts for 6 s).

--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,233 @@
+"""Several processes of the program, with faults between them.  Judged from what engines, clients and relays
+wrote down; a front's own word is only waited for."""
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from worksmux.audit.fleet import one_plan
+from worksmux.audit.records import Records
+from worksmux.audit.rules import check
+from worksmux.trial.fleet import FleetRig
+from worksmux.trial.small import FIGURES
+
+LEASE = 1600.0
+
+
+@pytest.fixture
+def rig(tmp_path: Path) -> Iterator[FleetRig]:
+    with FleetRig(tmp_path, 5) as found:
+        found.usual_engines()
+        found.start()
+        found.up()
+        yield found
+
+
+def judged(rig: FleetRig) -> Records:
+    """The records of a day on which every rule was kept, and no plan outlived its lease."""
+    records = rig.settle()
+    for verdict in [*check(records, FIGURES), one_plan(records, LEASE)]:
+        assert verdict.kept, verdict.findings[0]
+    return records
+
+
+def delivered(records: Records) -> float:
+    return sum(job["how"] in ("delivered", "late") for job in records.jobs) / len(records.jobs)
+
+
+def zones_of(rig: FleetRig, records: Records, since: float) -> set[str]:
+    return {trip.zone for trip in records.trips if trip.got > since and trip.role == "read"}
+
+
+def number(rig: FleetRig, name: str) -> int:
+    return int(rig.status(name)["plan"]["number"])
+
+
+def test_zone_that_is_lost_is_planned_around_by_all_and_given_back(rig: FleetRig) -> None:
+    rig.ask(length=9000.0, rate=40.0)
+    rig.run(1500.0)
+    rig.lose_engines("south")
+    rig.until(lambda: all("south" in rig.status(name)["plan"]["rows"] for name in rig.fronts), "one plan")
+    rig.back_engines("south")
+    rig.until(lambda: all(not rig.status(name)["plan"]["rows"] for name in rig.fronts), "all is well again")
+    records = judged(rig)
+    assert delivered(records) > 0.8
+    told = rig.status("front-1")["history"]
+    assert len({plan["event"] for plan in told}) == 1
+
+
+def test_leader_killed_in_the_middle_of_a_change(rig: FleetRig) -> None:
+    rig.ask(length=6000.0, rate=40.0)
+    rig.run(1000.0)
+    leader = rig.leader()
+    rig.lose_engines("south")
+    rig.until(lambda: number(rig, leader) > 0, "a first plan")
+    rig.kill(leader)
+    others = [name for name in rig.fronts if name != leader]
+    rig.until(lambda: all(rig.status(name)["plan"]["rows"].get("south") for name in others), "one plan")
+    rig.until(lambda: rig.leader() not in ("", leader), "another leads")
+    records = judged(rig)
+    assert delivered(records) > 0.75
+
+
+def test_leader_frozen_beyond_its_lease_sends_nothing_by_the_old_plan(rig: FleetRig) -> None:
+    rig.ask(length=9000.0, rate=40.0)
+    rig.run(1000.0)
+    leader = rig.leader()
+    rig.freeze(leader)
+    rig.until(lambda: rig.leader() not in ("", leader), "another leads")
+    rig.lose_engines("south")
+    others = [name for name in rig.fronts if name != leader]
+    rig.until(lambda: all("south" in rig.status(name)["plan"]["rows"] for name in others), "a new plan")
+    rig.run(LEASE)
+    rig.go_on(leader)
+    rig.until(lambda: "south" in rig.status(leader)["plan"]["rows"], "it has the plan too")
+    records = rig.settle()
+    assert one_plan(records, LEASE).kept
+    # What a frozen front owes its clients meanwhile comes late by as long as it was frozen.
+    assert [verdict.kept for verdict in check(records, FIGURES)][1:4] == [True] * 3
+
+
+def test_minority_that_is_cut_off_is_alone_and_serves_and_the_majority_goes_on(rig: FleetRig) -> None:
+    leader = rig.leader()
+    some = [leader, next(name for name in rig.fronts if name != leader and not any(
+        voter.startswith(f"{name}#") for voter in rig.voters()))]
+    others = [name for name in rig.fronts if name not in some]
+    rig.ask(length=8000.0, rate=40.0)
+    rig.net.cut(some, others)
+    rig.until(lambda: all(rig.status(name)["alone"] for name in some), "the minority is alone")
+    rig.until(lambda: rig.status(others[0])["council"]["leader"] in others, "the majority has a leader")
+    assert not any(rig.status(name)["alone"] for name in others)
+    assert all(b"alone" in rig.get(name, "/ready")[1] for name in some)
+    rig.net.heal()
+    rig.until(lambda: not any(rig.status(name)["alone"] for name in rig.fronts), "together again")
+    records = judged(rig)
+    assert delivered(records) > 0.95
+    assert {trip.front for trip in records.trips if "alone" in trip.plan} <= set(some)
+
+
+def test_without_any_majority_the_whole_fleet_is_alone_and_goes_on_serving(rig: FleetRig) -> None:
+    names = list(rig.fronts)
+    rig.ask(length=6000.0, rate=40.0)
+    for name in names:
+        rig.net.cut([name], [other for other in names if other != name])
+    rig.until(lambda: all(rig.status(name)["alone"] for name in names), "everybody is alone")
+    rig.run(1000.0)
+    rig.net.heal()
+    rig.until(lambda: not any(rig.status(name)["alone"] for name in names), "together again")
+    assert delivered(judged(rig)) > 0.95
+
+
+@pytest.mark.parametrize("how", ["out", "in"])
+def test_leader_that_is_cut_one_way_is_replaced(rig: FleetRig, how: str) -> None:
+    leader = rig.leader()
+    others = [name for name in rig.fronts if name != leader]
+    rig.ask(length=5000.0, rate=40.0)
+    rig.net.cut([leader], others, how)
+    rig.until(lambda: rig.status(others[0])["council"]["leader"] in others, "another leads")
+    rig.net.heal()
+    rig.until(lambda: not any(rig.status(name)["alone"] for name in rig.fronts), "together again")
+    assert delivered(judged(rig)) > 0.95
+
+
+def test_zone_lost_with_its_fronts(rig: FleetRig) -> None:
+    rig.ask(length=7000.0, rate=40.0)
+    rig.run(1000.0)
+    rig.lose_engines("north")
+    lost = [name for name, front in rig.fronts.items() if front.zone == "north"]
+    for name in lost:
+        rig.kill(name, lose_disk=True)
+    others = [name for name in rig.fronts if name not in lost]
+    rig.until(lambda: all("north" in rig.status(name)["plan"]["rows"] for name in others), "one plan")
+    records = judged(rig)
+    assert delivered(records) > 0.6
+
+
+def test_two_of_three_seats_lost_with_their_disks_found_no_second_council(rig: FleetRig) -> None:
+    seats = [voter.rpartition("#")[0] for voter in rig.voters()]
+    rig.ask(length=8000.0, rate=30.0)
+    term = rig.status(rig.leader())["council"]["term"]
+    for name in seats[:2]:
+        rig.kill(name, lose_disk=True)
+    left = [name for name in rig.fronts if name not in seats[:2]]
+    rig.until(lambda: all(rig.status(name)["alone"] for name in left), "those left are alone")
+    rig.start(*seats[:2])
+    rig.until(lambda: all(len(rig.status(name)["fronts"]) == 5 for name in rig.fronts), "all are back")
+    rig.run(2000.0)
+    assert not any(front.seen("the council is founded") for front in rig.fronts.values()
+                   if front.name != "front-1")
+    assert len(rig.fronts["front-1"].seen("the council is founded")) == 1
+    assert all(rig.status(name)["alone"] for name in rig.fronts) and term
+    assert delivered(judged(rig)) > 0.8
+
+
+def test_seat_lost_with_its_disk_is_another_when_it_is_back_and_votes_again(rig: FleetRig) -> None:
+    leader = rig.leader()
+    name = next(voter.rpartition("#")[0] for voter in rig.voters() if not voter.startswith(leader))
+    before = rig.voters()
+    rig.kill(name, lose_disk=True)
+    rig.start(name)
+    old = next(voter for voter in before if voter.startswith(f"{name}#"))
+
+    def replaced() -> bool:
+        voters = rig.voters()
+        return len(voters) == 3 and old not in voters
+
+    rig.until(replaced, "its old seat is gone and there are three again")
+    assert len({voter.rpartition("#")[0] for voter in rig.voters()}) == 3
+
+
+def test_rolling_restart_under_load_keeps_the_council_and_every_job(rig: FleetRig) -> None:
+    rig.ask(length=9000.0, rate=30.0)
+    for name, front in rig.fronts.items():
+        rig.signal(name, "TERM")
+        rig.until(lambda front=front: not front.alive, f"{name} ends")
+        rig.start(name)
+        rig.until(lambda front=front: bool(front.port), f"{name} serves")
+        rig.until(lambda name=name: not rig.status(name)["alone"], f"{name} is back")
+    records = judged(rig)
+    assert delivered(records) > 0.95 and not records.killed_fronts
+    assert not any(front.seen("front", state="dead") for front in rig.fronts.values())
+
+
+def test_fleet_decides_on_while_discovery_is_dead(rig: FleetRig) -> None:
+    rig.ask(length=6000.0, rate=40.0)
+    rig.registry.cut()
+    rig.run(500.0)
+    for name in rig.of_zone("east"):
+        rig.net.cut(list(rig.fronts), [name], "reset")
+    rig.until(lambda: all("east" in rig.status(name)["plan"]["rows"] for name in rig.fronts), "one plan")
+    rig.net.heal()
+    rig.registry.back()
+    rig.until(lambda: all(not rig.status(name)["plan"]["rows"] for name in rig.fronts), "all is well again")
+    judged(rig)
+
+
+@pytest.mark.parametrize("how", ["full", "stalled"])
+def test_leader_whose_disk_does_not_take_writes_gives_way(rig: FleetRig, how: str) -> None:
+    leader = rig.leader()
+    rig.ask(length=7000.0, rate=40.0)
+    lock = rig.stall_disk(leader) if how == "stalled" else rig.fill_disk(leader)
+    rig.lose_engines("south")
+    rig.until(lambda: all("south" in rig.status(name)["plan"]["rows"] for name in rig.fronts), "one plan")
+    if lock is not None:
+        lock.close()
+    else:
+        rig.fill_disk(leader, full=False)
+    rig.until(lambda: len({rig.status(name)["council"]["agreed"] for name in (
+        voter.rpartition("#")[0] for voter in rig.voters())}) == 1, "all seats hold the same")
+    judged(rig)
+
+
+def test_of_two_processes_with_one_name_the_older_ends_and_says_so(rig: FleetRig) -> None:
+    old = rig.fronts["front-5"].child
+    assert old is not None
+    rig.fronts["front-5"].folder = rig.folder / "disk-again"
+    rig.fronts["front-5"].listens = 0
+    rig.run(1100.0)                                  # lives on fresh disks count seconds
+    rig.start("front-5")
+    rig.until(lambda: not old.alive, "the older ends")
+    assert rig.fronts["front-5"].alive
+    assert rig.fronts["front-5"].seen("another process with this name has started later; this one ends")
--- a/worksmux/failover/tally.py
+++ b/worksmux/failover/tally.py
@@ -22,6 +22,7 @@
     grey: int = 0                    # votes: much fails there, or is late
     listed: int = 0                  # fronts that know engines of it
     ready: float = 0.0               # size listed as ready
+    had: float = 0.0                 # the most that was, slowly forgotten
     cold: float = 0.0                # of it, still to warm up
     begun: float = 0.0               # jobs a second whose answer began
     met: float = 0.0                 # the same, and those that wait there
@@ -44,7 +45,7 @@
                 and all(0 <= votes <= self.fronts for one in self.zones.values()
                         for votes in (one.spoke, one.lost, one.grey, one.listed))
                 and all(flow(value) for one in self.zones.values()
-                        for value in (one.ready, one.cold, one.begun, one.met, one.press, one.vain)))
+                        for value in (one.ready, one.had, one.cold, one.begun, one.met, one.press, one.vain)))
 
 
 def added(tallies: Iterable[Tally]) -> Tally:
--- a/worksmux/failover/watcher.py
+++ b/worksmux/failover/watcher.py
@@ -10,6 +10,9 @@
 SPAN = 1000.0            # milliseconds that a report looks back
 BUCKETS = 5
 ENOUGH = 3               # trips, before a front votes on a zone
+HALF = 600 * SPAN        # after which half of what a zone had is forgotten
+LASTS = 6 * SPAN         # how an engine was last found
+ALL_BUT = 0.6            # of a zone's engines were last found at fault, and nothing went well: it is lost
 GREY = 0.25              # of trips fail: the zone is grey
 LATE = 0.9               # of what was promised is spent waiting, on average: the zone is grey
 FAULTS = frozenset({i.Outcome.ERROR, i.Outcome.UNREACHABLE, i.Outcome.RESET, i.Outcome.TIMED_OUT})
@@ -19,7 +22,9 @@
 class _Zone:
     def __init__(self) -> None:
         self.good, self.faults, self.press = (Ring(SPAN, BUCKETS) for _ in range(3))
-        self.last_good = 0.0
+        self.last_good = self.had = self.had_at = 0.0
+        self.fine: dict[i.Engine, float] = {}        # by when their last trip ended well
+        self.bad: dict[i.Engine, float] = {}         # of the others, when it ended in a fault
 
 
 class Watcher:
@@ -42,13 +47,15 @@
                 zone = self.seen[trip.engine.zone]
                 if promised := self.open.pop(trip.job, 0.0):
                     zone.press.add(now, (now - trip.job.arrived) / promised)
-                self._good(now, zone)
+                self._good(now, zone, trip.engine)
             case i.Ended(trip, outcome):
                 zone = self.seen[trip.engine.zone]
                 if outcome in FAULTS:
                     zone.faults.add(now)
+                    zone.bad[trip.engine] = now
+                    zone.fine.pop(trip.engine, None)
                 elif outcome in GOOD:
-                    self._good(now, zone)
+                    self._good(now, zone, trip.engine)
             case i.Listed(scope, entries) if scope != "failed":
                 if scope != "delta":
                     self.engines = {}
@@ -59,9 +66,10 @@
             case _:
                 pass
 
-    def _good(self, now: float, zone: _Zone) -> None:
+    def _good(self, now: float, zone: _Zone, engine: i.Engine) -> None:
         zone.good.add(now)
-        zone.last_good = now
+        zone.last_good = zone.fine[engine] = now
+        zone.bad.pop(engine, None)
 
     def report(self, now: float) -> Tally:
         second = SPAN / 1000
@@ -79,17 +87,29 @@
             # Who waits for any engine waits for each, as far as it is there.
             open_, aged = (waits[at][part] + waits[-1][part] * size / whole for part in (0, 1))
             wait = (zone.press.mean(now) * begun + aged) / max(1.0, begun + open_)
-            # Votes need something seen; where nothing was sent, the list alone is told.
-            spoke = good + faults >= ENOUGH
-            lost = spoke and faults >= ENOUGH and now - zone.last_good > SPAN / 4 and faults > good
+            # Votes need something seen; where nothing was sent, the list alone is told.  An engine that the
+            # module has set aside after a fault is asked no more: how it was last found goes on counting.
+            for found in (zone.fine, zone.bad):
+                for engine in [one for one, at in found.items() if at < now - LASTS]:
+                    del found[engine]
+            spoke = good + faults >= ENOUGH or len(zone.bad) + len(zone.fine) >= min(ENOUGH, len(ready))
+            lost = (spoke and bool(zone.bad) and now - zone.last_good > SPAN / 4
+                    and (faults >= ENOUGH and faults > good or len(zone.bad) >= ALL_BUT * len(ready)))
             grey = spoke and not lost and (faults > GREY * (good + faults)
                                            or begun >= ENOUGH and wait > LATE)
             told.zones[name] = ZoneTally(
-                int(spoke), int(lost), int(grey), int(bool(ready)), size,
+                int(spoke), int(lost), int(grey), int(bool(ready)), size, self._had(now, zone, size),
                 sum(one[2] * max(0.0, 1 - (now - one[3]) / warm_up) for one in ready if one[3] > 0),
                 begun / second, (begun + open_) / second, wait * (begun + open_) / second, faults / second)
         return told
 
+    def _had(self, now: float, zone: _Zone, size: float) -> float:
+        """Guards against a seat that begins to lead after a zone was lost, and would take it for one that
+        never was: fronts remember what they knew of it.  Fleets shrink on purpose too, so it fades."""
+        fades = 0.5 ** (max(0.0, now - zone.had_at) / HALF) if zone.had_at else 1.0
+        zone.had, zone.had_at = max(size, zone.had * fades), now
+        return zone.had
+
     def _waits(self, now: float) -> dict[int, list[float]]:
         """Of jobs that have not begun: how many, and the sum of their waits as parts of what was promised,
         by the zone of their latest trip; -1 where they have none.  What began tells of a jam too late."""
--- a/worksmux/failover/zones.py
+++ b/worksmux/failover/zones.py
@@ -21,7 +21,6 @@
 HOLD = 2.0               # looks, that a zone has to be well before its trial, doubled with each relapse
 MOST_HOLD = 32.0
 LASTING = 30.0           # looks without a relapse, after which relapses are forgotten
-CALMER = 0.02            # of the size it had, that is forgotten at a look: fleets shrink on purpose too
 
 
 class Phase(Enum):
@@ -35,7 +34,7 @@
 class ZoneView:
     phase: Phase = Phase.WELL
     keep: float = 1.0                # the part of its own jobs that it keeps
-    size: float = 0.0                # the most that was ready there, slowly forgotten
+    size: float = 0.0                # the most that was ready there, as the fronts remember
     ready: float = 0.0
     warm: float = 1.0                # part of what is ready
     well_since: int = -1             # looks
@@ -66,7 +65,7 @@
             return
         view.ready = told.ready / fronts
         view.warm = 1.0 - told.cold / told.ready if told.ready else 0.0
-        view.size = max(view.ready, view.size * (1 - CALMER) if view.ready else view.size)
+        view.size = told.had / fronts
         if not view.size:
             return                                   # nobody has ever known an engine of it
         # A few fronts that alone fail to reach a zone are cut off from it: that is theirs to see to.
@@ -105,7 +104,7 @@
         """A seat that begins to lead goes on from the plan in force."""
         for name, part in keep.items():
             view = self.views.setdefault(name, ZoneView())
-            view.keep, view.size = part, max(view.size, 1e-9)
+            view.keep = part
             view.phase = Phase.LOST if not part else Phase.BACK
 
     def next_change(self) -> float:
--- a/worksmux/trial/fleet.py
+++ b/worksmux/trial/fleet.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+import os
 import resource
 import shutil
 import signal
@@ -59,6 +60,7 @@
     child: Child | None = None
     port: int = 0
     watch: int = 0
+    listens: int = 0                 # its clients' port, the same at each start
     lines: list[dict[str, Any]] = field(default_factory=list)
     starts: int = 0
 
@@ -174,7 +176,8 @@
             'zone "north"', f'zone "{front.zone}"', 1).replace(
             "fronts 1", f"fronts {len(self.fronts)}\n    number {number}").replace(
             'zones "north" "south"', "zones " + " ".join(f'"{zone}"' for zone in self.zones)).replace(
-            '127.0.0.1:1"', f'127.0.0.1:{self.registry.port}"')
+            '127.0.0.1:1"', f'127.0.0.1:{self.registry.port}"').replace(
+            'listen "127.0.0.1:0"', f'listen "127.0.0.1:{front.listens}"', 1)
         return text + FLEET % (seeds, founders, self.seats, front.folder, reach)
 
     def start(self, *names: str) -> None:
@@ -193,7 +196,7 @@
                 told["t"] = clock.now()
                 front.lines.append(told)
                 if told.get("event") == "serving":
-                    front.port, front.watch = told["port"], told["watch"]
+                    front.port, front.watch = front.listens, _ = told["port"], told["watch"]
                 elif told.get("event") == "fleet":
                     host, _, port = told["peers"].rpartition(":")
                     self.net.aim(front.name, (host, int(port)))
@@ -223,7 +226,9 @@
 
     def go_on(self, name: str) -> None:
         self.journal.note("front goes on", front=name)
-        self.signal(name, "CONT")
+        child = self.fronts[name].child
+        assert child is not None
+        os.kill(child.process.pid, signal.SIGCONT)
 
     def signal(self, name: str, signal_name: str) -> None:
         child = self.fronts[name].child
