--- a/worksmux/failover/watcher.py
+++ b/worksmux/failover/watcher.py
@@ -86,7 +86,8 @@
             begun, size = zone.press.count(now), sum(one[2] for one in ready)
             # Who waits for any engine waits for each, as far as it is there.
             open_, aged = (waits[at][part] + waits[-1][part] * size / whole for part in (0, 1))
-            wait = (zone.press.mean(now) * begun + aged) / max(1.0, begun + open_)
+            press = zone.press.mean(now) * begun + aged
+            wait = press / (begun + open_) if begun + open_ else 0.0
             # Votes need something seen; where nothing was sent, the list alone is told.  An engine that the
             # module has set aside after a fault is asked no more: how it was last found goes on counting.
             for found in (zone.fine, zone.bad):
@@ -100,7 +101,7 @@
             told.zones[name] = ZoneTally(
                 int(spoke), int(lost), int(grey), int(bool(ready)), size, self._had(now, zone, size),
                 sum(one[2] * max(0.0, 1 - (now - one[3]) / warm_up) for one in ready if one[3] > 0),
-                begun / second, (begun + open_) / second, wait * (begun + open_) / second, faults / second)
+                begun / second, (begun + open_) / second, press / second, faults / second)
         return told
 
     def _had(self, now: float, zone: _Zone, size: float) -> float:
