--- a/worksmux/commands/main.py
+++ b/worksmux/commands/main.py
@@ -11,6 +11,7 @@
 
 from ..settings.document import SettingsError
 from .experiments import experiments
+from .fleet import fleet
 from .lists import lists
 from .loads import loads
 from .refusals import BAD_CALL, refuse
@@ -161,6 +162,7 @@
 
 app.add_typer(tokens, name="tokens")
 app.add_typer(lists, name="list")
+app.add_typer(fleet, name="fleet")
 app.add_typer(experiments, name="experiment")
 app.add_typer(loads, name="load")
 
--- a/worksmux/days/engines.py
+++ b/worksmux/days/engines.py
@@ -83,6 +83,7 @@
             if (not trouble.names or place.id in trouble.names)
             and (not trouble.role or roles[place.kind] == trouble.role)
             and (not trouble.zone or place.zone == trouble.zone)
+            and (not trouble.region or day.regions.get(place.zone) == trouble.region)
             and (trouble.cell < 0 or place.cell == trouble.cell)]
     if not trouble.part:
         return able
--- a/worksmux/failover/planner.py
+++ b/worksmux/failover/planner.py
@@ -37,7 +37,7 @@
 LEAVE = 0.02             # of an offering's jobs always let through: what they meet shows the way back
 MOST_CUT = 0.9
 SMOOTH = 0.4             # of each new look, in what the planner sees
-STAY = 4.0               # looks that a deferred job stays away, at least
+STAY = 2.0               # looks that a deferred job stays away, at least
 COARSE = 0.03            # shares that change by less make no new plan
 
 
--- a/worksmux/failover/watcher.py
+++ b/worksmux/failover/watcher.py
@@ -93,7 +93,8 @@
             for found in (zone.fine, zone.bad):
                 for engine in [one for one, at in found.items() if at < now - LASTS]:
                     del found[engine]
-            spoke = good + faults >= ENOUGH or len(zone.bad) + len(zone.fine) >= min(ENOUGH, len(ready))
+            spoke = good + faults >= ENOUGH or len(zone.bad) + len(zone.fine) >= min(
+                ENOUGH, max(1, len(ready)))
             lost = (spoke and bool(zone.bad) and now - zone.last_good > SPAN / 4
                     and (faults >= ENOUGH and faults > good or len(zone.bad) >= ALL_BUT * len(ready)))
             grey = spoke and not lost and (faults > GREY * (good + faults)
--- a/worksmux/front/published.py
+++ b/worksmux/front/published.py
@@ -8,7 +8,7 @@
 from ..api import chat
 from ..api import engine as calls
 from ..door import Door
-from ..net import client
+from ..net import client, clock
 from ..net.loop import Reactor
 from ..settings.front import FrontSettings
 from . import carriers
@@ -141,11 +141,14 @@
         """Guards against a release that gets lost, which would leave state pinned: it is harmless to
         repeat, and only the engine that holds can be asked.  Where that one is cut off it goes on, slowly,
         until it has been heard or the engine has left the list."""
+        sent = clock.now()
+
         def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
             most, within = self.settings.transport.release_tries, self.settings.module["release_within"]
             if status == 200 or engine.state == "gone" or tries >= PATIENT * most:
                 return
-            pause = within / (2 * most) if tries < most else within      # a refusal comes at once
+            # Later ones begin that far apart, so that one is heard in time once a cut is over.
+            pause = within / (2 * most) if tries < most else max(0.0, sent + within - clock.now())
             self.reactor.callLater(pause / 1000, self._release_until, engine, body, tries + 1)
 
         self._small(engine, "POST", calls.RELEASE, body, ended)
--- a/worksmux/trial/fronts.py
+++ b/worksmux/trial/fronts.py
@@ -9,6 +9,9 @@
 from ..days.scenario import Scenario
 
 
+LEASE = 2500.0                       # milliseconds, of what a day's fronts decide in common
+
+
 def _ms(value: float) -> str:
     return f'"{value:.3f}ms"'
 
@@ -94,8 +97,37 @@
 """
 
 
+def _fleet(day: Scenario, name: str, folder: Path, ways: dict[str, int]) -> str:
+    """The section of a front that decides with others; `ways` are the ports by which it reaches them."""
+    if not day.fleet:
+        return ""
+    reach = "".join(f'    reach {json.dumps(other)} "127.0.0.1:{port}"\n' for other, port in ways.items())
+    carries = "".join(f"    carries {json.dumps(zone)} {day.carries:g}\n" for zone in day.zones) * bool(
+        day.carries)
+    founders = " ".join(json.dumps(f"front-{at + 1}") for at in range(min(day.seats, day.fronts)))
+    seeds = " ".join(f'"127.0.0.1:{port}"' for port in ways.values())
+    regions: dict[str, list[str]] = {}
+    for zone, region in day.regions.items():
+        regions.setdefault(region, []).append(json.dumps(zone))
+    told = "".join(f"region {json.dumps(region)} {{\n    zones {' '.join(zones)}\n}}\n"
+                   for region, zones in regions.items())
+    return f"""{told}fleet {json.dumps(day.name)} {{
+    listen "127.0.0.1:0"
+    {f"seeds {seeds}" if seeds else ""}
+    founders {founders}
+    seats {day.seats}
+    disk {json.dumps(str((folder / f"{name}.disk").resolve()))}
+    period "300ms"
+    beat "100ms"
+    patience "600ms"
+    lease "{LEASE:g}ms"
+    gone "10s"
+{reach}{carries}}}
+"""
+
+
 def front_file(day: Scenario, name: str, number: int, zone: str, port: int, watch: int, registry: int,
-               policy: str, folder: Path, counting: bool = True) -> str:
+               policy: str, folder: Path, counting: bool = True, ways: dict[str, int] | None = None) -> str:
     """The text of the settings; it holds what the day's file says, and the ports.
 
     Without `counting` the front guesses lengths from bytes.
@@ -162,4 +194,5 @@
     drain-time {_ms(bounds.drain_time)}
 }}
 log format="json" level="info"
-{_counting(day)}{_admission(day)}{_memory(day, folder / f"{name}.memory")}"""
+{_counting(day)}{_admission(day)}{_memory(day, folder / f"{name}.memory")}{
+    _fleet(day, name, folder, ways or {})}"""
