Each front writes an account of what it acted on; any front answers for all, the dead too

Need: what a front acted on was nowhere, and died with it. Change: front/account_keeper.py writes the chained account on the store's thread, two other fronts copy it (versions/copies.py), /fleet/audit at any watch port gathers and says spans, findings, and the versions at each decision of a job; front/holding.py marks program, settings, tokenizers, list and plan by content. Seen while three kills in a row were played: a copy held records that the front's own disk had lost, and the chain forked; only what is on disk is given out now (Writer.waits). Measured: two tests of five processes; a front killed with its disk is answered for by another, with the plan that its trips carried. Cost is not measured yet.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,7 +4,9 @@
 
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
+import msgspec
 import pytest
 
 from worksmux.audit.fleet import one_plan
@@ -231,3 +233,42 @@
     rig.until(lambda: not old.alive, "the older ends")
     assert rig.fronts["front-5"].alive
     assert rig.fronts["front-5"].seen("another process with this name has started later; this one ends")
+
+
+# Accounts.
+
+def told(rig: FleetRig, name: str, query: str = "") -> dict[str, Any]:
+    status, body = rig.get(name, f"/fleet/audit{query}", within=4000.0)
+    assert status == 200
+    found: dict[str, Any] = msgspec.json.decode(body)
+    return found
+
+
+def test_any_front_answers_for_one_that_died_with_its_disk(rig: FleetRig) -> None:
+    rig.ask(length=3000.0, rate=40.0)
+    rig.lose_engines("south")
+    rig.until(lambda: all(number(rig, name) > 0 for name in rig.fronts), "a plan")
+    rig.until(lambda: rig.answered, "all jobs end")
+    rig.run(1500.0)                                  # copies follow within a second
+    before = told(rig, "front-4")
+    assert not before["findings"] and before["fronts"] == list(rig.fronts)
+    rig.kill("front-4", lose_disk=True)
+    after = told(rig, "front-2")
+    for found in (before, after):
+        spans = [span for span in found["spans"] if span["front"] == "front-4" and span["versions"]]
+        assert max(span["versions"]["plan"]["number"] for span in spans) >= 1
+    records = judged(rig)
+    trip = next(one for one in records.trips if one.front == "front-4" and one.plan.isdigit())
+    decisions = told(rig, "front-5", f"?job={trip.job}")["decisions"]
+    assert {one["front"] for one in decisions} == {"front-4"}
+    assert int(trip.plan) in {one["versions"]["plan"]["number"] for one in decisions}
+
+
+def test_account_goes_on_over_kills_and_says_what_is_not_known(rig: FleetRig) -> None:
+    for _ in range(3):
+        rig.kill("front-3")
+        rig.start("front-3")
+        rig.until(lambda: not rig.status("front-3")["alone"], "it is back")
+    found = told(rig, "front-1")
+    assert not found["findings"]
+    assert [span for span in found["spans"] if span["front"] == "front-3" and span["versions"] is None]
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -33,6 +33,7 @@
         self.number = 0
         self.engine_list: Any = None                       # the source of the list, set by who builds both
         self.on_fault: Any = None                    # called when the module has failed
+        self.on_decision: Any = None                 # called with a job's name and a trip, -1: its answer
         self.acts_on: Any = None                     # gives what of the fleet's decisions holds, for trips
         self.on_trip: Any = None                     # called with an engine and an outcome, at a trip's end
         self.on_empty: Any = None                    # called at each end of a job
@@ -142,6 +143,8 @@
         if case.answered:
             return
         case.answered = how
+        if self.on_decision:
+            self.on_decision(case.key, -1)
         if case.guard.active():
             case.guard.cancel()
         match how:
@@ -272,6 +275,8 @@
             return
         if trip.engine not in self.pools:
             raise LookupError(f"the module sends to an engine without an address: {trip.engine.id!r}")
+        if self.on_decision:
+            self.on_decision(case.key, trip.number)
         time_out = min(action.time_out, left) if action.time_out else left
         case.out[trip] = self._carry(case, trip, self.pools[trip.engine], time_out)
         self.metrics.trip("read" if trip.reading else "write")
--- a/worksmux/front/peering.py
+++ b/worksmux/front/peering.py
@@ -36,7 +36,9 @@
 from ..peers.members import Rumour, State
 from ..settings.front import FrontSettings
 from .council_disk import CouncilDisk
-from .peers_link import Envelope, PeersLink, ToFollower, ToPeer, ToSeat
+from .holding import Holding
+from .account_keeper import AccountKeeper
+from .peers_link import Envelope, PeersLink, ToAccount, ToFollower, ToPeer, ToSeat
 from .published import PublishedCore
 
 LOG = structlog.get_logger()
@@ -70,6 +72,8 @@
         self.map = Map({zone: settings.regions.get(zone, "") for zone in settings.zones},
                        {one.name: one.credit for one in settings.offerings},
                        settings.module["cold_share"], fleet.look, fleet.carries)
+        self.keeper = AccountKeeper(Path(fleet.disk), reactor, settings.name, self._send_account, self._names)
+        self.holding = Holding(settings)
         self.planner: Planner | None = None
         self.plan = Plan()
         self.alone = True
@@ -97,8 +101,10 @@
         before = self.core.on_event
         self.core.on_event = self._both(before) if before else self.watcher.saw
         self.core.before_turn, self.core.acts_on = self.check, self.acts_on
+        self.core.on_decision = self._decided
         LOG.info("fleet", peers=self.link.address, seat=self.seat, life=self.life,
                  seats=list(self.raft.seats.voters))
+        self.keeper.start(self.life)
         self._swim(peers.Tick())
         self._raft(steps.Tick())
         self._follow(follow.Tick())
@@ -122,6 +128,7 @@
             if timer.active():
                 timer.cancel()
         self.link.close()
+        self.keeper.close()
         self.disk.close()
 
     # Timers: one for each core, for when it wants to be looked at.
@@ -207,6 +214,8 @@
                 self._swim(peers.Heard(envelope.name, envelope.address, message))
             case ToFollower(message):
                 self._follow(follow.Heard(envelope.name, message))
+            case ToAccount(message):
+                self.keeper.heard(envelope.name, message)
             case ToSeat(seat, to, message):
                 if to != self.seat:
                     return self.link.refuse("seat", envelope.name, f"it is for {to}; this is {self.seat}")
@@ -217,6 +226,13 @@
         known = self.swim.members.known.get(name)
         return known.rumour.address if known else ""
 
+    def _send_account(self, name: str, message: Any) -> None:
+        self.link.post(name, self._address(name), ToAccount(message))
+
+    def _names(self) -> list[str]:
+        """Of all fronts that are known, there or not."""
+        return [self.settings.name, *(self.swim.members.known if self.swim is not None else ())]
+
     # The council.
 
     def _raft(self, what: steps.What) -> None:
@@ -409,6 +425,10 @@
         if event != self.told:
             self.told = event
             self.core.tell(event or i.Planned({}, {}, 0.0))
+        self.keeper.acts_on(self.holding.versions(self.plan, alone, self.core.engine_list.keeper))
+
+    def _decided(self, job: str, trip: int) -> None:
+        self.keeper.account.decides(job, trip, clock.wall())
 
     def acts_on(self) -> str:
         return f"{self.plan.number} alone" if self.alone else str(self.plan.number)
--- a/worksmux/front/peers_link.py
+++ b/worksmux/front/peers_link.py
@@ -20,6 +20,7 @@
 from ..net.server import Exchange, Server
 from ..peers import messages as peers
 from ..settings.fleet import FleetSettings
+from ..versions import copies
 
 LOG = structlog.get_logger()
 FORM = 1                             # of messages; another one is refused by its number
@@ -46,7 +47,11 @@
     message: following.Message
 
 
-Inner = ToSeat | ToPeer | ToFollower
+class ToAccount(msgspec.Struct, tag="account"):
+    message: copies.Message
+
+
+Inner = ToSeat | ToPeer | ToFollower | ToAccount
 
 
 class Envelope(msgspec.Struct):
--- a/worksmux/front/serve.py
+++ b/worksmux/front/serve.py
@@ -31,6 +31,7 @@
 from .watchman import Watchman
 
 if TYPE_CHECKING:
+    from .account_keeper import AccountKeeper
     from .peering import Peering
 
 LOG = structlog.get_logger()
@@ -153,11 +154,23 @@
             exchange.answer(200 if ready and not self.stopping else 503,
                             f"{state}; engines ready: {ready}; open jobs: {len(self.core.cases)}{common}\n"
                             .encode(), "text/plain")
+        elif path == "/fleet/audit" and self.peering:
+            self._audit(exchange, self.peering.keeper)
         elif path == "/fleet" and self.peering:
             exchange.answer(200, msgspec.json.encode(self.peering.status()))
         else:
             exchange.answer(404, b"known here: /metrics /health /ready /live\n", "text/plain")
 
+    def _audit(self, exchange: Exchange, keeper: AccountKeeper) -> None:
+        """What all accounts say, by `at` (milliseconds since 1970) or `job`; others are asked first."""
+        asked = {key.decode("latin-1"): values[0].decode("latin-1") for key, values in exchange.args.items()}
+        try:
+            at = float(asked["at"]) if "at" in asked else None
+        except ValueError:
+            return exchange.answer(400, b"at: expected milliseconds since 1970\n", "text/plain")
+        job = asked.get("job", "")
+        keeper.gather(lambda: exchange.answer(200, msgspec.json.encode(keeper.told(at, job))))
+
     def stop(self) -> None:
         if self.stopping:
             return
--- a/worksmux/store/writer.py
+++ b/worksmux/store/writer.py
@@ -17,6 +17,7 @@
     def __init__(self, store: Store, pause: float, on_error: Callable[[str], None]) -> None:
         self.store, self.pause, self.on_error = store, pause, on_error
         self.pending: Changes = {}                   # bounded by the keys that there are
+        self.writing: Changes = {}                   # on its way to the disk
         self.lock, self.due, self.ended = threading.Lock(), threading.Event(), threading.Event()
         self.failing = False
         self.writes = 0
@@ -28,6 +29,11 @@
             self.pending.setdefault(table, {})[key] = value
         self.due.set()
 
+    def waits(self, table: str) -> set[str]:
+        """The keys of a table that are not on disk as they were last put."""
+        with self.lock:
+            return {*self.pending.get(table, ()), *self.writing.get(table, ())}
+
     def _run(self) -> None:
         while not self.ended.is_set():
             self.due.wait()
@@ -39,16 +45,20 @@
         """Writes what waits; what cannot be written waits on."""
         with self.lock:
             changes, self.pending = self.pending, {}
+            self.writing = changes
         if not changes:
             return
         try:
             self.store.write(changes, time() * 1000)
+            with self.lock:
+                self.writing = {}
             self.writes += 1
             self.failing = False
         except sqlite3.Error as error:
             with self.lock:
                 for table, entries in changes.items():
                     self.pending[table] = entries | self.pending.get(table, {})
+                self.writing = {}
             if not self.failing:
                 self.on_error(f"the store cannot be written: {error}; the front goes on, and tries again")
             self.failing = True
--- a/worksmux/trial/fleet.py
+++ b/worksmux/trial/fleet.py
@@ -247,7 +247,7 @@
 
     # What can be seen.
 
-    def get(self, name: str, path: str) -> tuple[int, bytes]:
+    def get(self, name: str, path: str, within: float = 1000.0) -> tuple[int, bytes]:
         """From a front's watch port; status 0 where it does not answer."""
         front = self.fronts[name]
         found: list[tuple[int, bytes]] = []
@@ -256,7 +256,7 @@
         pool = client.Pool(self.reactor, "127.0.0.1", front.watch, 500.0, 100.0, 0, 65_536)
         call = pool.call("GET", path, client.Whole(2**22, lambda status, headers, body, trouble: found.append(
             (status, body))))
-        end = clock.now() + 1000
+        end = clock.now() + within
         while not found and clock.now() < end:
             self.turn()
         call.abandon()
