--- a/worksmux/commands/fleet.py
+++ b/worksmux/commands/fleet.py
@@ -18,10 +18,10 @@
 AsJson = Annotated[bool, typer.Option("--json", help="print as JSON")]
 
 
-def _ask(watch: str) -> dict[str, Any]:
+def ask(watch: str, path: str = "/fleet") -> dict[str, Any]:
     opener = build_opener(ProxyHandler({}))
     try:
-        with opener.open(f"http://{watch}/fleet", timeout=5) as reply:
+        with opener.open(f"http://{watch}{path}", timeout=5) as reply:
             found: dict[str, Any] = json.load(reply)
             return found
     except HTTPError as error:
@@ -32,7 +32,7 @@
     raise typer.Exit(BAD_CALL)
 
 
-def _show(title: str, names: list[str], rows: list[list[Any]]) -> None:
+def show(title: str, names: list[str], rows: list[list[Any]]) -> None:
     table = Table(title=title, title_justify="left")
     for name in names:
         table.add_column(name)
@@ -48,12 +48,12 @@
 @fleet.command()
 def status(watch: Watch, as_json: AsJson = False) -> None:
     """Show the fronts, the council and the plan in force.  Exit code 1 while that front is alone."""
-    told = _ask(watch)
+    told = ask(watch)
     if as_json:
         typer.echo(json.dumps(told))
     else:
         council, plan = told["council"], told["plan"]
-        _show(f"fleet {told['fleet']}, as {told['front']} sees it",
+        show(f"fleet {told['fleet']}, as {told['front']} sees it",
               ["front", "state", "zone", "region", "seat", "life"],
               [[one["name"], one["state"], one["zone"], one["region"] or "-", "yes" if one["seat"] else "",
                 one["life"]] for one in told["fronts"]])
@@ -70,12 +70,12 @@
 @fleet.command()
 def plan(watch: Watch, as_json: AsJson = False) -> None:
     """Show the plan that the front acts on: where each zone's jobs go, and what is deferred at once."""
-    told = _ask(watch)["plan"]
+    told = ask(watch)["plan"]
     if as_json:
         typer.echo(json.dumps(told))
         return
     zones = sorted({*told["rows"], *told["shed"]})
-    _show(f"plan {told['number']}, event {told['event']}: {told['why'] or 'none was ever needed'}",
+    show(f"plan {told['number']}, event {told['event']}: {told['why'] or 'none was ever needed'}",
           ["zone", "its jobs go to", "deferred at once"],
           [[zone, _shares(told["rows"].get(zone, {zone: 1.0})), _shares(told["shed"].get(zone, {}))]
            for zone in zones])
@@ -84,11 +84,11 @@
 @fleet.command()
 def history(watch: Watch, as_json: AsJson = False) -> None:
     """Show the plans that the front has acted on, since its start and 200 at the most."""
-    told = _ask(watch)["history"]
+    told = ask(watch)["history"]
     if as_json:
         typer.echo(json.dumps(told))
         return
-    _show(f"{len(told)} plans", ["when", "plan", "event", "why", "rows"],
+    show(f"{len(told)} plans", ["when", "plan", "event", "why", "rows"],
           [[time.strftime("%H:%M:%S", time.localtime(one["at"] / 1000)) + f".{int(one['at']) % 1000:03d}",
             one["number"], one["event"], one["why"],
             "; ".join(f"{zone}: {_shares(row)}" for zone, row in one["rows"].items())] for one in told])
@@ -99,7 +99,7 @@
             as_json: AsJson = False) -> None:
     """Show why the plan treats a zone as it does: what this front sees of it, and, at the front that leads,
     how it is judged."""
-    told = _ask(watch)
+    told = ask(watch)
     if zone not in told["zones"] and zone not in told["plan"]["rows"]:
         typer.echo(f"{watch}: no zone {zone}; known are {', '.join(sorted(told['zones']))}", err=True)
         raise typer.Exit(BAD_CALL)
--- a/worksmux/front/account_keeper.py
+++ b/worksmux/front/account_keeper.py
@@ -5,6 +5,7 @@
 """
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -22,7 +23,8 @@
 
 LOG = structlog.get_logger()
 EVERY = 250.0                        # milliseconds between two writes, and between two rounds of copying
-MOST = 60_000                        # records kept of this front, and of each front copied
+MOST = 16 * 2**20                    # bytes kept of this front, and of each front copied
+QUIET = 2000.0                       # without any record, until one says that the front goes on
 PATIENCE = 1500.0                    # that an answer for all waits for others
 OWN = "account"
 
@@ -41,6 +43,7 @@
         for note in self.store.notes:
             LOG.warning("the account's disk", note=note)
         self.kept: dict[str, dict[int, bytes]] = {}  # by front: records, encoded; this front's own among them
+        self.sizes: Counter[str] = Counter()
         self._load()
         self.account = self._go_on()
         self.writer = Writer(self.store, EVERY / 1000, lambda text: LOG.error("account", why=text))
@@ -54,13 +57,14 @@
             front = self.name if table == OWN else str(table).removeprefix("copy:")
             values = self.store.read(str(table)).values
             self.kept[front] = {int(key): value for key, value in sorted(values.items()) if key.isdecimal()}
+            self.sizes[front] = sum(map(len, self.kept[front].values()))
         self.kept.setdefault(self.name, {})
 
     def _go_on(self) -> Account:
         records = [msgspec.msgpack.decode(data, type=Record) for data in self.kept[self.name].values()]
         for fault in faults(records):
             LOG.error("the account is broken", after=fault.index, why=fault.text)
-        return Account(records[-1] if records else None, kept=len(records))
+        return Account(records[-1] if records else None)
 
     def start(self, life: int) -> None:
         self._add(self.account.begins(clock.wall(), clock.now(), life))
@@ -83,19 +87,21 @@
         self._keep(self.name, record.index, msgspec.msgpack.encode(record))
 
     def _pages(self) -> None:
-        for record in self.account.pages(clock.wall(), clock.now()):
+        wall, steady = clock.wall(), clock.now()
+        for record in self.account.pages(wall, steady):
             self._add(record)
+        if (quiet := self.account.still(wall, steady, QUIET)) is not None:
+            self._add(quiet)
 
     def _keep(self, front: str, index: int, data: bytes) -> None:
         kept, table = self.kept.setdefault(front, {}), OWN if front == self.name else _table(front)
         kept[index] = data
+        self.sizes[front] += len(data)
         self.writer.put(table, f"{index:015d}", data)
-        while len(kept) > MOST:
+        while self.sizes[front] > MOST and len(kept) > 1:
             oldest = next(iter(kept))
-            del kept[oldest]
+            self.sizes[front] -= len(kept.pop(oldest))
             self.writer.put(table, f"{oldest:015d}", None)
-        if front == self.name:
-            self.account.kept = len(kept)
 
     def _round(self) -> None:
         if self.ended:
--- a/worksmux/versions/account.py
+++ b/worksmux/versions/account.py
@@ -3,7 +3,7 @@
 
 Lines and pages of jobs are records of one chain: each carries a digest over itself and the one before, so
 that a record that is missing, changed or put back from another time shows, and where.  What is kept is
-bounded: the oldest segment goes as a whole, and the next one says which digest it follows.
+bounded: the oldest records go, and the first that is left says which digest it follows.
 """
 from __future__ import annotations
 
@@ -13,7 +13,6 @@
 import msgspec
 import xxhash
 
-SEGMENT = 4096           # records
 PAGE = 512               # jobs in one record, at the most
 LEAP = 1000.0            # milliseconds by which the wall clock may leave the steady one, between records
 
@@ -103,7 +102,6 @@
     last: Record | None = None
     line: Line | None = None
     pending: list[Decision] = field(default_factory=list)
-    kept: int = 0                    # records on disk
     lost: int = 0                    # decisions dropped for want of room
 
     def begins(self, wall: float, steady: float, life: int) -> Record:
@@ -139,16 +137,13 @@
         return [self._add(wall, steady, Jobs(tuple(waiting[at:at + PAGE])))
                 for at in range(0, len(waiting), PAGE)]
 
+    def still(self, wall: float, steady: float, every: float) -> Record | None:
+        """Where nothing was written for so long: an empty page, which says that the front is there and acts
+        on what it acted on.  Else a quiet front would look like one that is gone."""
+        if self.last is None or steady - self.last.steady < every:
+            return None
+        return self._add(wall, steady, Jobs(()))
+
     def _add(self, wall: float, steady: float, body: Line | Jobs | Start) -> Record:
         self.last = following(self.last, wall, steady, body)
-        self.kept += 1
         return self.last
-
-    def surplus(self, most: int) -> range:
-        """Indices of the oldest segment, once more than `most` records are kept; else nothing."""
-        if self.last is None or self.kept <= most:
-            return range(0)
-        oldest = self.last.index - self.kept + 1
-        gone = range(oldest, oldest + min(SEGMENT, self.kept - 1))
-        self.kept -= len(gone)
-        return gone
