Fronts compare what they believe part by part: bytes no longer grow with the fleet under loss

Cause: while messages get lost some news is always under way, so two fronts' digests hardly ever agree, and swim.py answered Same with all rumours, both ways. Now 64 digests by name are compared and only parts that differ are told.

--- a/worksmux/peers/members.py
+++ b/worksmux/peers/members.py
@@ -19,6 +19,13 @@
 LONGEST = 200                        # characters of a name, an address or a fact
 
 
+PARTS = 64                           # of all rumours, by a hash of the name: compared one by one
+
+
+def part_of(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode()) % PARTS
+
+
 class State(IntEnum):
     ALIVE = 0
     SUSPECT = 1
@@ -92,7 +99,7 @@
         self.known: dict[str, Member] = {}
         self.there: dict[str, Member] = {}           # those of them that are
         self.suspects: dict[str, Member] = {}
-        self.mark = 0                                # of all rumours, whatever their order
+        self.marks = [0] * PARTS                     # of the rumours in each part, whatever their order
 
     def take(self, rumour: Rumour, now: float) -> tuple[Rumour | None, Member] | None:
         """What was believed before and what is now; None where the rumour is old news."""
@@ -100,7 +107,7 @@
         if old is not None and rumour.rank <= old.rumour.rank:
             return None
         before = old.rumour if old else None
-        self.mark ^= rumour.mark ^ (before.mark if before else 0)
+        self.marks[part_of(rumour.name)] ^= rumour.mark ^ (before.mark if before else 0)
         if old is None or old.rumour.state != rumour.state or old.rumour.life != rumour.life:
             old = self.known[rumour.name] = Member(rumour, now)
         old.rumour = rumour
@@ -119,5 +126,5 @@
         """Guards against a fleet that is replaced all day: of those gone only the latest stay known."""
         gone = [member for member in self.known.values() if not member.there]
         for member in sorted(gone, key=lambda member: member.since)[:len(gone) // 2]:
-            self.mark ^= member.rumour.mark
+            self.marks[part_of(member.name)] ^= member.rumour.mark
             del self.known[member.name]
--- a/worksmux/peers/messages.py
+++ b/worksmux/peers/messages.py
@@ -31,14 +31,25 @@
 
 
 class Same(msgspec.Struct, tag="same"):
-    """The digest of all that is believed: where it differs, both tell all."""
+    """The digest of all that is believed: where it differs, both tell the parts that do."""
     digest: int
 
 
+class Parts(msgspec.Struct, tag="parts"):
+    """Digests of all that is believed, part by part."""
+    marks: list[int]
+
+
+class Some(msgspec.Struct, tag="some"):
+    """What is believed in the parts that differ; the same of those `wanted` is asked for."""
+    rumours: list[Rumour]
+    wanted: list[int] = []
+
+
 class Everyone(msgspec.Struct, tag="everyone"):
     """All that is believed; with `wanted` the same is asked for."""
     rumours: list[Rumour]
     wanted: bool = False
 
 
-Message = Ping | Ack | Ask | Nack | Same | Everyone
+Message = Ping | Ack | Ask | Nack | Same | Parts | Some | Everyone
--- a/worksmux/peers/swim.py
+++ b/worksmux/peers/swim.py
@@ -13,14 +13,16 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import reduce
 from math import ceil, inf, log, log2, log10
+from operator import xor
 
 import msgspec
 
 from ..measure import Chance
 from .health import Health
-from .members import Incarnation, Member, Members, Rumour, State
-from .messages import Ack, Ask, Everyone, Message, Nack, Ping, Same
+from .members import PARTS, Incarnation, Member, Members, Rumour, State, part_of
+from .messages import Ack, Ask, Everyone, Message, Nack, Parts, Ping, Same, Some
 
 PATIENCE = 0.5           # of a period: for the answer to a ping, before helpers are asked
 HELPERS = 3
@@ -292,7 +294,15 @@
                     self.probe.silent.discard(heard.name)
             case Same(digest):
                 if digest != self.digest():
-                    out.posts.append(Post(heard.name, heard.address, Everyone(self._all(), wanted=True)))
+                    out.posts.append(Post(heard.name, heard.address, Parts(self._marks())))
+            case Parts(marks) if len(marks) == PARTS:
+                parts = [at for at, mark in enumerate(self._marks()) if mark != marks[at]]
+                if parts:
+                    out.posts.append(Post(heard.name, heard.address, Some(self._of(parts), parts)))
+            case Some(rumours, wanted):
+                self._take(rumours, heard.name, now, out)
+                if wanted:
+                    out.posts.append(Post(heard.name, heard.address, Some(self._of(wanted))))
             case Everyone(rumours, wanted):
                 self._take(rumours, heard.name, now, out)
                 self.joined = True
@@ -341,7 +351,18 @@
 
     def digest(self) -> int:
         """Of all that is believed, this front's own rumour included."""
-        return self.members.mark ^ self.me.mark
+        return reduce(xor, self._marks())
+
+    def _marks(self) -> list[int]:
+        marks = list(self.members.marks)
+        marks[part_of(self.me.name)] ^= self.me.mark
+        return marks
+
+    def _of(self, parts: list[int]) -> list[Rumour]:
+        """Guards against comparisons that cost the more the larger the fleet: while messages get lost some
+        news is always under way, and two fronts hardly ever believe all the same."""
+        wanted = set(parts)
+        return [rumour for rumour in self._all() if part_of(rumour.name) in wanted]
 
     def _compare(self, out: Out) -> None:
         """Guards against news that reached too few: from time to time two fronts compare what they
