Tests: faults of the section fleet, and that node and adapter load nothing of it

Need: bad settings are named with what was expected; in worksmux node and the simulator's adapter none of the fleet of fronts may be loaded.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,6 +1,9 @@
 """Settings: every fault is named with its line, all at once."""
 from __future__ import annotations
 
+import subprocess
+import sys
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -93,3 +96,49 @@
         text = file.read().replace('trouble "crash"', 'trouble "krash"')
     with pytest.raises(SettingsError, match="unknown trouble"):
         read_scenario(parse(text))
+
+
+FLEET = """
+region "west" {
+    zones "north" "south"
+}
+fleet "home" {
+    listen "127.0.0.1:0"
+    seeds "127.0.0.1:7002"
+    founders "a" "b" "c"
+    disk "/tmp/a"
+    carries "north" 65
+    reach "b" "127.0.0.1:9002"
+}
+"""
+
+
+def test_section_fleet_is_read_and_without_it_a_front_is_alone() -> None:
+    plain, told = read_front(parse(SETTINGS)), read_front(parse(SETTINGS + FLEET))
+    assert plain.fleet is None and plain.regions == {}
+    assert told.fleet is not None and told.fleet.carries == {"north": 65.0}
+    assert told.fleet.reach == {"b": "127.0.0.1:9002"} and told.regions == {"north": "west", "south": "west"}
+
+
+@pytest.mark.parametrize("old, new, wanted", [
+    ('carries "north" 65', 'carries "nowhere" 65', 'zone "nowhere" is not among the zones'),
+    ('carries "north" 65', 'carries "north" 0', "expected jobs a second above 0"),
+    ('reach "b" "127.0.0.1:9002"', 'reach "b" "nonsense"', "reach: "),
+    ('founders "a" "b" "c"', 'founders "a" "b" "c"\n    seats 2', "expected 1, 3 or 5"),
+    ('founders "a" "b" "c"', 'founders "a"\n    lease "500ms"', "lease is under twice patience"),
+    ('founders "a" "b" "c"', 'founders "a"\n    patience "100ms"', "patience is under three beats"),
+    ('zones "north" "south"\n}', 'zones "north"\n}', "no region has the zones south"),
+    ("disk", "disc", "did you mean disk?")])
+def test_faults_of_the_fleet_are_named_with_what_was_expected(old: str, new: str, wanted: str) -> None:
+    assert old in FLEET
+    assert any(wanted in text for text in faults(SETTINGS + FLEET.replace(old, new)))
+
+
+@pytest.mark.parametrize("module", ["worksmux.node.serve", "worksmux.drill.__main__"])
+def test_node_and_adapter_load_nothing_of_the_fleet_of_fronts(module: str) -> None:
+    """There it is refused: no code, and so no socket, thread or file of it."""
+    code = (f"import sys, {module}\n"
+            "print([name for name in sys.modules if name.startswith(('worksmux.peers', 'worksmux.council', "
+            "'worksmux.failover', 'worksmux.versions', 'worksmux.store', 'worksmux.front.peering'))])")
+    told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert told.stdout.strip() == "[]"
