--- a/worksmux/failover/zones.py
+++ b/worksmux/failover/zones.py
@@ -7,7 +7,6 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from math import inf
 
 from .tally import Tally, ZoneTally
 
@@ -106,7 +105,3 @@
             view = self.views.setdefault(name, ZoneView())
             view.keep = part
             view.phase = Phase.LOST if not part else Phase.BACK
-
-    def next_change(self) -> float:
-        """Looks until a zone may come back; endless where all are well or lost for now."""
-        return min((view.hold() for view in self.views.values() if view.phase is not Phase.WELL), default=inf)
