--- a/worksmux/audit/fleet.py
+++ b/worksmux/audit/fleet.py
@@ -1,9 +1,10 @@
 """What is judged of a fleet of fronts beside the five rules, from the engines' records alone."""
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import Any
 
-from .records import Records
+from .records import Records, TripRecord
 from .rules import Verdict
 
 
@@ -25,6 +26,40 @@
     return verdict
 
 
+def sent_abroad(records: Records, lately: float = 1000.0, most: float = 0.05) -> Verdict:
+    """Answers whose state left the zone that read it, though a writer there was listed as ready and had taken
+    trips without turning any away for `lately` milliseconds before.  Fronts do not see all, so
+    a few are borne: the verdict is broken where they are more than the part `most` of all answers."""
+    verdict = Verdict(0, "near while near could carry")
+    read_in = {trip.job: trip for trip in records.trips if trip.role == "read" and trip.how == "read"}
+    writers: dict[str, list[TripRecord]] = defaultdict(list)
+    for trip in records.trips:
+        if trip.role == "write":
+            writers[trip.engine].append(trip)
+    far = []
+    for trip in records.trips:
+        read = read_in.get(trip.job)
+        if trip.role != "write" or read is None:
+            continue
+        verdict.checked += 1
+        if trip.zone != read.zone and any(
+                _could(records, trips, trip, lately) for trips in writers.values()
+                if trips[0].zone == read.zone):
+            far.append(trip)
+    if len(far) > most * verdict.checked:
+        verdict.find(f"{len(far)} of {verdict.checked} answers left their zone while a writer in it took "
+                     f"trips; the first: job {far[0].job} to {far[0].engine}", far[0].job)
+    return verdict
+
+
+def _could(records: Records, trips: list[TripRecord], sent: TripRecord, lately: float) -> bool:
+    told = records.told.get((sent.front, trips[0].engine))
+    last = told.at(sent.got) if told else None
+    seen = [one for one in trips if sent.got - lately <= one.got <= sent.got]
+    return bool(last and last[1] == "ready" and seen and all(
+        one.how in ("done", "") or (one.end or 0.0) > sent.got for one in seen))
+
+
 def plans_seen(records: Records) -> list[int]:
     """The plans that trips were sent by, in order."""
     return sorted({int(trip.plan) for trip in records.trips if trip.plan.isdigit()})
@@ -43,14 +78,15 @@
 
 
 def summary(records: Records, lease: float, slack: float) -> dict[str, Any]:
-    verdict = one_plan(records, lease, slack)
+    verdict, near = one_plan(records, lease, slack), sent_abroad(records)
     plans = plans_seen(records)
     troubles = [line for line in records.lines if line["what"] == "trouble"]
     told: dict[str, Any] = {
-        "plans": len(plans), "highest": max(plans, default=0), "kept": verdict.kept,
+        "plans": len(plans), "highest": max(plans, default=0), "kept": verdict.kept and near.kept,
         "trips_alone": sum("alone" in trip.plan for trip in records.trips),
         "until_common_ms": {f"{line['kind']} at {line['t']:.0f}": round(first_common(records, line["t"]), 1)
                             for line in troubles}}
-    if verdict.findings:
-        told["first"] = verdict.findings[0][0]
+    for found in (verdict, near):
+        if found.findings:
+            told[found.name] = found.findings[0][0]
     return told
