A rolling restart is told to the audit; kernel's connections are reset when a front ends

Seen: two of five runs of the suite at load 8 to 12 (five at a time beside four busy processes) failed in the rolling restart, one try each reset without an answer: it had connected as the front closed its port, and the kernel resets what was not yet taken.

--- a/worksmux/trial/fleet.py
+++ b/worksmux/trial/fleet.py
@@ -224,6 +224,12 @@
         if lose_disk:
             shutil.rmtree(front.folder, ignore_errors=True)
 
+    def end(self, name: str) -> None:
+        """In order.  A connection that the kernel had taken and the front had not is reset all the same."""
+        self.journal.note("front killed", front=name, by="TERM")
+        self.signal(name, "TERM")
+        self.until(lambda: not self.fronts[name].alive, f"{name} ends")
+
     def freeze(self, name: str) -> None:
         self.journal.note("front frozen", front=name)
         self.signal(name, "STOP")
