--- a/worksmux/model/peers.py
+++ b/worksmux/model/peers.py
@@ -2,6 +2,7 @@
 delays."""
 from __future__ import annotations
 
+from ..days.engines import hash_of
 from ..measure import mix
 from ..peers.members import Rumour, State
 from ..peers.messages import Message
@@ -80,10 +81,6 @@
         return {name: member.state for name, member in self.swim.members.known.items()}
 
 
-def hash_of(name: str) -> int:
-    return sum((at + 1) * byte for at, byte in enumerate(name.encode()))
-
-
 class World:
     def __init__(self, seed: int = 1, period: float = 500.0, weather: Weather | None = None,
                  zones: int = 3) -> None:
