No trip begins for a client who left, nor at an engine told draining; orderly ends

Seen by reading, each with a test that fails without its code: front/core.py left() called off only trips that had begun, so one whose connection came up late was written for nobody where the module may not cancel; a client that sent over 16 kB behind its request was read no further (Twisted pauses), and its end was not seen; a close that the reactor had not come to read did not count; a trip decided just before a drain was written up to connect_timeout later (client.py, _Opened.connectionMade). Now looked at once more just before a trip is written. A half-close is taken for a leave: it cannot be told from a close, and the protocol has no use for it. net/server.py: a burst of connections closed the same one over and over, so descriptors ran over their share; rests are closed longest first. A connection ends by its sending side and is read until the client's own end (1 s at most): a close over unread bytes resets it, and what is read meanwhile is no request.

--- a/tests/node_rig.py
+++ b/tests/node_rig.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol
 
 from worksmux.net.loop import listen
@@ -49,10 +50,10 @@
 
 
 class Peer(Protocol):
-    """One connection; `got` is all that came, `ended` whether it is over."""
+    """One connection; `got` is all that came, `ended` whether it is over, `clean` whether without a reset."""
 
     def __init__(self, on_data: Callable[[Peer], None] | None = None) -> None:
-        self.on_data, self.got, self.ended = on_data, b"", False
+        self.on_data, self.got, self.ended, self.clean = on_data, b"", False, False
 
     def dataReceived(self, data: bytes) -> None:
         self.got += data
@@ -60,7 +61,7 @@
             self.on_data(self)
 
     def connectionLost(self, reason: Any = None) -> None:
-        self.ended = True
+        self.ended, self.clean = True, reason is not None and bool(reason.check(ConnectionDone))
 
     def whole(self) -> bytes | None:
         """The next whole request, taken off what came."""
--- /dev/null
+++ b/tests/test_node_ends.py
@@ -0,0 +1,209 @@
+"""How connections of clients end, whoever ends them: no trip begins for one who has left, nothing that was
+answered is lost, and descriptors come back."""
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+from node_rig import ANSWER, LAST, Engine, Peer, Rig, ask
+from twisted.internet.error import ConnectionDone
+
+from worksmux import interface as i
+from worksmux.net.server import BEHIND, Server
+
+
+def rig_of_two(writer: Any = None) -> Rig:
+    rig = Rig()
+    rig.engine("prefill")
+    rig.engine("decode", writer)
+    return rig.start()
+
+
+def late(rig: Rig, engine: Engine) -> list[Any]:
+    """Connections to an engine come up only when the test calls what this gathers."""
+    connect, waiting = rig.reactor.connectTCP, []
+
+    class Connector:
+        def disconnect(self) -> None: ...
+
+    def connectTCP(host: str, port: int, factory: Any, timeout: float = 30) -> Any:
+        if port != engine.number:
+            return connect(host, port, factory, timeout=timeout)
+        waiting.append(lambda: connect(host, port, factory, timeout=timeout))
+        return Connector()
+
+    rig.reactor.connectTCP = connectTCP
+    return waiting
+
+
+def raw(rig: Rig, data: bytes) -> socket.socket:
+    client = socket.create_connection(("127.0.0.1", rig.node.port))
+    client.sendall(data)
+    return client
+
+
+def some_time(rig: Rig, turns: int = 30) -> None:
+    for _ in range(turns):
+        rig.reactor.iterate(0.002)
+
+
+def test_client_that_leaves_while_a_connection_comes_up_has_nothing_sent() -> None:
+    """Guards against a trip that is written for nobody: connections may take a quarter of a second."""
+    rig = rig_of_two()
+    waiting = late(rig, rig.engines[0])
+    rig.node.core.module_settings["may_cancel"] = False      # nothing that the module may call off
+    client = raw(rig, ask())
+    rig.until(lambda: waiting)
+    (case,) = rig.node.core.cases.values()
+    client.close()
+    rig.until(lambda: case.answered)
+    waiting[0]()
+    some_time(rig)
+    assert not rig.engines[0].asked
+
+
+def test_client_that_left_unseen_is_looked_for_as_the_connection_is_up() -> None:
+    """Guards against a close that waits unread while the reactor is busy with what came before it."""
+    rig = rig_of_two()
+    waiting = late(rig, rig.engines[0])
+    client = raw(rig, ask())
+    rig.until(lambda: waiting)
+    (case,) = rig.node.core.cases.values()
+    (carrier,) = case.out.values()
+    client.close()
+    rig.node.core._came_up(case, carrier)
+    assert case.answered == "left" and carrier.over and carrier.trip not in case.out
+
+
+def test_client_that_left_unseen_gets_no_further_trip() -> None:
+    rig = rig_of_two()
+    client = raw(rig, ask())
+    rig.until(lambda: rig.node.core.cases)
+    core = rig.node.core
+    (case,) = core.cases.values()
+    client.close()
+    sent = len(case.out)
+    trip = i.Trip(case.job, next(iter(core.pools)), 5, 0.0, True)
+    case.job.trips.append(trip)
+    core._send(i.Send(trip, 0.0))
+    assert case.answered == "left" and len(case.out) <= sent
+
+
+def test_close_is_seen_behind_bytes_that_wait_for_the_answer() -> None:
+    """Guards against a client that sent much behind its request, and was read no further."""
+    rig = rig_of_two(lambda _: b"")
+    client = raw(rig, ask())
+    rig.until(lambda: rig.engines[1].asked)
+    client.setblocking(False)
+    sent = 0
+    while sent < 4 * BEHIND:
+        try:
+            sent += client.send(ask("a2") * 20)
+        except BlockingIOError:
+            some_time(rig, 3)
+    client.close()
+    rig.until(lambda: not rig.node.core.cases)
+    rig.idle()
+    assert rig.node.core.number == 1
+
+
+def test_engine_that_is_told_draining_while_its_connection_comes_up_is_sent_nothing() -> None:
+    rig = Rig()
+    readers = [rig.engine("prefill") for _ in range(2)]
+    rig.engine("decode")
+    rig.start()
+    waiting = [late(rig, engine) for engine in readers]
+    peer = rig.client(ask())
+    rig.until(lambda: waiting[0] or waiting[1])
+    first, other = (0, 1) if waiting[0] else (1, 0)
+    rig.hosts.tell(2, readers[first].entry("DRAINING"))
+    rig.until(lambda: "draining" in [engine.state for engine in rig.node.core.pools])
+    waiting[first][0]()
+    rig.until(lambda: waiting[other])
+    waiting[other][0]()
+    assert rig.answered(peer) == b"200" and not readers[first].asked
+
+
+def test_request_that_crosses_the_end_of_its_connection_is_not_taken() -> None:
+    """Guards against a request read after the shutdown, which can be given no answer, and against the reset
+    that a close over unread bytes would be."""
+    rig = rig_of_two()
+    client = raw(rig, b"GET /up HTTP/1.1\r\n\r\n")
+    rig.until(lambda: any(one.asked for one in rig.node.server.channels))
+    client.sendall(ask("a2"))                        # not read yet
+    rig.node.server.close_idle()
+    client.settimeout(0.0)
+    got = b""
+    for _ in range(1000):
+        rig.reactor.iterate(0.002)
+        try:
+            if not (piece := client.recv(10_000)):
+                break
+            got += piece
+        except BlockingIOError:
+            continue
+    assert got.endswith(b"serving\n") and rig.node.core.number == 0
+    assert rig.node.server.channels                  # it is not closed over what may still come
+    client.close()
+    rig.until(lambda: not rig.node.server.channels)
+
+
+def test_answer_is_whole_where_more_came_behind_its_request() -> None:
+    rig = rig_of_two(lambda _: b"")
+    peer = rig.client(ask())
+    rig.until(lambda: rig.engines[1].asked)
+    rig.node.server.close_idle()                     # its answer is the last on this connection
+    for at in range(150):                            # much more than is read ahead of an answer
+        peer.transport.write(ask(f"b{at}"))  # type: ignore[union-attr]
+    some_time(rig)
+    rig.engines[1].peers[0].transport.write(ANSWER)  # type: ignore[union-attr]
+    rig.until(lambda: peer.ended)
+    assert peer.clean and peer.got.endswith(LAST) and rig.node.core.number == 1
+
+
+def test_client_that_never_ends_its_side_is_closed_all_the_same() -> None:
+    rig = rig_of_two()
+    client = raw(rig, b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n")
+    rig.until(lambda: rig.node.server.channels)
+    rig.until(lambda: not rig.node.server.channels)
+    client.close()
+
+
+class Stub:
+    """A connection as the server's count sees it."""
+
+    def __init__(self, rank: int, since: float) -> None:
+        self.rank, self.since, self.aborted = lambda: rank, since, 0
+        self.transport = self
+
+    def abortConnection(self) -> None:
+        self.aborted += 1
+
+
+def test_burst_of_connections_closes_as_many_others_those_that_rest_longest_first() -> None:
+    """Guards against one that is closed over and over while its descriptor is not free yet: each new one
+    would stay, and the descriptors for engines and discovery be taken."""
+    server = Server(lambda _: None, 1, 1, 2000.0, None, 0.0, 10)
+    busy = [Stub(0, at) for at in range(4)]
+    resting = [Stub(2, 100.0 - at) for at in range(6)]
+    for one in (*busy, *resting):
+        server.made(one)
+    new = [Stub(3, 200.0) for _ in range(5)]
+    for one in new:
+        server.made(one)
+    assert len(server.channels) == 10 and not any(one.aborted for one in busy)
+    assert [one.aborted for one in resting] == [0, 0, 0, 0, 0, 1] and sum(one.aborted for one in new) == 4
+    spoken = [Stub(2, 300.0) for _ in range(3)]
+    for one in spoken:
+        server.made(one)
+    assert [one.aborted for one in resting] == [0, 0, 0, 1, 1, 1] and all(one.aborted for one in new)
+    assert max(one.aborted for one in (*new, *spoken)) == 1
+
+
+def test_peers_of_these_tests_tell_a_reset_from_an_end() -> None:
+    from twisted.internet.error import ConnectionLost
+    from twisted.python.failure import Failure
+    ended, reset = Peer(), Peer()
+    ended.connectionLost(Failure(ConnectionDone()))
+    reset.connectionLost(Failure(ConnectionLost()))
+    assert ended.clean and not reset.clean
--- a/worksmux/front/carriage.py
+++ b/worksmux/front/carriage.py
@@ -59,6 +59,11 @@
         """Calls the trip off: the connection closes, by which the engine knows."""
         self._end(i.Outcome.CANCELLED)
 
+    def withdraw(self) -> None:
+        """Ends a trip whose last byte has not left: it was never sent."""
+        if self.call is None or not self.call.written:
+            self._end(i.Outcome.MOOT)
+
     def _look_again(self) -> None:
         """Guards against a reactor that is late: what has come up is heard before time is called."""
         self.timer = self.reactor.callLater(0, self._time_is_up)
--- a/worksmux/front/case.py
+++ b/worksmux/front/case.py
@@ -11,6 +11,8 @@
 class Client(Protocol):
     """The client's side of a job; what its text and its end are made of is the protocol's."""
 
+    def gone(self) -> bool: ...
+
     def text(self, content: Any, /) -> None: ...
 
     def delivered(self, *result: Any) -> None: ...
@@ -25,6 +27,8 @@
 
     def cancel(self) -> None: ...
 
+    def withdraw(self) -> None: ...
+
 
 @dataclass(eq=False, slots=True)
 class Case:
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -123,6 +123,8 @@
         for trip, carrier in list(case.out.items()):
             if trip.began or trip.job.began:
                 carrier.cancel()
+            else:
+                carrier.withdraw()                   # guards against trips that begin for nobody
 
     def _overdue(self, case: Case, again: bool = False) -> None:
         """Guards against a module that lets a job's time pass: the client is told, and the fault is counted.
@@ -265,6 +267,8 @@
     def _send(self, action: i.Send) -> None:
         trip, job = action.trip, action.trip.job
         case = self.cases.get(job)
+        if case is not None and not case.answered and case.client.gone():
+            self.left(case)                          # seen now, and not when the reactor comes to it
         now = clock.now()
         left = job.give_up_at - now
         moot = (case is None or bool(case.answered) or job.began or left <= 0
--- a/worksmux/front/streams.py
+++ b/worksmux/front/streams.py
@@ -14,6 +14,10 @@
         self.begun = False
         self.case: Case | None = None
 
+    def gone(self) -> bool:
+        """Whether the client has hung up."""
+        return self.exchange.gone()
+
     def _begin(self, headers: tuple[tuple[str, str], ...] = ()) -> bool:
         """Begins the answer before its first piece; whether this was it."""
         if self.begun:
--- a/worksmux/net/client.py
+++ b/worksmux/net/client.py
@@ -130,13 +130,13 @@
         self.pool._forget(self)
         if self.receiver and self._at == "until close":
             self._finish()
-        elif self._left_whole:
+        elif self.left_whole:
             self._fail(Broken("the connection ended before the reply did"))
         else:
             self._fail(Unsent("the connection ended before the call was written"))
 
     @property
-    def _left_whole(self) -> bool:
+    def left_whole(self) -> bool:
         return self._sending is not None and self._sending.written
 
     def _fail(self, trouble: Trouble) -> None:
@@ -161,7 +161,7 @@
     def lineReceived(self, line: bytes) -> None:
         if self.receiver is None:                    # after its end, or unasked for
             return self._drop()
-        if not self._left_whole:
+        if not self.left_whole:
             return self._fail(Unsent("a reply came before the call was written"))
         if self._at in ("status", "headers", "trailers"):
             self._head_size += len(line)
@@ -280,7 +280,8 @@
         self.data, self.receiver = data, receiver
         self.connection: Connection | None = None
         self.connector: Any = None
-        self.on_up: Callable[[], None] | None = None         # called as its connection comes up
+        # Called as its connection comes up, just before it is written: the last moment to give it up.
+        self.on_up: Callable[[], None] | None = None
         self.over = False
 
     @property
@@ -288,6 +289,11 @@
         """Whether its connection has come up: until then nothing of it has arrived anywhere."""
         return self.connection is not None
 
+    @property
+    def written(self) -> bool:
+        """Whether its last byte has left: from then on the other side may act on it."""
+        return self.connection is not None and self.connection.left_whole
+
     def abandon(self) -> None:
         if self.over:
             return
@@ -344,10 +350,10 @@
     def connectionMade(self) -> None:
         super().connectionMade()
         call, self._first = self._first, None
+        if call is not None and not call.over and call.on_up is not None:
+            call.on_up()                             # may give the call up: nothing of it has been written
         if call is not None and not call.over:
             call.connection = self
-            if call.on_up is not None:
-                call.on_up()
             self.send(call.data, call)
         else:
             self.pool._idle(self)
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from io import BytesIO
+from socket import MSG_PEEK
 from typing import Any
 
 from twisted.internet.interfaces import IAddress
@@ -16,6 +17,8 @@
 PATIENCE = 4             # times the bound that a body may have before its connection is cut
 MOST_HEADERS = 100
 LOOKS = 8                # at the connections' times, within the shortest of them
+BEHIND = 2**16           # bytes kept of what a client sends behind a request that waits for its answer
+LINGER = 1000.0          # for a client to end its side after this one has ended, milliseconds
 Answerer = Callable[["Exchange"], None]
 
 
@@ -69,6 +72,18 @@
     def body(self) -> bytes:
         return self._kept.getvalue()
 
+    def gone(self) -> bool:
+        """Whether the client has hung up, also where the reactor has not come to read it yet."""
+        if self.over:
+            return True
+        wire: Any = self.channel.transport
+        try:
+            return not wire.getHandle().recv(1, MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     @property
     def over(self) -> bool:
         return bool(self.finished or self._disconnected)
@@ -117,9 +132,7 @@
             self.on_gone = None
             if last:
                 self.write(last)
-            channel: Any = self.channel
-            channel.spoilt, channel.since = True, clock.now()    # its end does not wait for its reader
-            channel.loseConnection()
+            self.channel.loseConnection()
 
     def abort(self) -> None:
         """Resets the connection at once; what was written may not arrive."""
@@ -142,11 +155,20 @@
     """
 
     maxHeaders = MOST_HEADERS
-    spoilt = False                                   # refused: nothing more is read
+    spoilt = False                                   # refused or ended: what still comes is thrown away
+    closing = False                                  # this side has ended
+    behind = 0                                       # bytes that came behind the request that is open
+    # Guards against a close that is not seen: a client that sent much behind its request would be read no
+    # further, and with it the end of its connection.
+    _optimisticEagerReadSize = 2**30
     busy = False                                     # a whole request waits for its answer
     receiving = False                                # a part of a request has come
     asked = False                                    # a request was answered here
 
+    @property
+    def _wire(self) -> Any:
+        return self.transport
+
     def connectionMade(self) -> None:
         super().connectionMade()
         self.since = clock.now()                     # of its state: silent, receiving or idle
@@ -159,6 +181,12 @@
         super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:
+        self.behind += len(data) if self.busy or self.spoilt else 0
+        if self.behind > BEHIND:                     # let by; the connection ends with the answer
+            self.persistent = False
+            if self.behind > PATIENCE * self.factory.body_bound:
+                self._wire.abortConnection()
+            return
         if self.spoilt:
             return
         if not self.busy and not self.receiving:
@@ -170,11 +198,30 @@
     def refuse(self, status: bytes = b"400 Bad Request") -> None:
         """Answers what is no request, and closes; nothing after it is read."""
         if not self.spoilt:
-            self.spoilt = True
-            wire: Any = self.transport
-            wire.write(b"HTTP/1.1 " + status + b"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+            self._wire.write(b"HTTP/1.1 " + status + b"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
             self.loseConnection()
 
+    def loseConnection(self) -> None:
+        """Ends this side, and reads on until the client has ended its own.
+
+        Guards against a close over bytes that were not read, such as a request that crosses it: that resets
+        the connection, and an answer on its way is lost.  What is read from here on is no request.
+        """
+        if self.closing:
+            return
+        self.spoilt = self.closing = True
+        self.since, self.behind = clock.now(), 0
+        self.setTimeout(LINGER / 1000)
+        self._wire.unregisterProducer()
+        self._wire.resumeProducing()
+        self._wire.loseWriteConnection()
+
+    def timeoutConnection(self) -> None:
+        if self.closing:
+            self._wire.abortConnection()
+        else:
+            super().timeoutConnection()
+
     def _respondToBadRequestAndDisconnect(self) -> None:
         self.refuse()
 
@@ -208,12 +255,13 @@
         return bool(super().checkPersistence(request, version))
 
     def requestDone(self, request: http.Request) -> None:
-        self.busy, self.asked, self.since = False, True, clock.now()
+        self.busy, self.asked, self.since, self.behind = False, True, clock.now(), 0
         super().requestDone(request)
 
     def rank(self) -> int:
-        """Which goes first where room is short: those that never spoke, the idle, the slow; 0 for none."""
-        return 0 if self.busy else 1 if self.receiving else 2 if self.asked else 3
+        """Which goes first where room is short: those that end, those that never spoke, the idle, the slow;
+        0 for none."""
+        return 4 if self.closing else 0 if self.busy else 1 if self.receiving else 2 if self.asked else 3
 
 
 class Server(http.HTTPFactory):
@@ -240,12 +288,19 @@
         if self.channel_hook:
             self.channel_hook(channel)
         if self.most and len(self.channels) > self.most:
-            # The oldest of its rank; not the new one, which has had no time to speak, while others will do.
-            least = max((one for one in self.channels if one is not channel), key=lambda one: one.rank())
-            (least if least.rank() else channel).transport.abortConnection()
+            # That of its rank which rests longest; not the new one, which has had no time to speak, while
+            # others will do.
+            least = min((one for one in self.channels if one is not channel),
+                        key=lambda one: (-one.rank(), one.since))
+            self._abort(least if least.rank() else channel)
         if self.patience and self._look is None:
             self._look_later()
 
+    def _abort(self, channel: Any) -> None:
+        """Its descriptor is free a moment later: until then it must not be chosen again."""
+        self.channels.pop(channel, None)
+        channel.transport.abortConnection()
+
     def _look_later(self) -> None:
         reactor: Any = self.reactor
         self._look = reactor.callLater(self.patience / LOOKS / 1000, self._look_round)
@@ -256,16 +311,13 @@
         self._look, now = None, clock.now()
         for channel in list(self.channels):
             since = now - channel.since
-            if channel.spoilt:
-                if since > 2 * self.patience:
-                    channel.transport.abortConnection()
-            elif channel.busy:
+            if channel.busy or channel.closing:
                 continue
             elif channel.receiving:
                 if since > self.patience * (1 - 1 / LOOKS):
                     channel.refuse(b"408 Request Timeout")
             elif since > self.keep_alive:
-                channel.transport.loseConnection()
+                channel.loseConnection()
         if self.channels:
             self._look_later()
 
@@ -275,7 +327,7 @@
         for channel in list(self.channels):
             channel.persistent = False
             if not channel.busy and not channel.receiving:
-                channel.transport.loseConnection()
+                channel.loseConnection()
 
     def stop(self) -> None:
         if self._look is not None and self._look.active():
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -104,9 +104,19 @@
         if call.up:
             self.releases.stop(case)
         else:
-            call.on_up = lambda: self.releases.stop(case)
+            call.on_up = lambda: self._came_up(case, carrier)
         return carrier
 
+    def _came_up(self, case: Case, carrier: Trip) -> None:
+        """Guards against a trip that is written late, as its connection took time: its client may have left,
+        its job been answered, its engine begun to drain.  It was never sent then."""
+        if not case.answered and case.client.gone():
+            self.left(case)
+        if case.answered or carrier.trip.engine.state != "ready":
+            carrier.withdraw()
+        else:
+            self.releases.stop(case)
+
     # Small calls.
 
     def _small_bounds(self) -> tuple[float, int, client.Headers]:
