Test: cold engines under the sum of 2, 30 and 200 fronts, over restarts and refusals

Need (operators' new term): beyond a cold engine's budget of N calls only 2 x root of N + 2 count as chance, with any number of processes. The module needed no change: the worst window of 18 fleets stays under that. Probes count as spent.

--- /dev/null
+++ b/tests/test_cold.py
@@ -0,0 +1,158 @@
+"""Cold engines under the sum of all fronts: many instances of the module, each seeded, none with the others'
+knowledge, and what reaches each cold engine in its worst window."""
+from __future__ import annotations
+
+import heapq
+from collections import defaultdict
+from itertools import count
+from random import Random
+from typing import Any
+
+import pytest
+from helpers import NOW, settings
+
+from worksmux import interface as i
+from worksmux.rules import Front
+
+ENGINES = 10             # of each role
+RATE = 0.06              # requests a millisecond in all
+LOAD = 0.8               # of what the fleet can do: a warm engine can do RATE / ENGINES / LOAD
+READ, WRITE = 60.0, 400.0
+
+
+class Instance:
+    """One front; `alive` until it is killed."""
+
+    def __init__(self, front: Front, engines: list[i.Engine]) -> None:
+        self.front, self.engines, self.alive = front, engines, True
+
+
+class Fleet:
+    """So many fronts; `sent` has the times at which each engine was sent anything."""
+
+    def __init__(self, fronts: int, seed: int, prefixes: int = 40, full: float = 0.0, **changes: Any) -> None:
+        self.chance, self.fronts, self.full = Random(seed), fronts, full
+        self.changes = {"fronts": fronts, "cold_share": 0.25, "fall_multiple": 2.0, **changes}
+        self.settings = settings(**self.changes)
+        self.now, self.queue, self.order = NOW, [], count()
+        self.numbers, self.prefixes = count(1), prefixes
+        self.started: dict[int, float] = {}
+        self.sent: dict[int, list[float]] = defaultdict(list)
+        self.served = 0
+        self.instances = [self._new() for _ in range(fronts)]
+        self._after(0.0, self._arrive)
+
+    def _after(self, ms: float, call: Any, *args: Any) -> None:
+        heapq.heappush(self.queue, (self.now + ms, next(self.order), call, args))
+
+    def _new(self) -> Instance:
+        made = Instance(Front(self.settings, self.chance.getrandbits(60)),
+                        [i.Engine(bytes([number]), number + 1) for number in range(2 * ENGINES)])
+        entries = [self._entry(made.engines, one) for one in range(2 * ENGINES)]
+        self._tell(made, [i.Listed("full", entries)])
+        return made
+
+    def _entry(self, engines: list[i.Engine], number: int) -> i.Entry:
+        return i.Entry(engines[number], "ready", self.started.get(number, 0.0), 0, number % 2,
+                       number // ENGINES, 1.0)
+
+    def cold(self, numbers: list[int]) -> None:
+        """Engines start anew, and every front is told within half a second."""
+        for number in numbers:
+            self.started[number] = self.now
+        for at in range(self.fronts):
+            self._after(self.chance.uniform(0, 500), self._told, at, numbers)
+
+    def _told(self, at: int, numbers: list[int]) -> None:
+        made = self.instances[at]
+        self._tell(made, [i.Listed("delta", [self._entry(made.engines, number) for number in numbers])])
+
+    def restart(self, part: float) -> None:
+        for at in range(self.fronts):
+            if self.chance.random() < part:
+                self.instances[at].alive = False
+                self.instances[at] = self._new()
+
+    def _arrive(self) -> None:
+        self._after(self.chance.expovariate(RATE), self._arrive)
+        number = next(self.numbers)
+        prefix = 1 + int(self.prefixes * self.chance.random() ** 2)
+        one = i.Job(number, 0, number, prefix, 1000.0, 800.0, 100.0, self.now, self.now + 4000.0)
+        self._tell(self.instances[self.chance.randrange(self.fronts)], [i.Arrived(one)])
+
+    def _tell(self, made: Instance, events: list[i.Event]) -> None:
+        for action in made.front.decide(self.now, events) if made.alive else ():
+            if isinstance(action, i.Send):
+                trip = action.trip
+                self.sent[made.engines.index(trip.engine)].append(self.now)
+                if self.chance.random() < self.full:
+                    self._after(2.0, self._tell, made, [i.Ended(trip, i.Outcome.FULL, 2.0, False, 0, None)])
+                elif trip.reading:
+                    self._after(READ, self._tell, made, [i.Ended(trip, i.Outcome.READ, READ, False, 0, None)])
+                else:
+                    self._after(30.0, self._tell, made, [i.Began(trip, 30.0)])
+                    self._after(WRITE, self._done, made, trip)
+            elif isinstance(action, i.Probe):        # it costs the engine work too
+                self.sent[made.engines.index(action.engine)].append(self.now)
+                answer = i.Probed(action.engine, i.Outcome.DELIVERED, 2.0, None)
+                self._after(2.0, self._tell, made, [answer])
+            elif isinstance(action, i.Alarm):
+                self._after(action.after, self._tell, made, [i.Rang(action.token)])
+
+    def _done(self, made: Instance, trip: i.Trip) -> None:
+        self.served += 1
+        self._tell(made, [i.Ended(trip, i.Outcome.DELIVERED, WRITE, True, 0, None)])
+
+    def run(self, ms: float) -> None:
+        end = self.now + ms
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, call, args = heapq.heappop(self.queue)
+            call(*args)
+        self.now = end
+
+    def worst(self, number: int) -> int:
+        """The most that was sent to an engine since its start within the time that the settings name."""
+        times = [at for at in self.sent[number] if at >= self.started[number]]
+        window = self.settings["fall_time"]
+        return max((sum(a <= b < a + window for b in times[at:]) for at, a in enumerate(times)), default=0)
+
+    def budget(self) -> float:
+        """Requests in that time which the settings allow an engine that has just started."""
+        kept = self.settings["cold_share"] * self.settings["fall_multiple"] * self.settings["fall_time"]
+        return RATE / ENGINES / LOAD * kept
+
+
+FEW, MOST, ALL = [0, 10], [*range(6), *range(10, 16)], list(range(20))
+
+
+@pytest.mark.parametrize("fronts", [2, 30, 200])
+@pytest.mark.parametrize("cold", [FEW, MOST, ALL], ids=["few", "most", "all"])
+@pytest.mark.parametrize("full", [0.0, 0.3], ids=["served", "three in ten turned away"])
+def test_all_fronts_together_keep_to_a_cold_engines_budget(fronts: int, cold: list[int], full: float) -> None:
+    """Guards against shares that round up, first requests that coincide, a front that begins with its whole
+    share again after a restart, and repeats of what was turned away: all of it reaches the engine."""
+    fleet = Fleet(fronts, 7 * fronts + len(cold), full=full)
+    fleet.run(4000)
+    fleet.cold(cold)
+    fleet.run(2000)
+    fleet.restart(0.7)
+    fleet.run(3000)
+    fleet.restart(1.0)
+    fleet.run(3000)
+    budget = fleet.budget()
+    assert max(fleet.worst(engine) for engine in cold) <= budget + 2 * budget**0.5 + 2
+
+
+@pytest.mark.parametrize("fronts", [2, 30, 200])
+def test_cold_engines_are_in_full_use_once_the_settings_time_is_over(fronts: int) -> None:
+    fleet = Fleet(fronts, fronts)
+    fleet.run(2000)
+    fleet.cold(MOST)
+    fleet.run(fleet.settings["warm_up"] + 1000)
+    early = {engine: len([at for at in fleet.sent[engine] if at >= fleet.started[engine]]) for engine in MOST}
+    assert sum(early.values()) > len(MOST)           # they are not left alone meanwhile
+    end = fleet.now
+    fleet.run(5000)
+    share = 5000 * RATE / ENGINES
+    for engine in MOST:
+        assert sum(at > end for at in fleet.sent[engine]) > share / 4, (engine, early)
