--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,17 +13,23 @@
 settings.load_profile("long" if os.environ.get("WORKSMUX_LONG") else "same")
 
 
-def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+REDS = pytest.StashKey[list[known_red.Red]]()
+
+
+def pytest_configure(config: pytest.Config) -> None:
     try:
-        reds = known_red.read(config.rootpath)
+        config.stash[REDS] = known_red.read(config.rootpath)
     except known_red.Wrong as fault:
         raise pytest.UsageError(str(fault)) from None
+
+
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     for item in items:
-        for red in reds:
+        for red in config.stash[REDS]:
             if item.nodeid.partition("[")[0] == red.test:
                 item.add_marker(pytest.mark.xfail(reason=f"{red.cause} (issue {red.issue})"))
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
-    for red in known_red.read(config.rootpath):
+    for red in config.stash[REDS]:
         terminalreporter.write_line(f"known red: {red.test}: {red.cause} (issue {red.issue})")
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,7 +1,7 @@
 """KNOWN-RED.txt: tests that fail for a real fault which is not mended yet.
 
-One line each: the test, its cause, its issue, with ` | ` between them; three at most.  Such a test is run, and
-its failure is printed and passed over.  A fourth line, or one that names no test, stops the run.
+One line each: the test, its cause, its issue, with ` | ` between them; three at most.  Such a test is run,
+and its failure is printed and passed over.  A fourth line, or one that names no test, stops the run.
 """
 from __future__ import annotations
 
