--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
+from unittest.mock import Mock
 
 import msgspec
 import pytest
@@ -224,7 +225,7 @@
             case.answered, kept = "", case.answered
             self.reactor.callLater(0.2, send, self, action)
             case.answered = kept
-            case.out[action.trip] = None
+            case.out[action.trip] = Mock()       # the module may call it off
             case.answered = ""
         else:
             send(self, action)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -281,7 +281,9 @@
     front, (reader, _) = fleet(*PAIR)
     front.lines.add(NOW, 400.0)
     front.decide(NOW, [i.Arrived(job())])
+    reader.suspected = True                          # only then is a probe's answer a judgement
     assert kinds(front.decide(NOW + 700, [i.Probed(reader, i.Outcome.DELIVERED, 2.0)])) == []
+    reader.suspected = True
     assert kinds(front.decide(NOW + 2200, [i.Probed(reader, i.Outcome.DELIVERED, 2.0)])) == ["Cancel"]
 
 
@@ -437,3 +439,67 @@
     one.writer.suspected = True                      # another writer is sought, from the reader's cell on
     ended(front, one.trips[0], i.Outcome.READ)
     assert [trip.engine.role for trip in one.trips] == ["read", "write"]
+
+
+THREE_READERS = ((0, 0, 0), (0, 0, 0), (0, 0, 0), (1, 0, 0))
+
+
+def asking(**changes):
+    """One of many fronts with a job that has just come: the front, the job and the reader that was asked."""
+    front, _ = fleet(*THREE_READERS, **{"fronts": 200, **changes})
+    one = job()
+    probes = [action for action in front.decide(NOW, [i.Arrived(one)]) if isinstance(action, i.Probe)]
+    return front, one, [probe.engine for probe in probes]
+
+
+def asked_at(front, now, *events):
+    actions = front.decide(now, list(events))
+    return [action.engine for action in actions if isinstance(action, i.Probe)]
+
+
+def test_one_of_many_fronts_asks_a_reader_before_it_sends_a_read():
+    """Guards against a line of the other fronts' reads, of which this one sees nothing."""
+    front, one, (reader,) = asking()
+    assert not one.trips
+    front.decide(NOW + 4, [i.Probed(reader, i.Outcome.DELIVERED, 4.0)])
+    assert [trip.engine for trip in one.trips] == [reader] and not one.asked
+
+
+def test_reader_that_does_not_answer_at_once_is_passed_by_and_the_first_to_answer_reads():
+    front, one, (first,) = asking()
+    (second,) = asked_at(front, NOW + 25, i.Rang(0))
+    assert second is not first and not asked_at(front, NOW + 30, i.Rang(0))
+    front.decide(NOW + 40, [i.Probed(first, i.Outcome.DELIVERED, 40.0)])
+    assert [trip.engine for trip in one.trips] == [first]
+
+
+def test_job_goes_to_the_reader_of_its_hash_where_none_answers():
+    front, one, (first,) = asking()
+    now, asked = NOW, [first]
+    while not one.trips and now < NOW + 1000:
+        now += 10
+        asked += asked_at(front, now, i.Rang(0))
+    assert now < NOW + 250 and len(asked) == 3 and one.trips[0].engine is front._order(one)[0][0]
+
+
+def test_probe_that_fails_before_a_read_marks_nobody():
+    """Guards against engines set aside for a probe that waited in their line."""
+    front, one, (reader,) = asking()
+    front.decide(NOW + 20, [i.Probed(reader, i.Outcome.TIMED_OUT, 20.0)])
+    assert not reader.unwell and not reader.faults.count(NOW + 20) and not one.trips
+
+
+def test_who_sees_its_engines_or_may_not_ask_sends_at_once():
+    for changes in ({"fronts": 2}, {"may_probe": False}):
+        _, one, asked = asking(**changes)
+        assert len(one.trips) == 1 and not asked
+
+
+def test_job_that_waits_for_an_answer_keeps_no_other_waiting():
+    front, one, (reader,) = asking()
+    other = job(2, session=77)
+    for known in front.readers:
+        if known is not reader:
+            known.reported = NOW + 1
+    front.decide(NOW + 1, [i.Arrived(other)])
+    assert other.trips or other.asked
--- a/worksmux/front/case.py
+++ b/worksmux/front/case.py
@@ -47,3 +47,4 @@
     first_at: float = 0.0
     called_off: float = 0.0          # when this front last ended one of its trips
     result: Any = None               # of the trip that delivered
+    kept: int = 0                    # prompt tokens that its reads found kept
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -168,7 +168,7 @@
         self.metrics.ended(case.name, case.answered, now - case.job.arrived, first, len(case.job.trips))
         LOG.info("job", job=case.key, offering=case.name, answer=case.answered,
                  ms=round(now - case.job.arrived, 1), first_ms=round(first, 1) if first is not None else None,
-                 prompt=round(case.job.prompt), **self._ended_with(case),
+                 prompt=round(case.job.prompt), kept=case.kept, **self._ended_with(case),
                  trips=[{"engine": trip.engine.id.decode(), "reading": trip.reading,
                          "at": round(trip.sent - case.job.arrived, 1),
                          "outcome": trip.outcome.value if trip.outcome else None} for trip in case.job.trips])
@@ -211,6 +211,7 @@
         if trip.reading:
             if outcome is i.Outcome.READ:
                 case.state = result
+                case.kept += note
             if outcome not in (i.Outcome.FULL, i.Outcome.UNREACHABLE, i.Outcome.MOOT):
                 case.held[trip.engine] = None        # also where the reply was lost: the state may lie there
         elif outcome is i.Outcome.DELIVERED:
--- a/worksmux/interface.py
+++ b/worksmux/interface.py
@@ -90,6 +90,7 @@
     holder: Engine | None = None     # the reader that holds its state
     held_since: float = 0.0
     luck: float = 0.0                # its draw by chance
+    asked: dict[Engine, float] = field(default_factory=dict)     # probed before its read, and when
     ended: bool = False
     began: bool = False
 
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -34,6 +34,9 @@
 LATELY = 3               # buckets of the newest: a trouble that is over is forgotten
 TRIAL = 0.05             # of the jobs go ahead whatever the usual need: else nothing would show its fall
 LEAN = 6.0               # times the price of moving state: what readers take beyond their even share
+SEEN = 0.1               # of the traffic: a front that gets less does not see the lines at its readers
+ASK = 0.02               # of the shortest promised time: a reader that takes longer to answer has a line
+ASKED = 3                # readers at most that are asked before a read
 BUCKETS = 10             # in a ring
 ALL = -1                 # stands for every offering
 
@@ -44,7 +47,7 @@
         self.offerings = settings["offerings"]
         self.quickest: float = min(offering["promised_time"] for offering in self.offerings)
         self.beat: float = max(settings["tick"], (settings["release_within"] or MARK) / BEATS)
-        self.now, self.alarm_at, self.reckoned = 0.0, -inf, -inf
+        self.now, self.alarm_at, self.reckoned, self.asks = 0.0, -inf, -inf, False
         self.cold: list[Engine] = []
         self.read_credit = 0.0                       # jobs that cold readers may be sent, earned together
         self.shared: dict[str, tuple[float, int]] = defaultdict(lambda: (0.0, 0))     # by role: faults, ready
@@ -77,6 +80,8 @@
             self._place_waiting()
         pause = UNHEARD * self.quickest / 4 if self.awaited else inf
         pause = self.beat if self.waiting or self.holding else pause
+        if any(job.asked for job in self.waiting):
+            pause = min(pause, ASK * self.quickest)
         if pause < inf and not now < self.alarm_at <= now + pause:
             self.alarm_at = now + pause              # a front with nothing to watch sleeps
             self.actions.append(Alarm(pause, 0))
@@ -196,6 +201,7 @@
         self.readers, self.writers, mixed = ([engine for engine in ready if engine.role == role]
                                              for role in ("read", "write", "both"))
         self.hosts, self.answering = self.readers + mixed, self.writers + mixed
+        self.asks = self.settings["may_probe"] and 1 / self.settings["fronts"] < SEEN
         before, self.cold = self.cold, [engine for engine in ready if self._cold(engine)]
         if not any(engine.role == "read" for engine in before):
             self.read_credit = self.chance.share()
@@ -293,6 +299,10 @@
                 + sum(self._reads(trip) for trip in engine.unanswered))
 
     def _probed(self, engine: Engine, outcome: Outcome) -> None:
+        if outcome is Outcome.DELIVERED:
+            engine.reported = self.now
+        if not engine.suspected:                     # it was only asked before a read
+            return
         engine.suspected = False
         if outcome not in (Outcome.DELIVERED, Outcome.FULL):
             self._strike(engine)
@@ -373,6 +383,7 @@
         engine.quiet_since = engine.quiet_since or self.now
         self.awaited[engine] = None
         self.holding.pop(job, None)
+        job.asked.clear()
         self.actions.append(Send(trip, time_out))
 
     def _turn(self, engine: Engine) -> None:
@@ -565,7 +576,7 @@
                 if self._place(job):
                     del self.waiting[job]
                 else:
-                    closed = closed or not job.trips
+                    closed = closed or not (job.trips or job.asked)
 
     def _unended(self) -> float:
         """Reading time for a token by the reads that are still out, once most readers have been replaced:
@@ -583,6 +594,18 @@
         need = (first + max(read, self.unended) * job.prompt) * press * (job.luck > TRIAL)
         return self.now + max(need, 2 * self.beat) > min(job.promised_at, job.give_up_at)
 
+    def _free(self, reader: Engine, job: Job) -> bool:
+        """Whether a reader has no line, as far as can be known. One front of many sees next to none of the
+        reads there: so it asks, one reader more each time that none has answered."""
+        last = max(job.asked.values(), default=-inf)
+        if (not self.asks or self._cold(reader) or self.now - reader.reported <= ASK * self.quickest
+                or self.now - min(job.asked.values(), default=inf) > BACKLOG * self.quickest):
+            return True
+        if reader not in job.asked and len(job.asked) < ASKED and self.now - last >= ASK * self.quickest:
+            job.asked[reader] = self.now
+            self.actions.append(Probe(reader))
+        return False
+
     def _place(self, job: Job) -> bool:
         found: tuple[Engine, Engine] | None = None
         shut = self._trips_left(job) < 2
@@ -597,6 +620,8 @@
                                and engine.unwell.get(ALL, 0.0) <= self.now):
                 writer = self._writer(job, engine)
                 shut = writer is None
+                if writer and not self._free(engine, job):
+                    continue
                 if writer and (writer.cell == engine.cell or job.luck >= self.keeps[engine.cell]):
                     found = engine, writer           # a reader whose own writers are open comes first
                     break
