Reads are judged by tokens not found kept, and called off only where another is in time

Lines at fault, rules.py: the patience with a read goes by the least time per token seen, which prompts found kept make eight times too short (_reads, shortest); and _rescue calls off what can no longer be read in time elsewhere, which throws its work away. Test changed: its job now has time left to be read elsewhere, as a read is no longer called off without.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -280,13 +280,38 @@
     # Guards against hundreds of fronts that call off what waits in a line and send it to the end of another.
     front, (reader, _) = fleet(*PAIR)
     front.lines.add(NOW, 400.0)
-    front.decide(NOW, [i.Arrived(job())])
+    one = job()
+    front.decide(NOW, [i.Arrived(one)])
+    one.promised_at = NOW + 9000                     # there is time to read it elsewhere
     reader.suspected = True                          # only then is a probe's answer a judgement
     assert kinds(front.decide(NOW + 700, [i.Probed(reader, i.Outcome.DELIVERED, 2.0)])) == []
     reader.suspected = True
     assert kinds(front.decide(NOW + 2200, [i.Probed(reader, i.Outcome.DELIVERED, 2.0)])) == ["Cancel"]
 
 
+def test_read_that_no_other_could_replace_in_time_is_left_to_end():
+    # Guards against work thrown away: what is called off too late is refused, though its answer was near.
+    front, (reader, _) = fleet(*PAIR)
+    one = job()
+    front.decide(NOW, [i.Arrived(one)])
+    reader.suspected = True
+    assert kinds(front.decide(NOW + 980, [i.Probed(reader, i.Outcome.DELIVERED, 2.0)])) == []
+    assert not one.trips[0].called_off
+
+
+def test_long_prompt_is_not_held_to_the_pace_of_prompts_that_were_found_kept():
+    # Guards against reads called off as hung that only had nothing to go by: kept tokens cost no time.
+    front, (reader, _) = fleet(*PAIR)
+    for number in (1, 2, 3):
+        one = job(number)
+        front.decide(NOW, [i.Arrived(one)])
+        ended(front, one.trips[0], i.Outcome.READ, after=10.0, note=900)
+    fresh = job(4)
+    front.decide(NOW + 20, [i.Arrived(fresh)])
+    assert front.shortest == 0.1                     # 10 ms for 100 of 1,000 tokens
+    assert front._reads(fresh.trips[0]) == 4.0 * 100.0
+
+
 def test_reads_called_off_in_a_jam_count_as_waits():
     # Guards against a jam that looks quick, since only the reads that got through showed their times.
     front, (_, _) = fleet(*PAIR)
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -59,6 +59,7 @@
         self.turns, self.out, self.reading, self.unended = 0, 0, 0.0, 0.0
         self.streams = Ring(4 * MARK, BUCKETS)       # our own jobs at writers, seen at each placement
         self.per_token = Ring(MEMORY, BUCKETS)       # reading time for a token of the prompt
+        self.anew = Ring(MEMORY, BUCKETS)            # the same for a token that was not found kept
         self.first = Ring(MEMORY, BUCKETS)           # time to a first token
         self.lines = Ring(MEMORY, BUCKETS)           # time that prompts waited to be read
         self.fates = [Ring(MEMORY, BUCKETS) for _ in self.offerings]     # 1 for each fault, else 0
@@ -69,7 +70,7 @@
     def decide(self, now: float, events: list[Event]) -> list[Action]:
         """The one entry point: what happened comes in, what is to be done goes out."""
         self.now = now
-        self.shortest = self.per_token.least(now)
+        self.shortest = self.anew.least(now)
         self.calm = max(BACKLOG * self.quickest,
                         min(SLOWNESS * self.first.least(now), UNHEARD * self.quickest / 2))
         for event in events:
@@ -321,7 +322,8 @@
     def _rescue(self, trips: list[Trip]) -> None:
         for trip in trips:
             if ((trip.reading or self.offerings[trip.job.offering]["effect"] == "redoable")
-                    and not trip.job.ended and self._trips_left(trip.job)):
+                    and not trip.job.ended and self._trips_left(trip.job)
+                    and not (trip.reading and self._late(trip.job))):
                 self._call_off(trip)
 
     def _call_off(self, trip: Trip) -> None:
@@ -445,6 +447,8 @@
             # Guards against a jam that shows only the reads that got through: each that ends in vain counts.
             self.lines.add(self.now, max(0.0, event.elapsed - self._reads(trip)))
             self.per_token.add(self.now, event.elapsed, max(1.0, trip.work))
+        if outcome is Outcome.READ:
+            self.anew.add(self.now, event.elapsed, max(1.0, trip.work - event.note))
         if outcome is Outcome.READ:
             self._praise(trip)
         elif outcome is Outcome.DELIVERED:
