--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,5 @@
 """The five rules and the mechanism, each on a state built by hand."""
-from helpers import NOW, ended, fleet, job, kinds
+from helpers import NOW, ended, fleet, job, kinds, settings
 
 from worksmux import interface as i
 
@@ -302,16 +302,42 @@
 def test_long_prompt_is_not_held_to_the_pace_of_prompts_that_were_found_kept():
     # Guards against reads called off as hung that only had nothing to go by: kept tokens cost no time.
     front, (reader, _) = fleet(*PAIR)
-    for number in (1, 2, 3):
+    for number, (time, kept) in enumerate([(80.0, 200), (10.0, 950), (15.0, 900)], 1):
         one = job(number)
         front.decide(NOW, [i.Arrived(one)])
-        ended(front, one.trips[0], i.Outcome.READ, after=10.0, note=900)
+        ended(front, one.trips[0], i.Outcome.READ, after=time, note=kept)
     fresh = job(4)
-    front.decide(NOW + 20, [i.Arrived(fresh)])
-    assert front.shortest == 0.1                     # 10 ms for 100 of 1,000 tokens
+    front.decide(NOW + 90, [i.Arrived(fresh)])
+    assert front.shortest == 0.1                     # 80 ms for 800 tokens; few tokens tell nothing of pace
     assert front._reads(fresh.trips[0]) == 4.0 * 100.0
 
 
+def test_pace_that_was_never_seen_is_that_of_the_settings():
+    front, _ = fleet(*PAIR)
+    assert front.shortest == 0.0
+    changed = settings()["offerings"]
+    for offering in changed:
+        offering["promised_per_k"] = 85.0
+    front, _ = fleet(*PAIR, offerings=changed)
+    assert front.shortest == 0.085
+
+
+def test_one_slow_read_does_not_refuse_all_that_follows_where_readers_can_be_asked():
+    # Guards against a front of hundreds that judges all readers by one or two reads of its own.
+    for fronts, refused in ((200, False), (2, True)):
+        front, _ = fleet(*THREE_READERS, fronts=fronts)
+        front.first.add(NOW, 50.0)
+        front.per_token.add(NOW, 3743.0, 5405.0)
+        front.anew.add(NOW, 400.0, 4700.0)
+        one = job()
+        one.prompt, one.luck = 4900.0, 0.9
+        one.promised_at = NOW + 1600.0
+        front.now, front.shortest = NOW, front.anew.least(NOW)
+        assert front._late(one) is refused
+        one.asked[front.readers[0]] = NOW - 400.0    # it was asked, and nobody answered: there are lines
+        assert front._late(one)
+
+
 def test_reads_called_off_in_a_jam_count_as_waits():
     # Guards against a jam that looks quick, since only the reads that got through showed their times.
     front, (_, _) = fleet(*PAIR)
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -45,6 +45,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings, self.chance = settings, Chance(seed)
         self.offerings = settings["offerings"]
+        self.per_k: float = max(offering["promised_per_k"] for offering in self.offerings) / 1000
         self.quickest: float = min(offering["promised_time"] for offering in self.offerings)
         self.beat: float = max(settings["tick"], (settings["release_within"] or MARK) / BEATS)
         self.now, self.alarm_at, self.reckoned, self.asks = 0.0, -inf, -inf, False
@@ -70,7 +71,7 @@
     def decide(self, now: float, events: list[Event]) -> list[Action]:
         """The one entry point: what happened comes in, what is to be done goes out."""
         self.now = now
-        self.shortest = self.anew.least(now)
+        self.shortest = self.anew.least(now) or self.per_k or self.per_token.least(now)
         self.calm = max(BACKLOG * self.quickest,
                         min(SLOWNESS * self.first.least(now), UNHEARD * self.quickest / 2))
         for event in events:
@@ -447,7 +448,7 @@
             # Guards against a jam that shows only the reads that got through: each that ends in vain counts.
             self.lines.add(self.now, max(0.0, event.elapsed - self._reads(trip)))
             self.per_token.add(self.now, event.elapsed, max(1.0, trip.work))
-        if outcome is Outcome.READ:
+        if outcome is Outcome.READ and 2 * event.note < trip.work:
             self.anew.add(self.now, event.elapsed, max(1.0, trip.work - event.note))
         if outcome is Outcome.READ:
             self._praise(trip)
@@ -596,20 +597,26 @@
                        for ring in (self.first, self.per_token))
         press = 1 + PRESS * job.luck + REPEAT * job.repeat
         need = (first + max(read, self.unended) * job.prompt) * press * (job.luck > TRIAL)
+        if self.asks and not self._unheard(job):     # readers tell of their lines, not the few reads here
+            need = first + self.shortest * job.prompt
         return self.now + max(need, 2 * self.beat) > min(job.promised_at, job.give_up_at)
 
     def _free(self, reader: Engine, job: Job) -> bool:
         """Whether a reader has no line, as far as can be known. One front of many sees next to none of the
         reads there: so it asks, one reader more each time that none has answered."""
         last = max(job.asked.values(), default=-inf)
-        if (not self.asks or self._cold(reader) or self.now - reader.reported <= ASK * self.quickest
-                or self.now - min(job.asked.values(), default=inf) > BACKLOG * self.quickest):
+        if (not self.asks or self._cold(reader) or self._unheard(job)
+                or self.now - reader.reported <= ASK * self.quickest):
             return True
         if reader not in job.asked and len(job.asked) < ASKED and self.now - last >= ASK * self.quickest:
             job.asked[reader] = self.now
             self.actions.append(Probe(reader))
         return False
 
+    def _unheard(self, job: Job) -> bool:
+        """Whether readers were asked and none has answered for long: all of them have lines."""
+        return self.now - min(job.asked.values(), default=inf) > BACKLOG * self.quickest
+
     def _place(self, job: Job) -> bool:
         found: tuple[Engine, Engine] | None = None
         shut = self._trips_left(job) < 2
