--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -282,7 +282,6 @@
     front.lines.add(NOW, 400.0)
     one = job()
     front.decide(NOW, [i.Arrived(one)])
-    one.promised_at = NOW + 9000                     # there is time to read it elsewhere
     reader.suspected = True                          # only then is a probe's answer a judgement
     assert kinds(front.decide(NOW + 700, [i.Probed(reader, i.Outcome.DELIVERED, 2.0)])) == []
     reader.suspected = True
@@ -294,22 +293,21 @@
     front, (reader, _) = fleet(*PAIR)
     one = job()
     front.decide(NOW, [i.Arrived(one)])
-    reader.suspected = True
+    reader.suspected, front.asks = True, True
     assert kinds(front.decide(NOW + 980, [i.Probed(reader, i.Outcome.DELIVERED, 2.0)])) == []
     assert not one.trips[0].called_off
 
 
 def test_long_prompt_is_not_held_to_the_pace_of_prompts_that_were_found_kept():
     # Guards against reads called off as hung that only had nothing to go by: kept tokens cost no time.
-    front, (reader, _) = fleet(*PAIR)
+    front, (reader, _) = fleet(*PAIR, fronts=200)
+    front.asks = True
     for number, (time, kept) in enumerate([(80.0, 200), (10.0, 950), (15.0, 900)], 1):
-        one = job(number)
-        front.decide(NOW, [i.Arrived(one)])
-        ended(front, one.trips[0], i.Outcome.READ, after=time, note=kept)
-    fresh = job(4)
-    front.decide(NOW + 90, [i.Arrived(fresh)])
+        trip = i.Trip(job(number), reader, 0, NOW, True, work=1000.0)
+        front._judge(i.Ended(trip, i.Outcome.READ, time, False, kept))
+    front.decide(NOW, [])
     assert front.shortest == 0.1                     # 80 ms for 800 tokens; few tokens tell nothing of pace
-    assert front._reads(fresh.trips[0]) == 4.0 * 100.0
+    assert front._reads(i.Trip(job(4), reader, 0, NOW, True, work=1000.0)) == 4.0 * 100.0
 
 
 def test_pace_that_was_never_seen_is_that_of_the_settings():
@@ -319,6 +317,8 @@
     for offering in changed:
         offering["promised_per_k"] = 85.0
     front, _ = fleet(*PAIR, offerings=changed)
+    front.asks = True
+    front.decide(NOW, [])
     assert front.shortest == 0.085
 
 
@@ -332,7 +332,7 @@
         one = job()
         one.prompt, one.luck = 4900.0, 0.9
         one.promised_at = NOW + 1600.0
-        front.now, front.shortest = NOW, front.anew.least(NOW)
+        front.now, front.shortest, front.asks = NOW, front.anew.least(NOW), fronts == 200
         assert front._late(one) is refused
         one.asked[front.readers[0]] = NOW - 400.0    # it was asked, and nobody answered: there are lines
         assert front._late(one)
@@ -554,3 +554,16 @@
             known.reported = NOW + 1
     front.decide(NOW + 1, [i.Arrived(other)])
     assert other.trips or other.asked
+
+
+def test_front_with_more_than_its_part_of_the_traffic_need_not_stand_back_while_answers_begin_at_once():
+    # Guards against a busy front of hundreds that holds each writer to one answer, with memory idle.
+    front, (_, writer) = fleet(*PAIR, fronts=200, kind_memory=[400_000, 570_000])
+    writer.trips = {i.Trip(job(number), writer, 0, NOW, began=NOW): None for number in range(4)}
+    front.out, front.now, front.asks = 4, NOW, True
+    one = job(9)
+    one.luck = 0.9
+    front.first.add(NOW, 40.0)
+    assert front._has_window(writer, one)
+    front.first.add(NOW, 4000.0)                     # states wait for memory somewhere
+    assert not front._has_window(writer, one)
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -34,7 +34,7 @@
 LATELY = 3               # buckets of the newest: a trouble that is over is forgotten
 TRIAL = 0.05             # of the jobs go ahead whatever the usual need: else nothing would show its fall
 LEAN = 6.0               # times the price of moving state: what readers take beyond their even share
-SEEN = 0.1               # of the traffic: a front that gets less does not see the lines at its readers
+SEEN = 0.1               # of the traffic: a front that gets less sees little of what the others send
 ASK = 0.02               # of the shortest promised time: a reader that takes longer to answer has a line
 ASKED = 3                # readers at most that are asked before a read
 BUCKETS = 10             # in a ring
@@ -71,7 +71,7 @@
     def decide(self, now: float, events: list[Event]) -> list[Action]:
         """The one entry point: what happened comes in, what is to be done goes out."""
         self.now = now
-        self.shortest = self.anew.least(now) or self.per_k or self.per_token.least(now)
+        self.shortest = (self.asks and (self.anew.least(now) or self.per_k)) or self.per_token.least(now)
         self.calm = max(BACKLOG * self.quickest,
                         min(SLOWNESS * self.first.least(now), UNHEARD * self.quickest / 2))
         for event in events:
@@ -203,7 +203,6 @@
         self.readers, self.writers, mixed = ([engine for engine in ready if engine.role == role]
                                              for role in ("read", "write", "both"))
         self.hosts, self.answering = self.readers + mixed, self.writers + mixed
-        self.asks = self.settings["may_probe"] and 1 / self.settings["fronts"] < SEEN
         before, self.cold = self.cold, [engine for engine in ready if self._cold(engine)]
         if not any(engine.role == "read" for engine in before):
             self.read_credit = self.chance.share()
@@ -324,7 +323,7 @@
         for trip in trips:
             if ((trip.reading or self.offerings[trip.job.offering]["effect"] == "redoable")
                     and not trip.job.ended and self._trips_left(trip.job)
-                    and not (trip.reading and self._late(trip.job))):
+                    and not (self.asks and trip.reading and self._late(trip.job))):
                 self._call_off(trip)
 
     def _call_off(self, trip: Trip) -> None:
@@ -541,7 +540,10 @@
 
     def _crowded(self, engine: Engine, job: Job) -> bool:
         """Guards against a writer's memory running out, which has answers read anew: each front keeps to its
-        part. It could harm where nearly all traffic comes in at one front."""
+        part, unless answers have begun at once lately, wherever: then no state waits for memory, and a front
+        with more than its part of the traffic need not stand back. Else it would harm such a front."""
+        if self.asks and self.first.mean(self.now, inf, LATELY) <= self.calm:
+            return False
         memory: list[float] = self.settings["kind_memory"]
         held = sum(trip.job.prompt for trip in engine.trips) + sum(job.prompt for job in engine.paired)
         part = memory[engine.kind] / self.settings["fronts"] if engine.kind < len(memory) else inf
@@ -573,6 +575,10 @@
     def _place_waiting(self) -> None:
         self.streams.add(self.now, self.out)
         self.unended = self._unended()
+        # One of many fronts that has met its engines less than once each, in memory, sees no line there.
+        met = sum(fate.count(self.now) for fate in self.fates)
+        self.asks = (self.settings["may_probe"] and 1 / self.settings["fronts"] < SEEN
+                     and met < len(self.engines))
         closed = False                               # where one new job finds no place, none does
         for job in sorted(self.waiting, key=lambda job: job.promised_at):
             if self._late(job):
