--- a/tests/test_node_ends.py
+++ b/tests/test_node_ends.py
@@ -9,6 +9,8 @@
 from twisted.internet.error import ConnectionDone
 
 from worksmux import interface as i
+from worksmux.net import server
+from worksmux.net.loop import listen
 from worksmux.net.server import BEHIND, Server
 
 
@@ -169,6 +171,37 @@
     client.close()
 
 
+def test_answer_is_not_cut_off_for_a_client_that_reads_slowly(monkeypatch: Any) -> None:
+    """Guards against the bound on a client's end running while its answer still waits to be sent."""
+    monkeypatch.setattr(server, "LINGER", 5.0)
+    rig, body = Rig(), b"x" * 12_000_000             # more than the sockets of both sides hold
+
+    def answer(exchange: Any) -> None:
+        exchange.last()
+        exchange.answer(200, body)
+
+    one_server = Server(answer, 1000, 1000, 2000.0, rig.reactor, 2600.0)
+    _, port = listen(rig.reactor, ("127.0.0.1", 0), one_server)
+    client = socket.create_connection(("127.0.0.1", port))
+    client.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    rig.until(lambda: any(channel.closing for channel in one_server.channels))
+    some_time(rig, 60)                               # the client's time is over several times
+    client.setblocking(False)
+    got = 0
+    for _ in range(20_000):
+        rig.reactor.iterate(0)
+        try:
+            piece = client.recv(1_000_000)
+        except BlockingIOError:
+            continue
+        if not piece:
+            break
+        got += len(piece)
+    client.close()
+    one_server.stop()
+    assert got > len(body)
+
+
 class Stub:
     """A connection as the server's count sees it."""
 
@@ -183,19 +216,19 @@
 def test_burst_of_connections_closes_as_many_others_those_that_rest_longest_first() -> None:
     """Guards against one that is closed over and over while its descriptor is not free yet: each new one
     would stay, and the descriptors for engines and discovery be taken."""
-    server = Server(lambda _: None, 1, 1, 2000.0, None, 0.0, 10)
+    one_server = Server(lambda _: None, 1, 1, 2000.0, None, 0.0, 10)
     busy = [Stub(0, at) for at in range(4)]
     resting = [Stub(2, 100.0 - at) for at in range(6)]
     for one in (*busy, *resting):
-        server.made(one)
+        one_server.made(one)
     new = [Stub(3, 200.0) for _ in range(5)]
     for one in new:
-        server.made(one)
-    assert len(server.channels) == 10 and not any(one.aborted for one in busy)
+        one_server.made(one)
+    assert len(one_server.channels) == 10 and not any(one.aborted for one in busy)
     assert [one.aborted for one in resting] == [0, 0, 0, 0, 0, 1] and sum(one.aborted for one in new) == 4
     spoken = [Stub(2, 300.0) for _ in range(3)]
     for one in spoken:
-        server.made(one)
+        one_server.made(one)
     assert [one.aborted for one in resting] == [0, 0, 0, 1, 1, 1] and all(one.aborted for one in new)
     assert max(one.aborted for one in (*new, *spoken)) == 1
 
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -132,7 +132,9 @@
             self.on_gone = None
             if last:
                 self.write(last)
-            self.channel.loseConnection()
+            channel: Any = self.channel
+            channel.hurried = True                   # its end does not wait for its reader
+            channel.loseConnection()
 
     def abort(self) -> None:
         """Resets the connection at once; what was written may not arrive."""
@@ -157,6 +159,7 @@
     maxHeaders = MOST_HEADERS
     spoilt = False                                   # refused or ended: what still comes is thrown away
     closing = False                                  # this side has ended
+    hurried = False                                  # it is cut: what was not sent need not be
     behind = 0                                       # bytes that came behind the request that is open
     # Guards against a close that is not seen: a client that sent much behind its request would be read no
     # further, and with it the end of its connection.
@@ -216,8 +219,15 @@
         self._wire.resumeProducing()
         self._wire.loseWriteConnection()
 
+    @property
+    def unsent(self) -> bool:
+        """Whether an answer still waits for its reader after this side has ended."""
+        return self.closing and not self.hurried and not self._wire._writeDisconnected
+
     def timeoutConnection(self) -> None:
-        if self.closing:
+        if self.unsent:
+            self.setTimeout(LINGER / 1000)           # guards against an answer cut off for a slow reader
+        elif self.closing:
             self._wire.abortConnection()
         else:
             super().timeoutConnection()
@@ -261,7 +271,9 @@
     def rank(self) -> int:
         """Which goes first where room is short: those that end, those that never spoke, the idle, the slow;
         0 for none."""
-        return 4 if self.closing else 0 if self.busy else 1 if self.receiving else 2 if self.asked else 3
+        if self.closing:
+            return 2 if self.unsent else 4
+        return 0 if self.busy else 1 if self.receiving else 2 if self.asked else 3
 
 
 class Server(http.HTTPFactory):
