Every attempt carries the end-to-end fields of its client's head

At fault: node/trips.py send, which wrote four fields of its own and dropped all others.

protocol.forwarded keeps what is not of one connection alone (RFC 9110, 7.6.1) and not written anew: no name of a field that this program does not read is listed. Names that are no token and values with control characters are left out. A client's own Content-Type goes before ours.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -163,6 +163,27 @@
         assert rig.answered(peer) == b"200" and peer.got.count(b"[DONE]") == 1
 
 
+def test_every_attempt_carries_the_end_to_end_fields_of_its_client() -> None:
+    """Guards against a request that is not as its client sent it: an engine that remembers what has run goes
+    by a field that this program does not read."""
+    rig, reads = Rig(), [None, READ]
+    for _ in range(2):
+        rig.engine("prefill", lambda _: reads.pop(0))
+    rig.engine("decode")
+    rig.start()
+    more = ("idempotency-key: 9e8c\r\nX-Trace: a\r\nX-Trace: b\r\nContent-Type: application/json; v=2\r\n"
+            "X-Hop: 1\r\nConnection: keep-alive, X-Hop\r\nTE: trailers\r\n"
+            "Accept-Encoding: gzip\r\nX-Bell: a\x07b\r\n")
+    assert rig.answered(rig.client(ask(more=more))) == b"200"
+    calls = [call.lower() for engine in rig.engines for call in engine.asked if call.startswith(b"POST")]
+    assert len(calls) == 3
+    for call in calls:
+        assert b"idempotency-key: 9e8c\r\n" in call and b"x-trace: a\r\nx-trace: b\r\n" in call
+        assert call.count(b"content-type:") == call.count(b"host:") == call.count(b"x-timeout-ms:") == 1
+        assert call.count(b"x-request-id: a1\r\n") == call.count(b"content-length:") == 1
+        assert not any(name in call for name in (b"x-hop", b"te: tr", b"accept-encoding", b"x-bell"))
+
+
 def test_client_that_leaves_ends_its_trip_and_what_it_held_is_let_go() -> None:
     rig = rig_of_two(lambda _: b"")
     peer = rig.client(ask())
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -69,6 +69,11 @@
         found = self.requestHeaders.getRawHeaders(name.encode(), [])
         return [value.decode("latin-1") for value in found]
 
+    def fields(self) -> list[tuple[str, list[str]]]:
+        """All fields of the head, each with its values in their order."""
+        return [(name.decode("latin-1"), [value.decode("latin-1") for value in values])
+                for name, values in self.requestHeaders.getAllRawHeaders()]
+
     def body(self) -> bytes:
         return self._kept.getvalue()
 
--- a/worksmux/node/clients.py
+++ b/worksmux/node/clients.py
@@ -69,6 +69,7 @@
                                    self.offerings)
         except protocol.Refused as fault:
             return self._no(exchange, fault.status, fault.why)
+        asked.headers = protocol.forwarded(exchange.fields())
         if asked.key in self.core.keys:
             return self._no(exchange, 409, "a job with this id is open")
         side = StreamClient(exchange)
--- a/worksmux/node/protocol.py
+++ b/worksmux/node/protocol.py
@@ -2,8 +2,8 @@
 which pieces of a stream are whole events."""
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -17,6 +17,12 @@
 LONGEST_ID = 128                     # characters
 LONGEST_WAIT = 3_600_000             # milliseconds that a client may name
 MOST_TOKENS = 10_000_000
+# Of one connection alone (RFC 9110, 7.6.1), or written anew for each attempt.
+NOT_FORWARDED = frozenset({
+    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te",
+    "trailer", "transfer-encoding", "upgrade", "content-length", "expect", "host", "accept-encoding",
+    ID.lower(), TIME_LEFT.lower()})
+TOKEN = frozenset("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz")      # RFC 9110, 5.6.2
 
 
 class Refused(Exception):
@@ -42,6 +48,7 @@
     resumed: bool
     path: str                        # with its query
     body: bytes
+    headers: list[tuple[str, str]] = field(default_factory=list)      # the client's, for each attempt
 
 
 class _Body(msgspec.Struct):
@@ -89,6 +96,24 @@
     return {name.strip(): value.strip() for name, _, value in pairs if name.strip()}
 
 
+def forwarded(headers: Iterable[tuple[str, list[str]]]) -> list[tuple[str, str]]:
+    """The end-to-end fields of a client's head, which every attempt carries unchanged.
+
+    What a client tells the engine beside what this program reads, such as an idempotency key, is for the
+    engine to judge.
+
+    >>> forwarded([("Idempotency-Key", ["9e"]), ("Connection", ["close, X-Hop"]), ("X-Hop", ["1"])])
+    [('Idempotency-Key', '9e')]
+    """
+    fields = [(name, value) for name, values in headers for value in values]
+    hops = {option.strip().lower() for name, value in fields if name.lower() == "connection"
+            for option in value.split(",")}
+    dropped = NOT_FORWARDED | hops
+    return [(name, value) for name, value in fields
+            if name.lower() not in dropped and TOKEN.issuperset(name.lower())
+            and not any(character < " " and character != "\t" or character == "\x7f" for character in value)]
+
+
 def asked(header: Callable[[str], list[str]], path: str, body: bytes, offerings: dict[str, int]) -> Asked:
     """A client's job from its head and body; `header` gives all values of a name.  Raises Refused."""
 
--- a/worksmux/node/trips.py
+++ b/worksmux/node/trips.py
@@ -15,9 +15,11 @@
     fields: list[str] = []
 
     def send(self, asked: protocol.Asked, time_out: float) -> client.Call:
-        self.call = self.pool.call("POST", asked.path, self, [
-            ("Content-Type", "application/json"), (protocol.ID, asked.key),
-            (protocol.TIME_LEFT, str(max(1, round(time_out))))], asked.body)
+        headers = [(protocol.ID, asked.key), (protocol.TIME_LEFT, str(max(1, round(time_out))))]
+        headers += asked.headers
+        if not any(name.lower() == "content-type" for name, _ in asked.headers):
+            headers.append(("Content-Type", "application/json"))
+        self.call = self.pool.call("POST", asked.path, self, headers, asked.body)
         return self.call
 
     def _refusal(self) -> tuple[i.Outcome, int]:
