--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -155,6 +155,31 @@
     assert not front._may_send(one, same)
 
 
+def test_deduplicated_request_is_read_again_within_its_group_alone():
+    """Guards against a read in another zone after a write that may have run: every send counts, reads too."""
+    front, engines = fleet(*((role, zone, zone) for zone in (0, 1, 2) for role in (0, 0, 1, 1)))
+    one = job(offering=2)
+    read(front, one)
+    first = one.trips[1].engine
+    for engine in engines:
+        if engine.role == "read" and engine.zone == first.zone:
+            engine.skip_until = NOW + 190.0          # readers elsewhere have room, these do not
+    ended(front, one.trips[1], i.Outcome.RESET)
+    assert kinds(ended(front, one.trips[2], i.Outcome.FULL, note=1)) == ["Release"] and one in front.waiting
+    assert kinds(front.decide(NOW + 200, [i.Rang(0)])) == ["Send"]
+    assert one.trips[3].reading and one.trips[3].engine.zone == first.zone
+
+
+def test_deduplicated_request_without_a_reader_in_its_group_is_answered_at_once():
+    front, (reader, *_) = fleet((0, 1, 1), (1, 0, 0), (1, 0, 0))
+    one = job(offering=2)
+    read(front, one)
+    ended(front, one.trips[1], i.Outcome.RESET)
+    actions = ended(front, one.trips[2], i.Outcome.FULL, note=1)
+    assert reader.zone != one.trips[1].engine.zone and len(one.trips) == 3
+    assert kinds(actions) == ["Release", "BreakOff", "Release"]
+
+
 def test_nothing_new_to_an_engine_told_draining():
     front, (_, writer) = fleet(*PAIR)
     one = job()
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -371,6 +371,11 @@
     def _may_repeat(self, job: Job) -> bool:
         return any(self._may_send(job, engine) for engine in self.answering)
 
+    def _may_read_again(self, job: Job) -> bool:
+        """A read counts as a send: where a trip may have run, it too stays within the group and its time."""
+        return (not job.may_have_run or self.settings["writers_read"]
+                or any(self._may_send(job, engine) for engine in self.hosts))
+
     def _may_defer(self, job: Job) -> bool:
         offering = self.offerings[job.offering]
         return (offering["effect"] == "redoable" or not job.may_have_run
@@ -472,7 +477,8 @@
         job.holder = None
         self._unpair(job)                            # a place held ahead outlives a failed read
         self.actions.append(Release(job))            # lost state may still lie where a place was held ahead
-        if self._spent(job) or not (self._may_defer(job) or self._may_repeat(job)):
+        again = self._may_repeat(job) and self._may_read_again(job)
+        if self._spent(job) or not (self._may_defer(job) or again):
             self._end(job)
         else:
             self.waiting[job] = None
@@ -629,6 +635,8 @@
         # Guards against our own marks emptying the whole stage.
         last = not any(self._well(engine, job.offering) for engine in self.readers)
         for engine, anew in self._order(job):
+            if job.may_have_run and not self._may_send(job, engine):
+                continue
             if engine.role == "both":
                 if not found and self._open(engine, job):
                     found = engine, engine
