--- a/worksmux/front/carriage.py
+++ b/worksmux/front/carriage.py
@@ -57,19 +57,24 @@
 
     def cancel(self) -> None:
         """Calls the trip off: the connection closes, by which the engine knows."""
-        self._end(i.Outcome.CANCELLED)
+        self._end(i.Outcome.CANCELLED if self._sent else i.Outcome.MOOT)
 
     def withdraw(self) -> None:
         """Ends a trip whose last byte has not left: it was never sent."""
-        if self.call is None or not self.call.written:
+        if not self._sent:
             self._end(i.Outcome.MOOT)
 
+    @property
+    def _sent(self) -> bool:
+        """Whether its last byte has left; what this side ends before that was never sent."""
+        return bool(self.status) or self.call is not None and self.call.written
+
     def _look_again(self) -> None:
         """Guards against a reactor that is late: what has come up is heard before time is called."""
         self.timer = self.reactor.callLater(0, self._time_is_up)
 
     def _time_is_up(self) -> None:
-        self._end(i.Outcome.TIMED_OUT)
+        self._end(i.Outcome.TIMED_OUT if self._sent else i.Outcome.MOOT)
 
     def _end(self, outcome: i.Outcome, note: int = 0, result: Any = None) -> None:
         if self.over:
