One owner for what engines hold: HeldState, releases with their first clock, nothing dropped

At fault before: releases.py took any 2xx for the end of everything, also where a read was out at an engine that had not seen its connection close (cut off, hung) and might finish later. - An attempt that comes up puts a release to rest; it goes on with its first clock and does not ask the silent ones first again. A release put off for a connection that was coming up could fire later and let go of what that attempt had brought (core.py _let_all_go): its timer is now withdrawn. - core.py _close told the node that all was empty before it began the last release: with the last client gone, the process ended without it. The release begins first, and the end waits for what may be held. - A failed module left its closed jobs in the table, so the node took further requests that nobody decided on and never ended: it now refuses them, /up says 503, releases go out, SIGTERM ends it.

--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -193,6 +193,11 @@
         """The answer has begun: what was held is taken."""
         case.held.clear()
 
+    def _may_hold(self, case: Case, trip: i.Trip, outcome: i.Outcome, carrier: Any) -> None:
+        """A trip has ended: its engine may hold state from now on, also where the reply was lost."""
+        if trip.reading and outcome not in (i.Outcome.FULL, i.Outcome.UNREACHABLE, i.Outcome.MOOT):
+            case.held[trip.engine] = None
+
     def text(self, trip: i.Trip, content: Any) -> None:
         case = self.cases[trip.job]
         if not case.answered and trip.began:
@@ -203,7 +208,7 @@
         case = self.cases.get(trip.job)
         if case is None:                             # the module has failed and all is broken off
             return
-        case.out.pop(trip, None)
+        self._may_hold(case, trip, outcome, case.out.pop(trip, None))
         if outcome in (i.Outcome.CANCELLED, i.Outcome.TIMED_OUT):
             case.called_off = clock.now()
         if self.on_trip:
@@ -212,8 +217,6 @@
             if outcome is i.Outcome.READ:
                 case.state = result
                 case.kept += note
-            if outcome not in (i.Outcome.FULL, i.Outcome.UNREACHABLE, i.Outcome.MOOT):
-                case.held[trip.engine] = None        # also where the reply was lost: the state may lie there
         elif outcome is i.Outcome.DELIVERED:
             case.result = result
             self._answer(case, "delivered", result=result)
--- a/worksmux/front/process.py
+++ b/worksmux/front/process.py
@@ -36,9 +36,11 @@
         writer.close()
 
 
-def let_out(reactor: Reactor, waiting: Callable[[], object], then: Callable[[], None]) -> None:
-    """Guards against an end that cuts off the last answers, which still wait to be written."""
-    until = clock.now() + FLUSH
+def let_out(reactor: Reactor, waiting: Callable[[], object], then: Callable[[], None],
+            bound: float = FLUSH) -> None:
+    """Guards against an end that cuts off the last answers, which still wait to be written; `bound`
+    milliseconds at most."""
+    until = clock.now() + bound
 
     def look() -> None:
         if waiting() and clock.now() < until:
--- a/worksmux/front/turns.py
+++ b/worksmux/front/turns.py
@@ -45,7 +45,7 @@
         self._due = False
         events, self._events = self._events, []
         if self.failed:
-            return
+            return self._turned()                    # what is still out ends, and is tidied up
         start = clock.now()
         if self.on_event:
             for event in events:
@@ -59,7 +59,6 @@
             LOG.exception("a module has failed; its open jobs are broken off", module=self._called())
             self.failed = True
             self._break_off()
-            return
         self._turned()
 
     def _called(self) -> str:
--- a/worksmux/node/clients.py
+++ b/worksmux/node/clients.py
@@ -50,7 +50,8 @@
         if path == protocol.CHAT and exchange.method == b"POST":
             self._chat(exchange)
         elif path == protocol.READY and exchange.method in (b"GET", b"HEAD"):
-            status, text = (200, b"serving\n") if self.ready else (503, b"stopping\n")
+            able = self.ready and not self.core.failed
+            status, text = (200, b"serving\n") if able else (503, b"not serving\n")
             exchange.answer(status, text, "text/plain")
         elif path in (protocol.CHAT, protocol.READY):
             self._no(exchange, 405, "another method was expected")
@@ -73,6 +74,9 @@
         if asked.key in self.core.keys:
             return self._no(exchange, 409, "a job with this id is open")
         side = StreamClient(exchange)
+        if self.core.failed:                         # the module has: nothing would decide on it
+            self.core.metrics.turned_away("module failed")
+            return side.deferred(0.0)
         if len(self.core.cases) >= self.core.share.jobs:
             self.core.metrics.turned_away("too many open")
             return side.deferred(0.0)
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -6,9 +6,10 @@
 from ..front.case import Case, Client
 from ..front.core import Core
 from ..net import client, clock
-from ..net.loop import Reactor
+from ..net.loop import Reactor, Timer
 from . import protocol
 from .counts import NodeCounts
+from .held import HeldState
 from .limits import Shares
 from .releases import Releases
 from .trips import Reading, Trip, Writing
@@ -22,6 +23,8 @@
 MOST_IDLE = 0
 MARGIN = 10.0                        # off a client's time for both ways; 99 of 100 took under 6 on the bench
 SETTLING = 20.0                      # for the close of a trip's connection to be seen, before a deferral is
+SECOND = 1000.0                      # to let go in, where the settings know no time for it
+NOT_SEEN = frozenset({i.Outcome.CANCELLED, i.Outcome.TIMED_OUT, i.Outcome.RESET})
 
 
 class NodeCore(Core):
@@ -33,7 +36,10 @@
         self.offerings = offerings
         self.share = share
         self.keys: dict[str, Case] = {}              # of the jobs that are open
-        self.releases = Releases(reactor, self._small, self._other, float(door.settings["release_within"]))
+        self.releases = Releases(reactor, self._small, self._other,
+                                 float(door.settings["release_within"]) or SECOND)
+        self.held: dict[i.Job, HeldState] = {}       # what engines may hold for the jobs that are open
+        self._delayed: dict[i.Job, Timer] = {}       # releases that wait for a trip's connection
         self._letting_go: list[Case] = []
 
     def arrived(self, asked: protocol.Asked, client_side: Client, arrived: float) -> Case:
@@ -44,13 +50,17 @@
                     repeat=asked.repeat, resumed=asked.resumed)
         case = Case(job, asked, client_side, asked.key, self.offerings[asked.offering])
         self.keys[case.key] = case
+        self.held[job] = self.releases.held(case.key)
         return self._take(case)
 
     def _close(self, case: Case) -> None:
-        super()._close(case)
-        if case.job not in self.cases and self.keys.get(case.key) is case:
-            del self.keys[case.key]
+        """Guards against a node that ends with its last job before what is held for that is released: the
+        release begins first."""
+        if not case.out and case.job in self.cases:
             self._let_all_go(case)                   # what a broken read may have left, and nobody took
+            self._no_delayed(case)
+            del self.keys[case.key], self.held[case.job]
+        super()._close(case)
 
     def _final(self, job: i.Job, how: str, stay_away: float = 0.0) -> None:
         """Guards against a deferral that overtakes the end of a trip: until the engine has seen its
@@ -76,14 +86,38 @@
         A trip whose connection does not come up (`late`) is none to the engines, and time runs on: in a zone
         that is cut off from the others, one such trip after the other put the release off for good.
         """
-        if not case.held or any(carrier.call.up for carrier in case.out.values()):
+        held = self.held.get(case.job)
+        if held is None or not held.holders or any(carrier.call.up for carrier in case.out.values()):
             return
+        self._no_delayed(case)
         if case.out and not late:
-            self.reactor.callLater(self.releases.step / 1000, self._let_all_go, case, True)
+            held.due(clock.now())
+            self._delayed[case.job] = self.reactor.callLater(self.releases.step / 1000, self._let_all_go,
+                                                             case, True)
             return
-        self.releases.start(case)
+        self.releases.start(held)
         self.metrics.release()
 
+    def _no_delayed(self, case: Case) -> None:
+        timer = self._delayed.pop(case.job, None)
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def _arrives(self, case: Case) -> None:
+        """A trip is about to be written: nothing may be let go from under it."""
+        self._no_delayed(case)
+        self.releases.rest(self.held[case.job])
+
+    def _may_hold(self, case: Case, trip: i.Trip, outcome: i.Outcome, carrier: Trip) -> None:
+        held = self.held[case.job]
+        if carrier is None or outcome in (i.Outcome.UNREACHABLE, i.Outcome.MOOT):
+            return                                   # it never arrived: the time to let go runs on
+        held.attempt_ended()
+        if outcome in NOT_SEEN and not trip.began:
+            held.ended_unseen(trip.engine, max(carrier.expires, clock.now() + self.releases.within))
+        elif trip.reading and outcome is not i.Outcome.FULL:
+            held.held_at(trip.engine)
+
     def _release(self, job: i.Job) -> None:
         case = self.cases.get(job)
         if case is not None:
@@ -92,7 +126,7 @@
     def _taken(self, case: Case) -> None:
         """The state went with the trip; what earlier reads may have left is let go at the end."""
         if case.job.holder is not None:
-            case.held.pop(case.job.holder, None)
+            self.held[case.job].taken(case.job.holder)
 
     # Trips.
 
@@ -102,7 +136,7 @@
         carrier.fields = self.module_settings["report_fields"]
         call = carrier.send(case.asked, time_out)
         if call.up:
-            self.releases.stop(case)
+            self._arrives(case)
         else:
             call.on_up = lambda: self._came_up(case, carrier)
         return carrier
@@ -115,7 +149,7 @@
         if case.answered or carrier.trip.engine.state != "ready":
             carrier.withdraw()
         else:
-            self.releases.stop(case)
+            self._arrives(case)
 
     # Small calls.
 
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -11,7 +11,7 @@
 
 from ..door import Door
 from ..front.logbook import set_up
-from ..front.process import let_out, run_reactor
+from ..front.process import FLUSH, let_out, run_reactor
 from ..net.loop import Reactor, listen, the_reactor
 from ..net.server import Server
 from .clients import NodeClients
@@ -118,7 +118,9 @@
     def _emptied(self) -> None:
         if self.stopping and not self.accepting and not self.core.cases and not self.ended:
             self.ended = True
-            let_out(self.reactor, lambda: self.server.channels or self.core.releases.running, self._over)
+            releases = self.core.releases
+            let_out(self.reactor, lambda: self.server.channels or releases.owed, self._over,
+                    max(FLUSH, 2 * releases.within))
 
     def _over(self) -> None:
         self.close()
--- a/worksmux/node/trips.py
+++ b/worksmux/node/trips.py
@@ -5,7 +5,7 @@
 
 from .. import interface as i
 from ..front.carriage import Carriage, Streaming
-from ..net import client
+from ..net import client, clock
 from . import protocol
 
 
@@ -13,8 +13,10 @@
     """A trip whose reply may be a refusal; `fields` are the names of the load report's figures."""
 
     fields: list[str] = []
+    expires = 0.0                    # when the time told to its engine is over
 
     def send(self, asked: protocol.Asked, time_out: float) -> client.Call:
+        self.expires = clock.now() + time_out
         headers = [(protocol.ID, asked.key), (protocol.TIME_LEFT, str(max(1, round(time_out))))]
         headers += asked.headers
         if not any(name.lower() == "content-type" for name, _ in asked.headers):
