An attempt tells the time left as it is written; events end by any blank line

It is written anew as the connection comes up. protocol.Stream cut events at LF LF alone: a stream whose lines end in CR LF was held back to its end. The kind of a reply is compared without case. Tests: the told time after 120 ms of connecting, and each event passed on with its last byte for three line ends; both fail without the change.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -102,6 +102,16 @@
     assert protocol.load_report("inflight=\xff", ["inflight"]) is None
 
 
+@pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n", b"\n\r\n"])
+def test_each_event_goes_on_with_its_last_byte_whatever_ends_its_lines(end: bytes) -> None:
+    """Guards against events that are held back until the next one, or until the stream is over."""
+    stream = protocol.Stream(1000)
+    for event in EVENTS:
+        data = event.strip() + end
+        assert [stream.feed(data[at:at + 1]) for at in range(len(data))][-1] == data
+    assert stream.done and not stream.cut
+
+
 # Trips.
 
 def rig_of_two(writer: Any = None, sockets: int = 256) -> Rig:
--- a/tests/test_node_ends.py
+++ b/tests/test_node_ends.py
@@ -97,6 +97,21 @@
     assert case.answered == "left" and len(case.out) <= sent
 
 
+def test_time_told_is_what_is_left_once_the_connection_is_up() -> None:
+    rig = rig_of_two()
+    waiting = late(rig, rig.engines[0])
+    client = raw(rig, ask(left="900"))
+    rig.until(lambda: waiting)
+    until = monotonic() + 0.12
+    rig.until(lambda: monotonic() > until)
+    waiting[0]()
+    rig.until(lambda: rig.engines[0].asked)
+    head = rig.engines[0].asked[0].partition(b"\r\n\r\n")[0]
+    told = dict(line.split(b": ", 1) for line in head.split(b"\r\n")[1:])
+    assert int(told[b"X-Timeout-Ms"]) <= 900 / 2 - 120
+    client.close()
+
+
 class Call:
     """A call of an attempt, as far as its end goes."""
 
--- a/worksmux/front/carriage.py
+++ b/worksmux/front/carriage.py
@@ -123,7 +123,8 @@
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         super().head(status, headers)
-        self.streaming = status == 200 and headers.get("content-type", "").startswith("text/event-stream")
+        kind = headers.get("content-type", "").lower()
+        self.streaming = status == 200 and kind.startswith("text/event-stream")
 
     def piece(self, data: bytes) -> None:
         if self.over:                                # after its end: no harm to the trip
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -149,6 +149,7 @@
         if case.answered or carrier.trip.engine.state != "ready":
             carrier.withdraw()
         else:
+            carrier.came_up()
             self._arrives(case)
 
     # Small calls.
--- a/worksmux/node/protocol.py
+++ b/worksmux/node/protocol.py
@@ -2,6 +2,7 @@
 which pieces of a stream are whole events."""
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -206,6 +207,7 @@
     usage: _Usage | None = None
 
 
+EVENT_END = re.compile(rb"\r?\n\r?\n")
 READ_CHUNK = msgspec.json.Decoder(_Chunk)
 
 
@@ -235,15 +237,16 @@
     def feed(self, data: bytes) -> bytes:
         """The whole events so far that were not given before.  Raises Spoilt with what came whole before the
         fault as its second argument."""
-        *events, self._rest = (self._rest + data).split(b"\n\n")
-        good: list[bytes] = []
-        for event in events:
+        whole, good, begin = self._rest + data, [], 0  # type: bytes, list[bytes], int
+        for blank in EVENT_END.finditer(whole):
             try:
-                kept = self._event(event)
+                kept = self._event(whole[begin:blank.start()])
             except Spoilt as fault:
                 raise Spoilt(str(fault), b"".join(good)) from None
             if kept:
-                good.append(kept + b"\n\n")
+                good.append(kept + blank[0])
+            begin = blank.end()
+        self._rest = whole[begin:]
         if len(self._rest) > self.bound:
             raise Spoilt("an event does not end", b"".join(good))
         return b"".join(good)
--- a/worksmux/node/trips.py
+++ b/worksmux/node/trips.py
@@ -9,21 +9,36 @@
 from . import protocol
 
 
+TOLD_EARLY = 20.0        # milliseconds that the time told may be older than the attempt
+
+
 class Trip(Carriage):
     """A trip whose reply may be a refusal; `fields` are the names of the load report's figures."""
 
     fields: list[str] = []
+    asked: protocol.Asked
+    made_at = 0.0                    # when its head was written
     expires = 0.0                    # when the time told to its engine is over
 
     def send(self, asked: protocol.Asked, time_out: float) -> client.Call:
-        self.expires = clock.now() + time_out
-        headers = [(protocol.ID, asked.key), (protocol.TIME_LEFT, str(max(1, round(time_out))))]
-        headers += asked.headers
-        if not any(name.lower() == "content-type" for name, _ in asked.headers):
-            headers.append(("Content-Type", "application/json"))
-        self.call = self.pool.call("POST", asked.path, self, headers, asked.body)
+        self.asked, self.made_at = asked, clock.now()
+        self.expires = self.made_at + time_out
+        self.call = self.pool.call("POST", asked.path, self, self._headers(), asked.body)
         return self.call
 
+    def _headers(self) -> list[tuple[str, str]]:
+        left = max(1, round(self.expires - clock.now()))
+        headers = [(protocol.ID, self.asked.key), (protocol.TIME_LEFT, str(left)), *self.asked.headers]
+        if not any(name.lower() == "content-type" for name, _ in self.asked.headers):
+            headers.append(("Content-Type", "application/json"))
+        return headers
+
+    def came_up(self) -> None:
+        """Its connection has come up: the engine is told the time that is left now."""
+        if self.call is not None and clock.now() - self.made_at > TOLD_EARLY:
+            self.call.data = client.request("POST", self.asked.path, self.pool.name, self._headers(),
+                                            self.asked.body)
+
     def _refusal(self) -> tuple[i.Outcome, int]:
         return protocol.refusal(self.status, self.headers)
 
