--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,373 @@
+"""Every point that a request can be at, crossed with what may end it there: SIGTERM, its client's leave, the
+end of an engine's connection.  The stand-ins hold until the other side was seen; nothing here waits by the
+clock for something to happen."""
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+from node_rig import ANSWER, EVENTS, LAST, READ, STREAM, Engine, Peer, Rig, ask, chunk
+
+from worksmux.node import serve
+
+LOST = b"HTTP/1.1 410 Gone\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+POINTS = ("waiting", "connecting to read", "reading", "connecting to write", "writing", "streaming")
+
+
+@dataclass
+class Scene:
+    """A node with one request at a point; connections to engines come up when `up` is called."""
+
+    rig: Rig = field(default_factory=Rig)
+    waiting: dict[str, list[Callable[[], Any]]] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.reader = self.rig.engine("prefill", lambda _: b"")
+        self.writer = self.rig.engine("decode", lambda _: b"")
+        self.rig.start()
+        self.ended: list[bool] = []
+        self.rig.node.on_end = lambda: self.ended.append(True)
+        for engine in self.rig.engines:
+            self._hold_connections(engine)
+
+    def _hold_connections(self, engine: Engine) -> None:
+        connect, queue = self.rig.reactor.connectTCP, self.waiting.setdefault(engine.name, [])
+
+        class Connector:
+            def disconnect(self) -> None: ...
+
+        def connectTCP(host: str, port: int, factory: Any, timeout: float = 30) -> Any:
+            if port != engine.number:
+                return connect(host, port, factory, timeout=timeout)
+            queue.append(lambda: connect(host, port, factory, timeout=timeout))
+            return Connector()
+
+        self.rig.reactor.connectTCP = connectTCP
+
+    def up(self, engine: Engine) -> None:
+        """The oldest connection to an engine that waits comes up."""
+        self.rig.until(lambda: self.waiting[engine.name])
+        self.waiting[engine.name].pop(0)()
+
+    def all_up(self) -> None:
+        for queue in self.waiting.values():
+            while queue:
+                queue.pop(0)()
+
+    def to(self, point: str, offering: str = "chat", left: str = "3000") -> socket.socket:
+        """A request whose progress is stopped at a point; gives its client's connection."""
+        rig, at = self.rig, POINTS.index(point)
+        if point == "waiting":
+            self._no_room(True)
+        client = socket.create_connection(("127.0.0.1", rig.node.port))
+        client.sendall(ask(offering=offering, left=left))
+        client.setblocking(False)
+        rig.until(lambda: rig.node.core.cases)
+        if at >= 1:
+            rig.until(lambda: self.waiting[self.reader.name])
+        if at >= 2:
+            self.up(self.reader)
+            rig.until(lambda: self.reader.asked)
+        if at >= 3:
+            self.reader.peers[-1].transport.write(READ)  # type: ignore[union-attr]
+            rig.until(lambda: self.waiting[self.writer.name])
+        if at >= 4:
+            self.up(self.writer)
+            rig.until(lambda: self.writer.asked)
+        if at >= 5:
+            self.writer.peers[-1].transport.write(STREAM + chunk(EVENTS[0]))  # type: ignore[union-attr]
+            rig.until(lambda: [case for case in rig.node.core.cases.values() if case.first_at])
+        return client
+
+    def _no_room(self, on: bool) -> None:
+        for engine in self.rig.node.core.pools:
+            engine.skip_until = 1e12 if on and engine.id.decode() == self.reader.name else 0.0
+
+    def finish(self, point: str) -> None:
+        """Everything goes its way from the point."""
+        self._no_room(False)
+        self.rig.node.core.wake()
+        self.reader.script, self.writer.script = (lambda _: READ), (lambda _: ANSWER)
+        at = POINTS.index(point)
+        if at == 2:
+            self.reader.peers[-1].transport.write(READ)  # type: ignore[union-attr]
+        elif at == 4:
+            self.writer.peers[-1].transport.write(ANSWER)  # type: ignore[union-attr]
+        elif at == 5:
+            self.writer.peers[-1].transport.write(  # type: ignore[union-attr]
+                b"".join(map(chunk, EVENTS[1:])) + LAST)
+
+    def read_all(self, client: socket.socket) -> bytes:
+        """What a client gets until its connection ends or an answer is whole."""
+        got: list[bytes] = []
+
+        def over() -> bool:
+            self.all_up()
+            try:
+                piece = client.recv(100_000)
+            except BlockingIOError:
+                return False
+            except ConnectionResetError:
+                got.append(b"RESET")
+                return True
+            got.append(piece)
+            whole = b"".join(got)
+            return not piece or whole.endswith(LAST) or b"content-length" in whole.lower()
+
+        self.rig.until(over)
+        return b"".join(got)
+
+    def turns(self, count: int = 40) -> None:
+        """Lets all that is due happen, and connections come up."""
+        for _ in range(count):
+            self.all_up()
+            self.rig.reactor.iterate(0.001)
+
+    def effects(self) -> int:
+        return sum(request.startswith(b"POST") for request in self.writer.asked)
+
+
+@pytest.fixture
+def scene(monkeypatch: Any) -> Scene:
+    monkeypatch.setattr(serve, "ACCEPTING", 50.0)
+    return Scene()
+
+
+# SIGTERM.
+
+@pytest.mark.parametrize("point", POINTS)
+@pytest.mark.parametrize("offering", ["chat", "mark"])
+def test_request_taken_before_sigterm_is_answered_and_the_node_ends(scene: Scene, point: str,
+                                                                    offering: str) -> None:
+    client = scene.to(point, offering)
+    scene.rig.node.stop()
+    assert not scene.ended
+    scene.finish(point)
+    got = scene.read_all(client)
+    assert got[9:12] == b"200" and got.count(b"[DONE]") == 1 and got.endswith(LAST)
+    client.close()
+    scene.rig.until(lambda: scene.ended)
+    assert scene.effects() == 1 and not scene.rig.node.core.releases.owed
+
+
+@pytest.mark.parametrize("point", POINTS[1:5])
+def test_node_told_to_end_lets_go_of_what_a_leaving_client_had(scene: Scene, point: str) -> None:
+    """Guards against the process ending before the release that its last client's leave calls for."""
+    client = scene.to(point)
+    scene.rig.node.stop()
+    scene.rig.until(lambda: not scene.rig.node.accepting)
+    client.close()
+
+    def over() -> bool:
+        scene.all_up()
+        return bool(scene.ended)
+
+    scene.rig.until(over)
+    deletes = sum(engine.verbs().count(b"DELETE") for engine in scene.rig.engines)
+    assert deletes >= 1 if point != "connecting to read" else deletes == 0
+
+
+def test_request_that_arrives_with_the_listeners_end_is_answered(scene: Scene) -> None:
+    rig = scene.rig
+    scene.reader.script, scene.writer.script = (lambda _: READ), (lambda _: ANSWER)
+    client = socket.create_connection(("127.0.0.1", rig.node.port))      # accepted by the machine alone
+    client.sendall(ask())
+    client.setblocking(False)
+    rig.node.stop()
+    got = scene.read_all(client)
+    assert got[9:12] == b"200" and got.endswith(LAST)
+    client.close()
+    rig.until(lambda: scene.ended)
+
+
+def test_half_a_request_at_sigterm_is_answered_once_it_is_whole(scene: Scene) -> None:
+    rig, data = scene.rig, ask()
+    scene.reader.script, scene.writer.script = (lambda _: READ), (lambda _: ANSWER)
+    client = socket.create_connection(("127.0.0.1", rig.node.port))
+    client.sendall(data[:150])
+    client.setblocking(False)
+    rig.until(lambda: [one for one in rig.node.server.channels if one.receiving])
+    rig.node.stop()
+    scene.turns()
+    client.sendall(data[150:])
+    got = scene.read_all(client)
+    assert got[9:12] == b"200" and got.endswith(LAST) and b"close" in got.partition(b"\r\n\r\n")[0].lower()
+    client.close()
+    rig.until(lambda: scene.ended)
+
+
+def test_request_that_crosses_the_close_of_its_resting_connection_reaches_no_engine(scene: Scene) -> None:
+    rig = scene.rig
+    client = socket.create_connection(("127.0.0.1", rig.node.port))
+    client.sendall(b"GET /up HTTP/1.1\r\n\r\n")
+    rig.until(lambda: [one for one in rig.node.server.channels if one.asked])
+    client.sendall(ask())
+    rig.node.stop()
+    scene.turns()
+    client.close()
+    rig.until(lambda: scene.ended)
+    assert not scene.reader.asked and rig.node.core.number == 0
+
+
+# A client that leaves.
+
+@pytest.mark.parametrize("point", POINTS)
+@pytest.mark.parametrize("offering", ["chat", "mark"])
+def test_nothing_begins_for_a_client_who_has_left(scene: Scene, point: str, offering: str) -> None:
+    client = scene.to(point, offering)
+    sent = [request for engine in scene.rig.engines for request in engine.asked]
+    client.close()
+    scene.rig.until(lambda: [case for case in scene.rig.node.core.cases.values() if case.answered]
+                    or not scene.rig.node.core.cases)
+    scene.finish("connecting to read")               # whatever is asked from now on is answered
+    scene.turns()
+
+    def over() -> bool:
+        scene.all_up()
+        return not scene.rig.node.core.cases and not scene.rig.node.core.releases.running
+
+    scene.rig.until(over)
+    later = [request for engine in scene.rig.engines for request in engine.asked if request not in sent]
+    assert all(request.startswith(b"DELETE") for request in later)
+
+
+@pytest.mark.parametrize("point", ["connecting to read", "connecting to write"])
+def test_leave_that_was_not_read_yet_is_looked_for_before_an_attempt(scene: Scene, point: str) -> None:
+    """Guards against a close that waits unread while the connection to an engine comes up."""
+    client = scene.to(point)
+    engine = scene.reader if point == "connecting to read" else scene.writer
+    (channel,) = [one for one in scene.rig.node.server.channels if one.busy]
+    channel.transport.stopReading()                  # the reactor does not come to read it
+    client.close()
+    scene.up(engine)
+    scene.turns()
+    assert not any(request.startswith(b"POST") for request in engine.asked)
+    assert not scene.rig.node.core.cases
+
+
+# What cannot be repeated.
+
+@pytest.mark.parametrize("point", ["reading", "writing"])
+@pytest.mark.parametrize("offering", ["chat", "mark"])
+@pytest.mark.parametrize("how", ["reset", "end", "half an answer", "noise"])
+def test_broken_attempt_is_repeated_only_where_that_is_harmless(scene: Scene, point: str, offering: str,
+                                                                how: str) -> None:
+    client = scene.to(point, offering)
+    engine = scene.reader if point == "reading" else scene.writer
+    wire: Any = engine.peers[-1].transport
+    scene.reader.script, scene.writer.script = (lambda _: READ), (lambda _: ANSWER)
+    match how:
+        case "reset":
+            wire.abortConnection()
+        case "end":
+            wire.loseConnection()
+        case "half an answer":
+            wire.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Enc")
+            wire.loseConnection()
+        case "noise":
+            wire.write(b"\x00\xff\r\n\r\n")
+    status = scene.read_all(client)[9:12]
+    may_have_run = point == "writing"
+    if offering == "mark" and may_have_run:
+        assert status == b"502" and scene.effects() == 1     # neither repeated nor refused
+    else:
+        assert status in (b"200", b"503") and scene.effects() <= 2
+    client.close()
+
+
+@pytest.mark.parametrize("offering", ["chat", "mark"])
+def test_attempt_refused_unrun_may_always_be_followed_by_another(scene: Scene, offering: str) -> None:
+    client = scene.to("writing", offering)
+    wire: Any = scene.writer.peers[-1].transport
+    scene.reader.script, scene.writer.script = (lambda _: READ), (lambda _: ANSWER)
+    wire.write(LOST)
+    assert scene.read_all(client)[9:12] == b"200" and scene.effects() == 2
+    client.close()
+
+
+# A process that dies behind an accept.
+
+@pytest.mark.parametrize("offering", ["chat", "mark"])
+@pytest.mark.parametrize("written", [False, True])
+def test_break_proves_no_more_than_it_does(scene: Scene, offering: str, written: bool) -> None:
+    """Before the last byte has left nothing has run; after it something may have, also where nobody read."""
+    client = scene.to("connecting to write", offering)
+    if written:
+        scene.writer.script = lambda _: None         # read, and reset without a word
+    else:
+        scene.rig.engines[1].port.stopListening()    # refused
+    for _ in range(3):
+        scene.turns()
+    status = scene.read_all(client)[9:12]
+    assert scene.effects() == 0 if not written else scene.effects() >= 1
+    if offering == "mark" and written:
+        assert status == b"502" and scene.effects() == 1
+    else:
+        assert status == b"503"
+    client.close()
+
+
+# Requests and events in pieces.
+
+def test_request_of_single_bytes_is_one_request(scene: Scene) -> None:
+    scene.reader.script, scene.writer.script = (lambda _: READ), (lambda _: ANSWER)
+    client = socket.create_connection(("127.0.0.1", scene.rig.node.port))
+    client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    head = ask().replace(b"X-Timeout-Ms: 3000", b"x-timeout-ms:\t3000 ")
+    data = b"\r\n" + head.replace(b"Host: ", b"HOST:")
+    for at in range(len(data)):
+        client.sendall(data[at:at + 1])
+        scene.rig.reactor.iterate(0)
+    client.setblocking(False)
+    got = scene.read_all(client)
+    assert got[9:12] == b"200" and scene.effects() == 1 and scene.rig.node.core.number == 1
+    client.close()
+
+
+def test_requests_behind_one_another_are_answered_in_their_order(scene: Scene) -> None:
+    scene.reader.script, scene.writer.script = (lambda _: READ), (lambda _: ANSWER)
+    client = socket.create_connection(("127.0.0.1", scene.rig.node.port))
+    client.sendall(ask("p1") + ask("p2") + b"GET /up HTTP/1.1\r\n\r\n")
+    client.setblocking(False)
+    got: list[bytes] = []
+
+    def over() -> bool:
+        scene.all_up()
+        try:
+            got.append(client.recv(100_000))
+        except BlockingIOError:
+            return False
+        return b"serving" in b"".join(got)
+
+    scene.rig.until(over)
+    assert b"".join(got).count(b"[DONE]") == 2 and scene.rig.node.core.number == 2
+    client.close()
+
+
+@pytest.mark.parametrize("size", [1, 7, 10_000])
+def test_each_event_reaches_the_client_before_the_next_is_written(scene: Scene, size: int) -> None:
+    """Guards against events held back or sent in lumps: the engine waits for each to be seen."""
+    scene.to("writing").close()                      # its client leaves; another one comes
+    scene.turns()
+    rig = scene.rig
+    scene.reader.script = lambda _: READ
+    peer: Peer = rig.client(ask("b1"))
+
+    def reached() -> bool:
+        scene.all_up()
+        return any(b"b1" in request for request in scene.writer.asked)
+
+    rig.until(reached)
+    wire: Any = scene.writer.peers[-1].transport
+    wire.write(STREAM)
+    for number, event in enumerate(EVENTS[:1] * 5 + EVENTS[1:]):
+        data = chunk(event)
+        for at in range(0, len(data), size):
+            wire.write(data[at:at + size])
+            rig.reactor.iterate(0)
+        rig.until(lambda number=number: peer.got.count(b"data:") == number + 1)
+    wire.write(LAST)
+    rig.until(lambda: peer.got.endswith(LAST))
