--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,9 +12,11 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
+from worksmux import interface as i
 from worksmux.net import clock
 from worksmux.node import discovery as watch
 from worksmux.node.discovery import Discovery
+from worksmux.node.listing import READ_HOSTS
 
 TOLD = 6000.0            # a change counts as told that long after discovery had it and could be reached
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -51,7 +53,7 @@
         monkeypatch.setattr(clock, "now", lambda: self.reactor.seconds() * 1000)
         self.lists: list[Any] = []
         core: Any = SimpleNamespace(forget_gone=list, moved=lambda *_: None, listed=self.lists.append,
-                                    door=SimpleNamespace(engine=lambda name, key: name))
+                                    door=SimpleNamespace(engine=i.Engine))
         self.discovery = Discovery(("127.0.0.1", 1), core, self.reactor, ["prefill"], ["a"])
         self.wires: list[Wire] = []
         self.at: list[float] = []
@@ -178,3 +180,126 @@
     assert not calls.wires[0].aborted
     connection.dataReceived(chunk(b"\n"))
     assert calls.wires[0].aborted
+
+
+# Silence, lists and moves, each forced at its moment: what is told must be heard 6 s later at the latest.
+
+def entry(name: str, status: str = "SERVING") -> dict[str, Any]:
+    return {"name": name, "address": "127.0.0.1:9", "zone": "a", "type": "prefill", "status": status}
+
+
+def line(index: int, *entries: dict[str, Any], snapshot: bool = False) -> bytes:
+    return json.dumps({"index": index, "snapshot": snapshot, "endpoints": entries}).encode() + b"\n"
+
+
+class Agent:
+    """Discovery as one call after the other meets it: `silent` calls say nothing from then on; each later
+    one is given what changed after the index that it asks for."""
+
+    def __init__(self, monkeypatch: Any) -> None:
+        self.calls = Calls(monkeypatch)
+        self.calls.discovery.remember(READ_HOSTS.decode(line(1, entry("e1"), entry("e2"), snapshot=True)))
+        self.calls.discovery.start()
+        self.open: list[Any] = []
+
+    def accept(self) -> Any:
+        """The newest call's connection."""
+        self.calls.run(25)
+        self.open.append(self.calls.up(len(self.calls.reactor.tcpClients) - 1))
+        self.open[-1].dataReceived(HEAD)
+        return self.open[-1]
+
+    def states(self) -> dict[str, str]:
+        found: dict[str, str] = {}
+        for event in self.calls.lists:
+            if event.scope != "delta":
+                found = dict.fromkeys(found, "gone")
+            found.update({one.engine.id.decode(): one.state for one in event.entries})
+        return found
+
+    def heard_after(self, answer: bytes, at_most: float = TOLD) -> float:
+        """Milliseconds until `e2` is known not to be ready, while each new call is answered."""
+        begun, seen = clock.now(), len(self.calls.reactor.tcpClients)
+        while self.states()["e2"] == "ready":
+            self.calls.run(25)
+            if len(self.calls.reactor.tcpClients) > seen:
+                seen = len(self.calls.reactor.tcpClients)
+                connection = self.calls.up(seen - 1)
+                connection.dataReceived(HEAD + chunk(answer))
+            assert clock.now() - begun <= at_most
+        return clock.now() - begun
+
+
+def beats(agent: Agent, connection: Any, count: int) -> None:
+    for _ in range(count):
+        connection.dataReceived(chunk(b"\n"))
+        agent.calls.run(2000)
+
+
+DRAINING = line(2, entry("e2", "DRAINING"))
+
+
+@pytest.mark.parametrize("moment", ["at start", "after 13 s", "after an empty line", "in mid-object",
+                                    "in mid-line", "while another one opens"])
+def test_drain_that_a_silent_watch_misses_is_heard_in_time(monkeypatch: Any, moment: str) -> None:
+    agent = Agent(monkeypatch)
+    connection = agent.accept()
+    match moment:
+        case "after 13 s":
+            beats(agent, connection, 6)
+            connection.dataReceived(chunk(b"\n"))
+            agent.calls.run(1000)
+        case "after an empty line":
+            connection.dataReceived(chunk(b"\n"))
+        case "in mid-object":
+            connection.dataReceived(chunk(b"\n") + chunk(b'{"index":2,\n "snapshot":false,\n'))
+        case "in mid-line":
+            connection.dataReceived(chunk(b"\n") + b"2c\r\n" + DRAINING[:30])
+        case "while another one opens":
+            connection.dataReceived(chunk(b"\n"))
+            agent.calls.run(watch.SILENCE + 2 * watch.LOOK)
+            agent.accept()                           # and says nothing either
+    assert agent.heard_after(DRAINING) <= 0.9 * TOLD
+    assert agent.states() == {"e1": "ready", "e2": "draining"}
+
+
+def test_whole_list_in_place_of_changes_tells_what_it_leaves_out(monkeypatch: Any) -> None:
+    agent = Agent(monkeypatch)
+    connection = agent.accept()
+    connection.dataReceived(chunk(b"\n") + chunk(line(5, entry("e1"), entry("e3"), snapshot=True)))
+    assert agent.states() == {"e1": "ready", "e2": "gone", "e3": "ready"}
+    connection.dataReceived(chunk(line(6, entry("e2"))) + chunk(line(7, entry("e1", "DELETED"))))
+    assert agent.states() == {"e1": "gone", "e2": "ready", "e3": "ready"}
+
+
+@pytest.mark.parametrize("old", ["speaks", "silent", "closed"])
+@pytest.mark.parametrize("first", [line(9, entry("e1"), entry("e2", "DRAINING"), snapshot=True), DRAINING])
+def test_drain_in_the_first_list_after_a_move_is_heard(monkeypatch: Any, old: str, first: bytes) -> None:
+    """A new configuration counts as told 4 s after its signal."""
+    agent = Agent(monkeypatch)
+    connection = agent.accept()
+    beats(agent, connection, 1)
+    calls = len(agent.calls.reactor.tcpClients)
+    agent.calls.discovery.move(("127.0.0.1", 2))
+    agent.calls.run(25)
+    assert len(agent.calls.reactor.tcpClients) == calls + 1
+    if old == "speaks":
+        connection.dataReceived(chunk(b"\n"))
+    elif old == "closed":
+        connection.connectionLost(Failure(error.ConnectionDone()))
+    agent.calls.up(calls).dataReceived(HEAD + chunk(first))
+    assert agent.states()["e2"] == "draining"
+    assert agent.calls.discovery.watching is not None
+
+
+def test_new_address_that_says_nothing_is_called_again_and_the_old_watch_counts_meanwhile(monkeypatch: Any
+                                                                                          ) -> None:
+    agent = Agent(monkeypatch)
+    connection = agent.accept()
+    beats(agent, connection, 1)
+    agent.calls.discovery.move(("127.0.0.1", 2))
+    agent.accept()
+    connection.dataReceived(chunk(DRAINING))         # the old one still speaks
+    assert agent.states()["e2"] == "draining"
+    connection.dataReceived(chunk(line(3, entry("e2"))))
+    assert agent.heard_after(line(4, entry("e2", "DELETED")), 4000.0) <= 2 * 1.25 * watch.ANSWER
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -24,6 +24,8 @@
 )
 
 from worksmux import interface as i
+from worksmux.door import Door
+from worksmux.membership.listing import ListKeeper
 from worksmux.net import clock
 from worksmux.node import config, protocol
 from worksmux.node.listing import Endpoint, HostList, listing
@@ -56,6 +58,64 @@
     assert text.startswith("c.json: ") and expected in text and "\n" not in text
 
 
+def config_of(settings: dict[str, Any]) -> config.Config:
+    return config.read(told(settings=settings, name="n", listen="127.0.0.1:1", discovery="127.0.0.1:2"),
+                       "c.json", {})
+
+
+def paths(told: Any, at: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    """Places of all values in a JSON object."""
+    inner = told.items() if isinstance(told, dict) else enumerate(told) if isinstance(told, list) else ()
+    return [at, *(place for key, value in inner for place in paths(value, (*at, key)))] if at else [
+        place for key, value in inner for place in paths(value, (key,))]
+
+
+MISSING = object()
+
+
+@pytest.mark.parametrize("value", [MISSING, None, "x", -1, 0, 1e308, [], {}, True, [[]]], ids=repr)
+def test_setting_that_is_missing_or_strange_is_refused_by_its_place_or_served_with(value: Any) -> None:
+    """Guards against a traceback as the answer to a configuration, and against a module that fails by it."""
+    for place in paths(SETTINGS):
+        settings = json.loads(json.dumps(SETTINGS))
+        inner = settings
+        for key in place[:-1]:
+            inner = inner[key]
+        if value is not MISSING:
+            inner[place[-1]] = value
+        elif isinstance(inner, dict):
+            del inner[place[-1]]
+        try:
+            told_to = config_of(settings)
+        except config.BadConfig as error:
+            assert str(error).startswith("c.json: $.settings"), (place, error)
+            continue
+        door = Door(told_to.settings, 1)
+        engines = [door.engine(name, at + 1) for at, name in enumerate((b"r", b"w"))]
+        entries = [i.Entry(engine, "ready", 0.0, 0, 0, kind, 1.0) for kind, engine in enumerate(engines)
+                   if kind < len(told_to.kinds)]
+        job = i.Job(1, 0, 1, 0, 500.0, 0.0, 80.0, 1000.0, 4000.0)
+        door.decide(1000.0, [i.Listed("full", entries), door.arrived(job)])
+        for at in range(1, 8):
+            ends = [i.Ended(trip, i.Outcome.READ if trip.reading else i.Outcome.RESET, 5.0, False)
+                    for trip in job.out]
+            door.decide(1000.0 + 600 * at, [*ends, i.Rang(0)])
+
+
+def test_settings_without_zones_have_one() -> None:
+    """Guards against engines left out of a fleet whose settings name no zones."""
+    unnamed = {key: value for key, value in SETTINGS.items() if key != "zones"}
+    for settings in (unnamed, {**unnamed, "zones": []}):
+        told_to = config_of(settings)
+        keeper = ListKeeper(told_to.kinds, told_to.zones, lambda name: i.Engine(name.encode(), 1))
+        for zone in ("", "a", "b"):
+            endpoint = Endpoint(f"e{zone}", "127.0.0.1:3", zone, "decode")
+            event = keeper.take(1.0, listing(HostList(1, True, [endpoint]), 0, 0.0)[0]).event
+            assert event is not None
+            assert [(entry.state, entry.zone) for entry in event.entries] == [("ready", 0)]
+
+
+
 def test_missing_configuration_is_told_and_variables_fill_in(tmp_path: Any) -> None:
     with pytest.raises(config.BadConfig, match="LB_CONFIG"):
         config.load({})
--- a/worksmux/membership/listing.py
+++ b/worksmux/membership/listing.py
@@ -98,7 +98,7 @@
     def _entries(self, now: float, message: Listing, told: Told) -> list[Entry]:
         entries = []
         for line in message.engines:
-            if line.kind not in self.kinds or line.zone not in self.zones:
+            if not self._placed(line):
                 what = f"kind {line.kind}" if line.kind not in self.kinds else f"zone {line.zone}"
                 told.notes.append(f"engine {line.id}: the settings know no {what}; the engine was left out")
                 if line.id in self.known:            # what it was before is no longer true
@@ -107,6 +107,10 @@
             entries.append(self.entry(self._known(now, message.now, line, told), line.state))
         return entries
 
+    def _placed(self, line: Line) -> bool:
+        """Whether the settings know its kind and zone; where they name no zones, all lie in one."""
+        return line.kind in self.kinds and (not self.zones or line.zone in self.zones)
+
     def _known(self, now: float, theirs: float, line: Line, told: Told) -> Known:
         known = self.known.get(line.id)
         if known is None:
@@ -137,7 +141,7 @@
 
         None for a kind or zone that the settings do not know.
         """
-        if line.kind not in self.kinds or line.zone not in self.zones:
+        if not self._placed(line):
             return None
         known = self.known.get(line.id)
         if known is None:
--- a/worksmux/node/config.py
+++ b/worksmux/node/config.py
@@ -87,7 +87,7 @@
         root = Place(told.settings, "$.settings")
         offerings = [Place(one, f"$.settings.services[{at}]").text("name")
                      for at, one in enumerate(told.settings["services"])]
-        kinds, zones = root.texts("kinds"), root.texts("zones")
+        kinds, zones = root.texts("kinds"), root.texts("zones", [])
     except (Untold, msgspec.ValidationError) as error:       # they name the place themselves
         raise BadConfig(f"{place}: {error}") from None
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -24,6 +24,7 @@
 MARGIN = 10.0                        # off a client's time for both ways; 99 of 100 took under 6 on the bench
 SETTLING = 20.0                      # for the close of a trip's connection to be seen, before a deferral is
 SECOND = 1000.0                      # to let go in, where the settings know no time for it
+CONNECTING = 250.0                   # for a connection to come up, where the settings do not say
 NOT_SEEN = frozenset({i.Outcome.CANCELLED, i.Outcome.TIMED_OUT, i.Outcome.RESET})
 
 
@@ -35,6 +36,7 @@
         super().__init__(door, reactor, counts)
         self.offerings = offerings
         self.share = share
+        self.connect_time_out = float(door.settings["connect_time_out"]) or CONNECTING
         self.keys: dict[str, Case] = {}              # of the jobs that are open
         self.releases = Releases(reactor, self._small, self._other,
                                  float(door.settings["release_within"]) or SECOND)
@@ -155,7 +157,7 @@
     # Small calls.
 
     def _small_bounds(self) -> tuple[float, int, client.Headers]:
-        return self.module_settings["connect_time_out"], BODY, ()
+        return self.connect_time_out, BODY, ()
 
     def _other(self, known: set[i.Engine]) -> i.Engine | None:
         """An engine that is ready and not among those known: of a zone that was not asked, this node's own
@@ -182,8 +184,7 @@
     # The engines.
 
     def _pool(self, host: str, port: int) -> client.Pool:
-        return client.Pool(self.reactor, host, port, self.module_settings["connect_time_out"], 0.0, MOST_IDLE,
-                           HEAD, BODY, HOST)
+        return client.Pool(self.reactor, host, port, self.connect_time_out, 0.0, MOST_IDLE, HEAD, BODY, HOST)
 
     def forget_gone(self) -> list[i.Engine]:
         """Guards against a fleet that is replaced all day; gives the engines forgotten."""
--- a/worksmux/settings/told.py
+++ b/worksmux/settings/told.py
@@ -85,12 +85,16 @@
     per_k, paces = extra.numbers("aim_us_per_1000_prompt_tokens", []), extra.numbers("token_aim", [])
     offerings = [Place(one, f"{place}.services[{at}]")
                  for at, one in enumerate(root.list("services", (dict,), "object"))]
+    if not offerings:
+        raise Untold(f"{place}.services: at least one class was expected, there is none")
+    if root.number("balancers") < 1:
+        raise Untold(f"{place}.balancers: at least 1 was expected, found {told['balancers']}")
     return {
         "me": root.number("me"), "fronts": root.number("balancers"), "zone": root.number("zone", 0),
         "tick": root.number("tick"),
         "offerings": [{
             "promised_time": one.number("aim"), "outer_limit": one.number("deadline"),
-            "credit": one.number("worth"), "late_credit": one.number("late_worth", 0.0),
+            "credit": one.number("worth", 1.0), "late_credit": one.number("late_worth", 0.0),
             "effect": one.choice("repeat", EFFECTS), "group": one.text("group", "all"),
             "remembered": one.number("window", 0.0),
             "promised_per_k": per_k[at] / 1000 if at < len(per_k) else 0.0,
