--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -272,6 +272,16 @@
     assert agent.states() == {"e1": "gone", "e2": "ready", "e3": "ready"}
 
 
+def test_engine_that_leaves_without_an_address_keeps_the_one_it_had(monkeypatch: Any) -> None:
+    """Guards against releases sent nowhere: an engine told gone may run on and hold state."""
+    agent = Agent(monkeypatch)
+    moved: list[Any] = []
+    agent.calls.discovery.core.moved = lambda *told: moved.append(told)
+    gone = {"name": "e2", "status": "DELETED"}
+    agent.accept().dataReceived(chunk(b"\n") + chunk(line(2, {**gone, "zone": "a", "type": "prefill"})))
+    assert agent.states()["e2"] == "gone" and not moved
+
+
 @pytest.mark.parametrize("old", ["speaks", "silent", "closed"])
 @pytest.mark.parametrize("first", [line(9, entry("e1"), entry("e2", "DRAINING"), snapshot=True), DRAINING])
 def test_drain_in_the_first_list_after_a_move_is_heard(monkeypatch: Any, old: str, first: bytes) -> None:
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,148 @@
+"""Who is refused, with the module between simulated engines: long prompts against the rest of their class, and
+sessions against chance, over drawn classes and sizes.  Engines read one prompt after the other and answer at
+once; all times are milliseconds."""
+from __future__ import annotations
+
+import heapq
+import random
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+from helpers import settings as plain
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from worksmux import interface as i
+from worksmux.rules import Front
+
+READERS, WRITERS = 3, 4
+PER_TOKEN = 0.06                     # of reading
+FIRST, REST = 20.0, 300.0            # of an answer's first token, and of the others
+REQUESTS = 700
+
+
+@dataclass
+class Traffic:
+    """One class of requests: its latency target, how much it grows with the prompt, and its prompts."""
+    target: float
+    per_k: float
+    prompt: float
+    spread: float
+    idempotent: bool
+
+
+@dataclass
+class Day:
+    """Requests between a module and engines; `answered` and `all` by request."""
+    classes: list[Traffic]
+    load: float
+    seed: int
+    requests: list[i.Job] = field(default_factory=list)
+    answered: set[i.Job] = field(default_factory=set)
+    events: list[tuple[float, int, Any]] = field(default_factory=list)
+    number: int = 0
+
+    def at(self, when: float, what: Any) -> None:
+        self.number += 1
+        heapq.heappush(self.events, (when, self.number, what))
+
+    def play(self) -> Day:
+        rng = random.Random(self.seed)
+        offerings = [{"promised_time": one.target, "outer_limit": 4 * one.target, "credit": 1.0,
+                      "late_credit": 0.1, "effect": "redoable" if one.idempotent else "irreversible",
+                      "group": "all", "remembered": 5000.0, "promised_per_k": one.per_k, "token_time": 50.0}
+                     for one in self.classes]
+        front = Front(plain(fronts=1, offerings=offerings), self.seed)
+        engines = [i.Engine(bytes([at]), at + 1) for at in range(READERS + WRITERS)]
+        front.decide(0.0, [i.Listed("full", [
+            i.Entry(engine, "ready", 0.0, 0, at % 2, int(at >= READERS), 1.0)
+            for at, engine in enumerate(engines)])])
+        self.free = dict.fromkeys(engines, 0.0)
+        mean = sum(one.prompt for one in self.classes) / len(self.classes)
+        gap, now = mean * PER_TOKEN / READERS / self.load, 1000.0
+        for number in range(1, REQUESTS + 1):
+            now += rng.expovariate(1 / gap)
+            at = rng.randrange(len(self.classes))
+            one = self.classes[at]
+            # The mean is the class's; a few are several times as long.
+            prompt = min(4 * one.prompt, one.prompt * rng.lognormvariate(-one.spread**2 / 2, one.spread))
+            request = i.Job(number, at, rng.randrange(1, REQUESTS // 3), 0, max(1.0, prompt), 0.0, 300.0, now,
+                            now + 4 * one.target + 2 * one.per_k * prompt / 1000)
+            self.requests.append(request)
+            self.at(now, i.Arrived(request))
+        while self.events:
+            now, _, event = heapq.heappop(self.events)
+            if isinstance(event, i.Began | i.Ended) and event.trip.outcome is not None:
+                continue
+            if isinstance(event, i.Ended) and event.outcome is i.Outcome.DELIVERED:
+                self.answered.add(event.trip.job)
+            for action in front.decide(now, [event]):
+                self._carry_out(now, action)
+        return self
+
+    def _carry_out(self, now: float, action: i.Action) -> None:
+        match action:
+            case i.Send(trip) if trip.reading:
+                done = self.free[trip.engine] = max(now, self.free[trip.engine]) + 5 + PER_TOKEN * trip.work
+                self.at(done, i.Ended(trip, i.Outcome.READ, done - now, False))
+            case i.Send(trip):
+                self.at(now + FIRST, i.Began(trip, FIRST))
+                self.at(now + REST, i.Ended(trip, i.Outcome.DELIVERED, REST, True))
+            case i.Cancel(trip):
+                self.at(now, i.Ended(trip, i.Outcome.CANCELLED, now - trip.sent, False))
+            case i.Probe(engine):
+                self.at(now + 2, i.Probed(engine, i.Outcome.DELIVERED, 2.0))
+            case i.Alarm(after, token):
+                self.at(now + after, i.Rang(token))
+
+    def shares(self, at: int) -> tuple[float, float]:
+        """Of a class: the share answered of the tenth with the longest prompts, and of all."""
+        of_class = sorted((one for one in self.requests if one.offering == at), key=lambda one: one.prompt)
+        longest = of_class[-(len(of_class) // 10):]
+        return (sum(one in self.answered for one in longest) / len(longest),
+                sum(one in self.answered for one in of_class) / len(of_class))
+
+
+def traffic() -> st.SearchStrategy[Traffic]:
+    """Classes whose longest prompts can be read in time by an engine that has nothing else to do."""
+    return st.builds(Traffic, st.sampled_from([1000.0, 1500.0, 2500.0]), st.sampled_from([20.0, 40.0, 80.0]),
+                     st.sampled_from([800.0, 1500.0, 2500.0]), st.sampled_from([0.4, 0.7, 1.0]), st.booleans())
+
+
+CLASSES = st.lists(traffic(), min_size=1, max_size=3)
+
+
+@given(CLASSES, st.integers(0, 1000))
+@settings(deadline=None, max_examples=12, derandomize=True)
+def test_longest_prompts_are_answered_like_their_class_on_a_quiet_day(classes: list[Traffic], seed: int) -> None:
+    day = Day(classes, 0.5, seed).play()
+    for at in range(len(classes)):
+        longest, whole = day.shares(at)
+        assert whole > 0.9 and longest >= 2 / 3 * whole
+
+
+@pytest.mark.parametrize("load", [0.95, 1.3, 2.0])
+@given(CLASSES, st.integers(0, 1000))
+@settings(deadline=None, max_examples=8, derandomize=True)
+def test_longest_prompts_keep_half_of_their_classs_share_on_a_crowded_day(load: float, classes: list[Traffic],
+                                                                          seed: int) -> None:
+    day = Day(classes, load, seed).play()
+    for at in range(len(classes)):
+        longest, whole = day.shares(at)
+        assert whole > 0 and longest >= whole / 2
+
+
+@given(CLASSES, st.integers(0, 1000))
+@settings(deadline=None, max_examples=12, derandomize=True)
+def test_refusals_do_not_single_out_sessions_while_there_is_room(classes: list[Traffic], seed: int) -> None:
+    day = Day(classes, 0.7, seed).play()
+    for at in range(len(classes)):
+        sessions: dict[int, list[bool]] = defaultdict(list)
+        for one in day.requests:
+            if one.offering == at:
+                sessions[one.session].append(one not in day.answered)
+        refused = sum(map(sum, sessions.values())) / sum(map(len, sessions.values()))
+        chance = sum(refused ** len(turns) for turns in sessions.values())
+        assert sum(map(all, sessions.values())) <= chance + 0.12 * len(sessions)
--- a/worksmux/membership/listing.py
+++ b/worksmux/membership/listing.py
@@ -118,6 +118,8 @@
             told.moved.append(known)
             known.started = self._started(now, theirs, line)
         else:
+            if line.state == "gone" and not line.host:       # what it still holds is released where it was
+                line.host, line.port = known.line.host, known.line.port
             if (known.line.host, known.line.port) != (line.host, line.port):
                 told.moved.append(known)
             if known.line.started != line.started:
