--- a/tests/node_rig.py
+++ b/tests/node_rig.py
@@ -198,3 +198,20 @@
     def idle(self) -> None:
         """Until no job is open and nothing is left to be released."""
         self.until(lambda: not self.node.core.cases and not self.node.core.releases.running)
+
+
+def hold_connections(rig: Rig, engine: Engine) -> list[Callable[[], Any]]:
+    """Connections to an engine come up only when the test calls what this gathers, the oldest first."""
+    connect, waiting = rig.reactor.connectTCP, []  # type: Any, list[Callable[[], Any]]
+
+    class Connector:
+        def disconnect(self) -> None: ...
+
+    def connectTCP(host: str, port: int, factory: Any, timeout: float = 30) -> Any:
+        if port != engine.number:
+            return connect(host, port, factory, timeout=timeout)
+        waiting.append(lambda: connect(host, port, factory, timeout=timeout))
+        return Connector()
+
+    rig.reactor.connectTCP = connectTCP
+    return waiting
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from node_rig import ANSWER, EVENTS, LAST, READ, STREAM, Engine, Peer, Rig, ask, chunk
+from node_rig import ANSWER, EVENTS, LAST, READ, STREAM, Engine, Peer, Rig, ask, chunk, hold_connections
 
 from worksmux.net import clock
 from worksmux.node import core, serve
@@ -34,21 +34,7 @@
         self.ended: list[bool] = []
         self.rig.node.on_end = lambda: self.ended.append(True)
         for engine in self.rig.engines:
-            self._hold_connections(engine)
-
-    def _hold_connections(self, engine: Engine) -> None:
-        connect, queue = self.rig.reactor.connectTCP, self.waiting.setdefault(engine.name, [])
-
-        class Connector:
-            def disconnect(self) -> None: ...
-
-        def connectTCP(host: str, port: int, factory: Any, timeout: float = 30) -> Any:
-            if port != engine.number:
-                return connect(host, port, factory, timeout=timeout)
-            queue.append(lambda: connect(host, port, factory, timeout=timeout))
-            return Connector()
-
-        self.rig.reactor.connectTCP = connectTCP
+            self.waiting[engine.name] = hold_connections(self.rig, engine)
 
     def up(self, engine: Engine) -> None:
         """The oldest connection to an engine that waits comes up."""
--- a/tests/test_node_ends.py
+++ b/tests/test_node_ends.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import pytest
-from node_rig import ANSWER, LAST, NO_CONTENT, READ, Engine, Peer, Rig, ask
+from node_rig import ANSWER, LAST, NO_CONTENT, READ, Peer, Rig, ask, hold_connections
 from twisted.internet.error import ConnectionDone
 from twisted.internet.task import Clock
 
@@ -27,23 +27,6 @@
     return rig.start()
 
 
-def late(rig: Rig, engine: Engine) -> list[Any]:
-    """Connections to an engine come up only when the test calls what this gathers."""
-    connect, waiting = rig.reactor.connectTCP, []
-
-    class Connector:
-        def disconnect(self) -> None: ...
-
-    def connectTCP(host: str, port: int, factory: Any, timeout: float = 30) -> Any:
-        if port != engine.number:
-            return connect(host, port, factory, timeout=timeout)
-        waiting.append(lambda: connect(host, port, factory, timeout=timeout))
-        return Connector()
-
-    rig.reactor.connectTCP = connectTCP
-    return waiting
-
-
 def raw(rig: Rig, data: bytes) -> socket.socket:
     client = socket.create_connection(("127.0.0.1", rig.node.port))
     client.sendall(data)
@@ -58,7 +41,7 @@
 def test_client_that_leaves_while_a_connection_comes_up_has_nothing_sent() -> None:
     """Guards against a trip that is written for nobody: connections may take a quarter of a second."""
     rig = rig_of_two()
-    waiting = late(rig, rig.engines[0])
+    waiting = hold_connections(rig, rig.engines[0])
     rig.node.core.module_settings["may_cancel"] = False      # nothing that the module may call off
     client = raw(rig, ask())
     rig.until(lambda: waiting)
@@ -73,7 +56,7 @@
 def test_client_that_left_unseen_is_looked_for_as_the_connection_is_up() -> None:
     """Guards against a close that waits unread while the reactor is busy with what came before it."""
     rig = rig_of_two()
-    waiting = late(rig, rig.engines[0])
+    waiting = hold_connections(rig, rig.engines[0])
     client = raw(rig, ask())
     rig.until(lambda: waiting)
     (case,) = rig.node.core.cases.values()
@@ -99,7 +82,7 @@
 
 def test_time_told_is_what_is_left_once_the_connection_is_up() -> None:
     rig = rig_of_two()
-    waiting = late(rig, rig.engines[0])
+    waiting = hold_connections(rig, rig.engines[0])
     client = raw(rig, ask(left="900"))
     rig.until(lambda: waiting)
     until = monotonic() + 0.12
@@ -176,7 +159,7 @@
     readers = [rig.engine("prefill", lambda _: None), rig.engine("prefill", lambda _: None)]
     writer = rig.engine("decode")
     rig.start()
-    waiting = [late(rig, engine) for engine in (*readers, writer)]
+    waiting = [hold_connections(rig, engine) for engine in (*readers, writer)]
     peer = rig.client(ask())
     rig.until(lambda: waiting[0] or waiting[1])
     first, other = (0, 1) if waiting[0] else (1, 0)
@@ -204,7 +187,7 @@
     for engine in rig.engines:
         engine.release_answer = b""
     rig.start()
-    waiting = [late(rig, engine) for engine in rig.engines]
+    waiting = [hold_connections(rig, engine) for engine in rig.engines]
     client = raw(rig, ask())
     rig.until(lambda: waiting[0] or waiting[1])
     first, again = (0, 1) if waiting[0] else (1, 0)
@@ -271,7 +254,7 @@
     readers = [rig.engine("prefill") for _ in range(2)]
     rig.engine("decode")
     rig.start()
-    waiting = [late(rig, engine) for engine in readers]
+    waiting = [hold_connections(rig, engine) for engine in readers]
     peer = rig.client(ask())
     rig.until(lambda: waiting[0] or waiting[1])
     first, other = (0, 1) if waiting[0] else (1, 0)
