--- a/worksmux/node/releases.py
+++ b/worksmux/node/releases.py
@@ -53,10 +53,6 @@
         self.out: dict[i.Engine, Callable[[], None]] = {}
         self.timer: Any = None
 
-    @property
-    def _step(self) -> float:
-        return self.releases.within / STEPS
-
     def start(self) -> None:
         """Begins, or goes on after a rest."""
         self.held.due(clock.now())
@@ -73,6 +69,13 @@
         for end in self.out.values():
             end()
         self.out.clear()
+        self._cancel_round()
+
+    def _round_in(self, ms: float) -> None:
+        self._cancel_round()
+        self.timer = self.releases.reactor.callLater(ms / 1000, self._round)
+
+    def _cancel_round(self) -> None:
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
 
@@ -91,7 +94,7 @@
         for _ in range(self._others()):
             self._ask_another(again=True)
         self.rounds += 1
-        self.timer = self.releases.reactor.callLater(self._pause() / 1000, self._round)
+        self._round_in(self._pause())
 
     def _others(self) -> int:
         """How many engines are asked in this round beside those that may hold."""
@@ -104,7 +107,7 @@
         within = self.releases.within
         if not self.held.owed:
             return within / SETTLING_ROUNDS
-        return min(within, self._step * 2.0 ** max(0, self.rounds - STEPS))
+        return min(within, self.releases.step * 2.0 ** max(0, self.rounds - STEPS))
 
     def _ask_another(self, again: bool = False) -> None:
         """Asks one engine beside those that may hold; with `again` also one that was asked before, once all
@@ -123,7 +126,8 @@
     def _call(self, engine: i.Engine) -> None:
         begun = clock.now()
         tries = self.asked[engine] = self.asked.get(engine, 0) + 1
-        self.not_before[engine] = begun + min(self.releases.within, self._step * 2.0 ** min(tries, STEPS))
+        pause = min(self.releases.within, self.releases.step * 2.0 ** min(tries, STEPS))
+        self.not_before[engine] = begun + pause
 
         def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
             self.out.pop(engine, None)
@@ -146,10 +150,8 @@
                 LOG.warning("a release was heard late", request=self.held.key, ms=round(clock.now() - since))
             for other in [one for one in self.out if one not in self.held.holders]:
                 self.out.pop(other)()
-            if self.timer is not None and self.timer.active():
-                self.timer.cancel()
             self.rounds = 0
-            self.timer = self.releases.reactor.callLater(self._pause() / 1000, self._round)
+            self._round_in(self._pause())
 
 
 class Releases:
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -60,8 +60,8 @@
         self.turns, self.out, self.reading, self.unended = 0, 0, 0.0, 0.0
         self.streams = Ring(4 * MARK, BUCKETS)       # our own jobs at writers, seen at each placement
         self.per_token = Ring(MEMORY, BUCKETS)       # reading time for a token of the prompt
-        self.sizes = Ring(MEMORY, BUCKETS)           # tokens of a read
         self.anew = Ring(MEMORY, BUCKETS)            # the same for a token that was not found kept
+        self.sizes = Ring(MEMORY, BUCKETS)           # tokens of a read
         self.first = Ring(MEMORY, BUCKETS)           # time to a first token
         self.lines = Ring(MEMORY, BUCKETS)           # time that prompts waited to be read
         self.fates = [Ring(MEMORY, BUCKETS) for _ in self.offerings]     # 1 for each fault, else 0
