--- a/tests/fault_injection/engine.py
+++ b/tests/fault_injection/engine.py
@@ -15,7 +15,7 @@
 
 FETCH = 0.01  # seconds that a state takes to move
 EVENTS, EVENT_PAUSE = 3, 0.04  # of an answer
-HANDLING = 0.0005  # seconds of a call that does no work
+GOES_ON = 0.1  # seconds beyond the time told that an engine works on what it knows to be given up
 NO_CONTENT = b"HTTP/1.1 204 No Content\r\n\r\n"
 STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 NOISE = b"\x00\x17\x88 no head at all\r\n\r\n"
@@ -223,7 +223,7 @@
         reading = self.spec.role == "read"
         attempt = Attempt(key, self.name, now, reading)
         work = connection.work = Work(attempt, connection, told, tokens, client.idempotent)
-        self._judge_times(key, client, told, now)
+        self._judge_times(key, client, told, connection.end.peer.sent_at)
         if connection.end.peer.closed_at is not None:
             return None  # given up before it arrived
         self.works[work] = None
@@ -245,15 +245,15 @@
         self._next()
         return None
 
-    def _judge_times(self, key: str, client: ClientView, told: float, now: float) -> None:
+    def _judge_times(self, key: str, client: ClientView, told: float, sent: float) -> None:
         left = client.left_at()
-        if left is not None and now > left + 0.1:
+        if left is not None and sent > left + 0.1:
             self.ledger.break_rule(
-                Rule.AFTER_LEAVE, key, f"{1000 * (now - left):.0f} ms after, at {self.name}"
+                Rule.AFTER_LEAVE, key, f"{1000 * (sent - left):.0f} ms after, at {self.name}"
             )
-        if told > client.gives_up_at - now + 0.15:
+        if told > client.gives_up_at - sent + 0.15:
             self.ledger.break_rule(
-                Rule.TOLD_TOO_MUCH, key, f"{told:.3f} s, {client.gives_up_at - now:.3f} left"
+                Rule.TOLD_TOO_MUCH, key, f"{told:.3f} s, {client.gives_up_at - sent:.3f} left"
             )
 
     def _next(self) -> None:
@@ -277,7 +277,10 @@
 
     def _has_read(self, work: Work) -> None:
         """The state is there, whatever became of the connection meanwhile."""
-        gone = work.closed and not self.behaviour.closed_reads_leave_state
+        gone = work.closed and (
+            not self.behaviour.closed_reads_leave_state
+            or self.simulation.now > work.attempt.since + work.told + GOES_ON
+        )
         if not work.attempt.released and not gone:
             state = self.ledger.appeared(work.attempt.request, self.name)
             self.states.setdefault(work.attempt.request, []).append(state)
@@ -344,7 +347,10 @@
         work.answered = True
         self.running.pop(work, None)
         self.works.pop(work, None)
-        self.attempt_over(work, why)
+        self.ledger.finished(work.attempt)
+        if not work.silent:  # else its sender learns of no outcome but by its own time-out
+            delivered = work.connection.end.last_arrival
+            self.simulation.call_at(delivered, self.attempt_over, work, why)
         self._next()
 
     def attempt_over(self, work: Work, why: str) -> None:
--- a/tests/fault_injection/ledger.py
+++ b/tests/fault_injection/ledger.py
@@ -2,8 +2,8 @@
 
 The rule on held state: while no attempt of a request is out, state that is held for it is taken by an attempt
 or let go within a time, counted from the last outcome.  An attempt is out from the moment at which its last
-byte reached a running engine until its engine has answered, or either side has ended its connection,
-whichever is first; state that appears later counts from then.
+byte reached a running engine until its answer has come to its sender's machine, or either side has ended its
+connection, whichever is first; state that appears later counts from then.
 """
 
 from __future__ import annotations
@@ -63,6 +63,7 @@
     process: str
     states: dict[State, None] = field(default_factory=dict)
     out: dict[Attempt, None] = field(default_factory=dict)
+    unfinished: dict[Attempt, None] = field(default_factory=dict)  # that engines still work on
     last_outcome: float = 0.0
     excused: bool = False  # its process was killed
     ran: list[str] = field(default_factory=list)  # engines where its effect happened
@@ -97,7 +98,7 @@
     def began(self, attempt: Attempt) -> None:
         record = self.records[attempt.request]
         self._judge(attempt.request, record)
-        record.out[attempt] = None
+        record.out[attempt] = record.unfinished[attempt] = None
         self.note(attempt.request, f"{'read' if attempt.reading else 'write'} arrives at {attempt.engine}")
 
     def ended(self, attempt: Attempt, why: str) -> None:
@@ -107,6 +108,10 @@
             record.last_outcome = self.simulation.now
             self.note(attempt.request, f"attempt at {attempt.engine} is over: {why}")
 
+    def finished(self, attempt: Attempt) -> None:
+        """Its engine works on it no more."""
+        self.records[attempt.request].unfinished.pop(attempt, None)
+
     def appeared(self, request: str, engine: str) -> State:
         state = State(engine, self.simulation.now)
         self.records[request].states[state] = None
@@ -124,7 +129,7 @@
             return
         if any(not attempt.reading for attempt in record.out):
             return self.note(request, f"release at {engine}: an attempt waits for the state")
-        for attempt in record.out:
+        for attempt in record.unfinished:
             attempt.released = attempt.released or self.releases_end_reads
         self._remove(request, list(record.states), f"release at {engine}")
 
--- a/tests/fault_injection/network.py
+++ b/tests/fault_injection/network.py
@@ -19,6 +19,7 @@
 SAME_ZONE, OTHER_ZONE = 0.0002, 0.0008  # seconds one way
 RETRANSMISSION = 0.4  # seconds at most between a cut's end and what it held back
 SYN_RETRY = 1.0  # seconds until the kernel tries a connection again
+REFUSED = "refused"
 END = b""  # stands for the end of a stream, as in a read from a socket
 
 
@@ -67,6 +68,7 @@
         self.unacknowledged = 0
         self.shut = False  # this side has ended its sending
         self.closed = False  # this side's process knows it no more
+        self.sent_at = 0.0  # when this side's process last sent something
         self.last_arrival = 0.0  # of what this side has sent
         self.closed_at: float | None = None  # when this side ended its sending, or all
 
@@ -78,6 +80,7 @@
             return 0
         taken = data[: max(0, SEND_BUFFER - self.unacknowledged)]
         if taken:
+            self.sent_at = self.network.simulation.now
             self.unacknowledged += len(taken)
             self.network.transmit(self, taken)
         return len(taken)
@@ -231,7 +234,7 @@
             if delay is None:
                 return
             if target.accept is None or delay < 0:
-                self.simulation.call_at(now + back_and_forth, source.loop.deliver, give_up, "refused")
+                self.simulation.call_at(now + back_and_forth, source.loop.deliver, give_up, REFUSED)
             else:
                 self.simulation.call_at(now + back_and_forth + delay, source.loop.deliver, come_up, target)
 
@@ -239,7 +242,7 @@
             if connecting.over:
                 return None
             if not target.up or target.accept is None:
-                return give_up("refused")
+                return give_up(REFUSED)
             connecting.over = True
             ours, theirs = End(self, source), End(self, target)
             ours.peer, theirs.peer = theirs, ours
--- a/tests/fault_injection/reactor.py
+++ b/tests/fault_injection/reactor.py
@@ -10,7 +10,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from .network import Connecting, End, Host, Network
+from .network import REFUSED, Connecting, End, Host, Network
 from .simulation import Scheduled
 
 
@@ -200,7 +200,8 @@
         self.transport.start(protocol)
 
     def _failed(self, reason: str) -> None:
-        self.factory.clientConnectionFailed(self, Failure(error.ConnectError(string=reason)))
+        kind = error.ConnectionRefusedError if reason == REFUSED else error.ConnectError
+        self.factory.clientConnectionFailed(self, Failure(kind(string=reason)))
 
     def disconnect(self) -> None:
         if self.transport is not None:
--- a/tests/node_rig.py
+++ b/tests/node_rig.py
@@ -81,6 +81,7 @@
         self.name, self.kind, self.script = name, kind, script
         self.asked: list[bytes] = []
         self.release_answer = NO_CONTENT
+        self.on_release: Callable[[], Any] = lambda: None
         self.peers: list[Peer] = []
         factory: Any = Factory.forProtocol(self._peer)  # type: ignore[arg-type]
         self.port, self.number = listen(rig.reactor, ("127.0.0.1", 0), factory)
@@ -92,6 +93,8 @@
     def _data(self, peer: Peer) -> None:
         while (request := peer.whole()) is not None:
             self.asked.append(request)
+            if request.startswith(b"DELETE"):
+                self.on_release()
             answer = self.release_answer if request.startswith(b"DELETE") else self.script(request)
             if answer is None:
                 return peer.transport.abortConnection()  # type: ignore[union-attr]
--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -11,7 +11,7 @@
 from worksmux import interface as i
 from worksmux.net import client, clock
 from worksmux.node import releases as module
-from worksmux.node.held import Claim, HeldState
+from worksmux.node.held import LONGEST_SILENCE, HeldState, Presence
 from worksmux.node.releases import Releases
 
 WITHIN = 400.0
@@ -30,64 +30,115 @@
 def test_claims_end_by_what_proves_that_nothing_is_held() -> None:
     held = HeldState("a1")
     reader, unseen, other, _ = ENGINES
-    held.held_at(reader)
-    held.ended_unseen(unseen, 900.0)
-    held.due(100.0)
-    held.due(200.0)
-    assert held.owed and held.owed_since == 100.0
-    held.heard(other, 110.0)                         # all that is held now is let go, wherever it lies
-    assert not held.owed and held.holders[unseen].claim is Claim.MAY_FOLLOW and reader not in held.holders
-    assert held.owed_since is None
-    held.heard(other, 899.0)
-    assert unseen in held.holders                    # it may still finish what it began
-    held.heard(unseen, 899.5)
-    assert not held.holders
+    held.read(reader, 100.0)
+    held.ended_unseen(unseen, 200.0, 500.0)
+    assert held.owed and held.since == 100.0
+    held.heard(other, 210.0, 212.0)                  # all that is held now is let go, wherever it lies
+    (claim,) = held.claims
+    assert not held.owed and claim.engine is unseen and claim.presence is Presence.CLEARED
+    assert held.since is None
+    held.heard(other, 2000.0, 2001.0)                # nobody else's answer tells that it has finished
+    held.heard(unseen, 2100.0, 2102.0)               # it may have begun only now
+    held.heard(unseen, 2600.0, 2601.0)
+    assert held.claims
+    held.heard(unseen, 2602.0, 2603.0)
+    assert not held.claims
+
+
+def test_two_attempts_at_one_engine_have_a_claim_each() -> None:
+    """Guards against the state of a first read that is forgotten as that of a second one is taken: a decode
+    engine takes one."""
+    held = HeldState("a1")
+    engine = ENGINES[0]
+    held.read(engine, 100.0)
+    held.read(engine, 300.0)
+    held.taken(engine)
+    assert [claim.since for claim in held.claims] == [100.0] and held.owed
+    held.ended_unseen(engine, 400.0, 1000.0)
+    held.taken(engine)
+    assert [claim.presence for claim in held.claims] == [Presence.POSSIBLE]
+
+
+def test_release_begun_before_an_attempt_ended_proves_nothing_of_it() -> None:
+    held = HeldState("a1")
+    held.ended_unseen(ENGINES[0], 100.0, 0.0)
+    held.heard(ENGINES[0], 99.0, 130.0)
+    assert held.claims
+    held.heard(ENGINES[0], 101.0, 131.0)
+    assert not held.claims
 
 
 def test_attempt_that_arrived_starts_the_time_anew_and_one_that_did_not_leaves_it() -> None:
     held = HeldState("a1")
-    held.held_at(ENGINES[0])
-    held.due(100.0)
-    assert held.owed_since == 100.0
-    held.attempt_ended()
-    held.due(300.0)
-    assert held.owed_since == 300.0
+    held.read(ENGINES[0], 100.0)
+    held.outcome(300.0, arrived=False)
+    assert held.since == 100.0
+    held.outcome(400.0, arrived=True)
+    assert held.since == 400.0
+    held.heard_beside = 500.0                        # what the attempt did not take was let go meanwhile
+    held.outcome(900.0, arrived=False)
+    assert held.since == 900.0
 
 
-EVENTS = st.tuples(st.sampled_from(["held", "unseen", "taken", "heard", "expire"]),
+def test_engine_whose_machine_refuses_connections_for_long_has_died_with_what_it_held() -> None:
+    held = HeldState("a1")
+    engine = ENGINES[0]
+    held.ended_unseen(engine, 100.0, 500.0)
+    held.refused(engine, 90.0, WITHIN)               # before the attempt's end: no proof
+    held.refused(engine, 110.0, WITHIN)
+    held.refused(engine, 110.0 + WITHIN / 2, WITHIN)  # an engine that is full refuses too
+    held.heard(engine, 600.0, 601.0)
+    held.refused(engine, 700.0, WITHIN)
+    assert held.claims
+    held.refused(engine, 700.0 + WITHIN, WITHIN)
+    assert not held.claims
+
+
+def test_engine_that_has_started_anew_or_is_silent_for_very_long_holds_nothing() -> None:
+    held = HeldState("a1")
+    engine = i.Engine(b"n", 9)
+    held.read(engine, 100.0)
+    held.expire(200.0)
+    assert held.claims
+    engine.started = 150.0
+    held.expire(200.0)
+    assert not held.claims and held.since is None
+    held.ended_unseen(engine, 300.0, 0.0)
+    held.expire(300.0 + LONGEST_SILENCE)
+    assert not held.claims
+
+
+EVENTS = st.tuples(st.sampled_from(["read", "unseen", "taken", "heard"]),
                    st.integers(0, 3), st.integers(0, 300))
+WORK = 400.0
 
 
 @given(st.lists(EVENTS, max_size=25))
 def test_no_claim_is_forgotten_without_its_proof(events: list[tuple[str, int, int]]) -> None:
-    """Guards against a debt that is lost where several engines hold for one request."""
+    """Guards against a debt that is lost where several attempts hold for one request."""
     held, now = HeldState("a1"), 0.0
-    may: dict[i.Engine, float] = {}                  # unseen ends that nothing has proven over
-    sure: set[i.Engine] = set()
+    sure: list[int] = []                             # engines, one entry for each read
+    unsure: list[tuple[int, float, float]] = []      # engine, end, when its engine is known to run
     for name, at, ms in events:
         now += ms
-        engine = ENGINES[at]
         match name:
-            case "held":
-                held.held_at(engine)
-                sure.add(engine)
-                may.pop(engine, None)
+            case "read":
+                held.read(ENGINES[at], now)
+                sure.append(at)
             case "unseen":
-                held.ended_unseen(engine, now + 500)
-                may[engine] = now + 500
-                sure.discard(engine)
+                held.ended_unseen(ENGINES[at], now, WORK)
+                unsure.append((at, now, -1.0))
             case "taken":
-                held.taken(engine)
-                sure.discard(engine)
-                may.pop(engine, None)
+                held.taken(ENGINES[at])
+                if at in sure:
+                    sure.remove(at)
             case "heard":
-                held.heard(engine, now)
+                held.heard(ENGINES[at], now, now)
                 sure.clear()
-                may = {one: until for one, until in may.items() if one is not engine and now < until}
-            case "expire":
-                held.expire(now - 1000)
-                may = {one: until for one, until in may.items() if one in held.holders or until >= now - 1000}
-        assert held.holders.keys() == sure | may.keys()
+                unsure = [(one, end, now if one == at and runs < 0 else runs) for one, end, runs in unsure
+                          if one != at or runs < 0 or now < runs + WORK]
+        wanted = sorted([ENGINES[one].key for one in sure] + [ENGINES[one].key for one, _, _ in unsure])
+        assert sorted(claim.engine.key for claim in held.claims) == wanted
         assert not sure or held.owed
 
 
@@ -131,7 +182,7 @@
                      if engine.state == "ready" and engine not in known), None)
 
     def start(self) -> Script:
-        self.held.held_at(self.engines[0])
+        self.held.read(self.engines[0], clock.now())
         self.releases.start(self.held)
         return self
 
@@ -164,10 +215,11 @@
     assert set(script.engines_asked()) == set(script.engines)
     first_half = [engine for at, engine, _ in script.asked if at <= 1000.0 + WITHIN]
     assert len(set(first_half)) >= module.MOST_AT_ONCE
-    script.run(WITHIN * module.GIVE_UP)
-    assert script.most_out <= module.MOST_AT_ONCE and not script.releases.running and not script.out
+    script.run(WITHIN * 20)
+    assert script.most_out <= module.MOST_AT_ONCE + 1 and len(script.asked) < 5 * len(script.engines)
+    script.run(LONGEST_SILENCE)
+    assert not script.releases.running and not script.out
     asked = len(script.asked)
-    assert asked < 5 * len(script.engines)
     script.run(20_000)
     assert len(script.asked) == asked and not script.clock.getDelayedCalls()
 
@@ -206,14 +258,14 @@
     script.releases.start(script.held)
     again = script.engines_asked()[asked:]
     assert again[0] is script.engines[0] and len(again) > 1 and again[1] not in script.engines[:3]
-    assert script.held.owed_since == 1000.0
+    assert script.held.since == 1000.0
 
 
 def test_release_starts_anew_after_an_attempt_that_arrived(monkeypatch: Any) -> None:
     script = Script(monkeypatch, engines_of(20)).start()
     script.run(5.5 * STEP)
     script.releases.rest(script.held)
-    script.held.attempt_ended()
+    script.held.outcome(clock.now(), arrived=True)
     asked = len(script.asked)
     script.releases.start(script.held)
     script.run(1.5 * STEP)
@@ -223,27 +275,28 @@
 @pytest.mark.parametrize("answers", [True, False])
 def test_state_that_may_follow_is_released_until_it_no_longer_can(monkeypatch: Any, answers: bool) -> None:
     """Guards against a read that an engine finishes after its end was seen nowhere but here: a release that
-    another engine heard before does not undo it."""
+    another engine heard before does not undo it, nor one that its own engine heard before it had finished."""
+    work = 2000.0
     script = Script(monkeypatch, engines_of(5))
     unseen, *others = script.engines
-    script.held.ended_unseen(unseen, clock.now() + 2000)
+    script.held.ended_unseen(unseen, clock.now(), work)
     script.releases.start(script.held)
     script.run(2 * STEP, answering=others)
     heard = [at for at, engine, _ in script.asked if engine is not unseen]
     assert heard and heard[0] <= 1000.0 + 1.1 * STEP and script.releases.running
+    begun = clock.now()
+    script.run(3000, answering=script.engines if answers else others)
+    heard = [at for at, engine, _ in script.asked if answers or engine is not unseen]
+    assert max(b - a for a, b in zip(heard, heard[1:], strict=False)) <= 1.3 * WITHIN
     if answers:
-        script.run(WITHIN, answering=script.engines)
-        assert not script.releases.running
-        return
-    script.run(3000, answering=others)
-    heard = [at for at, engine, _ in script.asked if engine is not unseen]
-    assert max(b - a for a, b in zip(heard, heard[1:], strict=False)) < 0.75 * WITHIN
-    assert heard[-1] >= 3000.0 and not script.releases.running
+        assert not script.releases.running and begun + work <= heard[-1] <= begun + work + 2 * WITHIN
+    else:
+        assert heard[-1] >= 3500.0 and script.releases.running
 
 
 def test_no_release_is_called_while_an_attempt_that_arrived_is_out(monkeypatch: Any) -> None:
     script = Script(monkeypatch, engines_of(5))
-    script.held.ended_unseen(script.engines[0], clock.now() + 2000)
+    script.held.ended_unseen(script.engines[0], clock.now(), 500.0)
     script.releases.start(script.held)
     script.run(2 * STEP, answering=script.engines[1:])
     asked = len(script.asked)
@@ -251,10 +304,36 @@
     script.run(1000)
     assert len(script.asked) == asked and script.releases.running
     script.releases.start(script.held)
-    script.run(10, answering=script.engines)
+    script.run(3 * WITHIN, answering=script.engines)
     assert not script.releases.running
 
 
+def test_release_beside_an_attempt_in_doubt_keeps_what_may_still_be_held(monkeypatch: Any) -> None:
+    """Guards against state forgotten by a release that spared it, as the attempt had arrived."""
+    script = Script(monkeypatch, engines_of(5))
+    script.held.read(script.engines[0], clock.now())
+    script.releases.start_beside(script.held)
+    script.run(STEP, answering=script.engines)
+    asked = len(script.asked)
+    assert asked and script.held.owed and script.held.heard_beside is not None
+    script.run(1000, answering=script.engines)
+    assert len(script.asked) == asked                # once is enough
+    script.held.outcome(clock.now(), arrived=False)
+    script.releases.start(script.held)
+    script.run(STEP, answering=script.engines)
+    assert not script.releases.running and len(script.asked) > asked
+
+
+def test_the_less_time_is_left_the_more_engines_are_asked_at_once(monkeypatch: Any) -> None:
+    """Guards against steps laid out from the decision on, where the time runs from the last outcome."""
+    for used, wanted in ((0.1, 1), (0.65, 2), (0.8, 3)):
+        script = Script(monkeypatch, engines_of(9))
+        script.held.read(script.engines[0], clock.now())
+        script.run(used * WITHIN)
+        script.releases.start(script.held)
+        assert len(script.asked) == wanted
+
+
 def test_request_with_the_id_of_an_earlier_one_takes_over_what_is_owed_for_it(monkeypatch: Any) -> None:
     script = Script(monkeypatch, engines_of(5)).start()
     assert script.releases.held("a1") is script.held and script.releases.held("a2") is not script.held
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -300,17 +300,25 @@
 # Releases.
 
 def test_no_release_overtakes_a_read_that_follows_a_broken_one() -> None:
-    """Guards against a release that lets go, at whichever engine, of what the second read brings."""
-    rig, reads = Rig(), [None, READ]
-    readers = [rig.engine("prefill", lambda _: reads.pop(0)) for _ in range(2)]
-    rig.engine("decode")
+    """Guards against a release that lets go, at whichever engine, of what the second read brings: it is heard
+    before that read is written, and none comes until the answer is over."""
+    rig, reads, order = Rig(), [None, READ], []      # type: Rig, list[bytes | None], list[str]
+
+    def read(request: bytes) -> bytes | None:
+        order.append("read")
+        return reads.pop(0)
+
+    readers = [rig.engine("prefill", read) for _ in range(2)]
+    writer = rig.engine("decode", lambda _: order.append("write") or ANSWER)  # type: ignore[func-returns-value]
+    for engine in rig.engines:
+        engine.on_release = lambda: order.append("release")
     rig.start()
     peer = rig.client(ask())
     rig.until(lambda: b"[DONE]" in peer.got)
-    assert all(b"DELETE" not in engine.verbs() for engine in rig.engines)
+    assert order[:4] == ["read", "release", "read", "write"]
     rig.idle()
     broken = next(engine for engine in readers if engine.peers[0].ended)
-    assert b"DELETE" in broken.verbs()               # what the broken read may have left
+    assert b"DELETE" in broken.verbs() and writer.verbs().count(b"POST") == 1
 
 
 def test_release_is_heard_by_another_engine_where_its_own_is_gone() -> None:
--- a/tests/test_node_ends.py
+++ b/tests/test_node_ends.py
@@ -127,15 +127,18 @@
     reader = rig.engine("prefill", lambda _: b"")
     rig.engine("decode")
     rig.start()
-    ended: list[int] = []
-    rig.node.on_end = lambda: ended.append(reader.verbs().count(b"DELETE"))
-    client = raw(rig, ask())
+    ended: list[tuple[int, float]] = []
+    rig.node.on_end = lambda: ended.append((reader.verbs().count(b"DELETE"), monotonic()))
+    client = raw(rig, ask(left="1600"))
     rig.until(lambda: reader.asked)
     rig.node.stop()
     rig.until(lambda: not rig.node.accepting)
     client.close()
-    rig.until(lambda: ended)
-    assert ended == [1]
+    rig.until(lambda: reader.verbs().count(b"DELETE") == 1)
+    first = monotonic()
+    rig.until(lambda: ended)                         # once the engine can't come to hold anything any more
+    ((releases, at),) = ended
+    assert releases >= 2 and at - first >= 0.5
 
 
 def test_release_is_repeated_while_an_engine_that_saw_no_end_may_still_finish_its_read() -> None:
@@ -152,9 +155,9 @@
     rig.until(lambda: not rig.node.core.releases.running)
 
 
-def test_release_that_waited_for_an_attempt_spares_what_that_attempt_brought() -> None:
-    """Guards against a release, put off while a second read's connection came up, that lets go of what it
-    brought."""
+def test_attempt_waits_for_a_release_some_steps_and_nothing_is_let_go_from_under_it() -> None:
+    """Guards against a release on its way as a second read comes up, which would let go of what that one
+    brings; and against a read that waits for ever for a release that nobody hears."""
     rig = Rig()
     readers = [rig.engine("prefill", lambda _: None), rig.engine("prefill", lambda _: None)]
     writer = rig.engine("decode")
@@ -164,18 +167,21 @@
     rig.until(lambda: waiting[0] or waiting[1])
     first, other = (0, 1) if waiting[0] else (1, 0)
     readers[other].script = lambda _: READ
-    waiting[first].pop()()
-    rig.until(lambda: waiting[other] or len(waiting[first]) > 0)
+    waiting[first].pop()()                           # read, and reset: a release's connections wait
+    rig.until(lambda: waiting[other] or len(waiting[first]) > 1)
     again = other if waiting[other] else first
     readers[again].script = lambda _: READ
     waiting[again].pop()()
-    rig.until(lambda: waiting[2])
-    step = rig.node.core.releases.step / 1000
-    end = monotonic() + 2 * step
-    rig.until(lambda: monotonic() > end)
-    assert not waiting[0] and not waiting[1] and len(waiting[2]) == 1
+    rig.until(lambda: readers[again].verbs().count(b"POST") == 1 + (again == first))
+    rig.until(lambda: any(b"HTTP/1.1" in request for request in readers[again].asked))
+    for queue in waiting[:2]:
+        while queue:                                 # what was on its way comes up now: it is given up
+            queue.pop()()
+    some_time(rig)
     assert not any(b"DELETE" in engine.verbs() for engine in rig.engines)
-    waiting[2].pop()()
+    rig.until(lambda: waiting[2])
+    while waiting[2]:
+        waiting[2].pop(0)()
     assert rig.answered(peer) == b"200" and b"[DONE]" in peer.got
 
 
--- a/worksmux/net/client.py
+++ b/worksmux/net/client.py
@@ -12,6 +12,7 @@
 from socket import MSG_PEEK
 from typing import Any, Protocol, cast
 
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ClientFactory, connectionDone
 from twisted.protocols.basic import LineReceiver
@@ -33,6 +34,10 @@
     """No connection came about, or it ended before the call's last byte was written."""
 
 
+class Refused(Unsent):
+    """The other side's machine answered that nobody takes connections there."""
+
+
 class Broken(Trouble):
     """The connection ended while the call was out: the other side may have acted on it."""
 
@@ -393,7 +398,8 @@
         return connection
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self.call.failed(Unsent(reason.getErrorMessage()))
+        trouble = Refused if reason.check(ConnectionRefusedError) else Unsent
+        self.call.failed(trouble(reason.getErrorMessage()))
 
 
 class _Opened(Connection):
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -19,6 +19,7 @@
 MOST_HEADERS = 100
 LOOKS = 8                # at the connections' times, within the shortest of them
 BEHIND = 2**16           # bytes kept of what a client sends behind a request that waits for its answer
+FIRST_DATA = 20.0        # milliseconds after a connection's start: what is read then may have come with it
 LINGER = 1000.0          # for a client to end its side after this one has ended, milliseconds
 Answerer = Callable[["Exchange"], None]
 
@@ -90,6 +91,11 @@
         except OSError:
             return True
 
+    def came(self) -> float:
+        """When the request may have come whole, at the earliest."""
+        channel: Any = self.channel
+        return float(channel.came)
+
     @property
     def over(self) -> bool:
         return bool(self.finished or self._disconnected)
@@ -181,6 +187,7 @@
     def connectionMade(self) -> None:
         super().connectionMade()
         self.since = clock.now()                     # of its state: silent, receiving or idle
+        self.came = self.since - self.factory.late()     # what comes right after it may be as old
         self.totalHeadersSize = self.factory.head_bound
         self.MAX_LENGTH = self.factory.head_bound
         self.factory.made(self)
@@ -190,6 +197,9 @@
         super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:
+        now = clock.now()
+        if self.asked or now - self.since > FIRST_DATA:
+            self.came = now - self.factory.late()
         self.behind += len(data) if self.busy or self.spoilt else 0
         if self.behind > BEHIND:                     # let by; the connection ends with the answer
             self.persistent = False
@@ -291,13 +301,15 @@
     noisy = False
 
     def __init__(self, answerer: Answerer, body_bound: int, head_bound: int, keep_alive: float,
-                 reactor: Any = None, patience: float = 0.0, most: int = 0) -> None:
+                 reactor: Any = None, patience: float = 0.0, most: int = 0,
+                 late: Callable[[], float] = lambda: 0.0) -> None:
         """`keep_alive`: an idle connection is closed after it; `patience`: a request must come whole within
         it, counted from the connection's start for the first (both in milliseconds, 0: no bound); `most`
-        connections at once (0: any number)."""
+        connections at once (0: any number); `late` tells by how much what is read now may be older
+        (`lateness.Lateness`)."""
         super().__init__(timeout=keep_alive / 1000, reactor=reactor)
         self.answerer, self.body_bound, self.head_bound = answerer, body_bound, head_bound
-        self.keep_alive, self.patience, self.most = keep_alive, patience, most
+        self.keep_alive, self.patience, self.most, self.late = keep_alive, patience, most, late
         self.closing = False                         # each answer closes its connection
         self.channels: dict[Any, None] = {}
         self.evictions = EvictionQueue()
--- a/worksmux/node/clients.py
+++ b/worksmux/node/clients.py
@@ -3,7 +3,6 @@
 
 from ..api import errors
 from ..front.streams import StreamSide
-from ..net import clock
 from ..net.server import Exchange
 from . import protocol
 from .core import NodeCore
@@ -80,5 +79,5 @@
         if len(self.core.cases) >= self.core.share.jobs:
             self.core.metrics.turned_away("too many open")
             return side.deferred(0.0)
-        case = side.case = self.core.arrived(asked, side, clock.now())
+        case = side.case = self.core.arrived(asked, side, exchange.came())
         exchange.on_gone = lambda: self.core.left(case)
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -1,17 +1,19 @@
 """The life of jobs on the platform's protocol: trips to engines, releases and probes."""
 from __future__ import annotations
 
+from collections import deque
+
 from .. import interface as i
 from ..door import Door
 from ..front.case import Case, Client
 from ..front.core import Core
 from ..net import client, clock
-from ..net.loop import Reactor, Timer
+from ..net.loop import Reactor
 from . import protocol
 from .counts import NodeCounts
 from .held import HeldState
 from .limits import Shares
-from .releases import Releases
+from .releases import Release, Releases
 from .trips import Reading, Trip, Writing
 
 HOST = "app.svc"
@@ -23,6 +25,11 @@
 MOST_IDLE = 0
 MARGIN = 10.0                        # off a client's time for both ways; 99 of 100 took under 6 on the bench
 SETTLING = 20.0                      # for the close of a trip's connection to be seen, before a deferral is
+BESIDE = 0.6                         # of the time to let go: then an attempt that state waits for is in doubt
+ENGINE_LATE = 150.0                  # for an engine to end what it was told to end
+READS = 32                           # the latest, of which the slowest tells how long an engine may go on
+SLOWER = 1.5                         # times the slowest of them
+HELD_BACK_STEPS = 2                  # of a release: so long an attempt waits for it to be heard
 SECOND = 1000.0                      # to let go in, where the settings know no time for it
 CONNECTING = 250.0                   # for a connection to come up, where the settings do not say
 NOT_SEEN = frozenset({i.Outcome.CANCELLED, i.Outcome.TIMED_OUT, i.Outcome.RESET})
@@ -41,7 +48,7 @@
         self.releases = Releases(reactor, self._small, self._other,
                                  float(door.settings["release_within"]) or SECOND)
         self.held: dict[i.Job, HeldState] = {}       # what engines may hold for the jobs that are open
-        self._delayed: dict[i.Job, Timer] = {}       # releases that wait for a trip's connection
+        self.read_times: deque[tuple[float, float]] = deque(maxlen=READS)    # tokens, milliseconds
         self._letting_go: list[Case] = []
 
     def arrived(self, asked: protocol.Asked, client_side: Client, arrived: float) -> Case:
@@ -60,7 +67,6 @@
         release begins first."""
         if not case.out and case.job in self.cases:
             self._let_all_go(case)                   # what a broken read may have left, and nobody took
-            self._no_delayed(case)
             del self.keys[case.key], self.held[case.job]
         super()._close(case)
 
@@ -84,43 +90,58 @@
         for case in due:
             self._let_all_go(case)
 
-    def _let_all_go(self, case: Case, late: bool = False) -> None:
-        """Guards against a release that takes the state from under a trip: it is due after that.
-
-        A trip whose connection does not come up (`late`) is none to the engines, and time runs on: in a zone
-        that is cut off from the others, one such trip after the other put the release off for good.
-        """
+    def _let_all_go(self, case: Case) -> None:
+        """Nothing is to be kept for a next attempt; what is out now has it until its end."""
         held = self.held.get(case.job)
-        if held is None or not held.holders or any(carrier.call.up for carrier in case.out.values()):
-            return
-        self._no_delayed(case)
-        if case.out and not late:
-            held.due(clock.now())
-            self._delayed[case.job] = self.reactor.callLater(self.releases.step / 1000, self._let_all_go,
-                                                             case, True)
+        if held is None or any(carrier.call.up for carrier in case.out.values()):
             return
+        if not held.claims:
+            return self.releases.drop_if_over(held)
         self.releases.start(held)
         self.metrics.release()
 
-    def _no_delayed(self, case: Case) -> None:
-        timer = self._delayed.pop(case.job, None)
-        if timer is not None and timer.active():
-            timer.cancel()
-
-    def _arrives(self, case: Case) -> None:
-        """A trip is about to be written: nothing may be let go from under it."""
-        self._no_delayed(case)
-        self.releases.rest(self.held[case.job])
+    def _arrives(self, case: Case, carrier: Trip) -> None:
+        """An attempt is about to be written: nothing may be let go from under it."""
+        held = self.held[case.job]
+        self.releases.rest(held)
+        carrier.written_at = clock.now()
+        if not carrier.trip.reading and held.since is not None:
+            due = held.since + BESIDE * self.releases.within - clock.now()
+            self.reactor.callLater(max(self.releases.step, due) / 1000, self._let_go_beside, case, carrier)
+
+    def _let_go_beside(self, case: Case, carrier: Trip) -> None:
+        """Guards against state that waits for an attempt which never arrived, as its zone was cut off when
+        its connection was up, or its engine hangs: to the engines no attempt is out.  An engine that has
+        answered a later call has this one too."""
+        arrived = carrier.pool.answered >= carrier.written_at
+        if not (carrier.over or carrier.trip.began or arrived):
+            self.releases.start_beside(self.held[case.job])
 
     def _may_hold(self, case: Case, trip: i.Trip, outcome: i.Outcome, carrier: Trip) -> None:
         held = self.held[case.job]
         if carrier is None or outcome in (i.Outcome.UNREACHABLE, i.Outcome.MOOT):
             return                                   # it never arrived: the time to let go runs on
-        held.attempt_ended()
-        if outcome in NOT_SEEN and not trip.began:
-            held.ended_unseen(trip.engine, max(carrier.expires, clock.now() + self.releases.within))
+        now = clock.now()
+        self.releases.stop_beside(held)
+        unseen = outcome in NOT_SEEN and not trip.began
+        held.outcome(now, not unseen or carrier.pool.answered >= carrier.written_at)
+        if outcome is i.Outcome.READ:
+            self.read_times.append((case.job.prompt, now - carrier.written_at))
+        if unseen:
+            held.ended_unseen(trip.engine, now, self._work_left(case, carrier, now))
         elif trip.reading and outcome is not i.Outcome.FULL:
-            held.held_at(trip.engine)
+            held.read(trip.engine, now)
+
+    def _work_left(self, case: Case, carrier: Trip, now: float) -> float:
+        """How long an engine that runs may go on with a read that was given up: by the slowest of the latest
+        ones, or for the time that it was told, where none was as long.  What waits for state ends at once."""
+        if not carrier.trip.reading:
+            return 0.0
+        longest = max((time for tokens, time in self.read_times), default=0.0)
+        ends = carrier.written_at + SLOWER * longest
+        if case.job.prompt > max((tokens for tokens, _ in self.read_times), default=0.0):
+            ends = carrier.expires + ENGINE_LATE
+        return max(self.releases.within, ends - now)
 
     def _release(self, job: i.Job) -> None:
         case = self.cases.get(job)
@@ -140,7 +161,7 @@
         carrier.fields = self.module_settings["report_fields"]
         call = carrier.send(case.asked, time_out)
         if call.up:
-            self._arrives(case)
+            self._arrives(case, carrier)
         else:
             call.on_up = lambda: self._came_up(case, carrier)
         return carrier
@@ -151,10 +172,29 @@
         if not case.answered and case.client.gone():
             self.left(case)
         if case.answered or carrier.trip.engine.state != "ready":
-            carrier.withdraw()
-        else:
-            carrier.came_up()
-            self._arrives(case)
+            return carrier.withdraw()
+        release = self.releases.seeking(self.held[case.job])
+        if release is not None and not carrier.held_back:
+            return self._hold_back(case, carrier, release)
+        carrier.came_up()
+        self._arrives(case, carrier)
+
+    def _hold_back(self, case: Case, carrier: Trip, release: Release) -> None:
+        """Guards against an attempt that puts a release off, or is harmed by it: an engine hears the release
+        first, or has had the time of some steps to do so."""
+        assert carrier.call is not None
+        carrier.held_back = carrier.call.held_back = True
+
+        def go() -> None:
+            if timer.active():
+                timer.cancel()
+            release.on_heard = None
+            if not carrier.over:
+                self._came_up(case, carrier)
+                carrier.go()
+
+        timer = self.reactor.callLater(HELD_BACK_STEPS * self.releases.step / 1000, go)
+        release.on_heard = go
 
     # Small calls.
 
@@ -162,13 +202,13 @@
         return self.connect_time_out, BODY, ()
 
     def _other(self, known: set[i.Engine]) -> i.Engine | None:
-        """An engine that is ready and not among those known: of a zone that was not asked, this node's own
-        first, the one heard last.  Guards against a zone that is cut off: all that were heard lately may lie
-        on the other side."""
+        """An engine that is listed and not among those known: a ready one first, then of a zone that was not
+        asked, this node's own first, the one heard last.  Guards against a zone that is cut off: all that
+        were heard lately may lie on the other side."""
         asked, here = {engine.zone for engine in known}, self.module_settings["zone"]
-        able = [engine for engine in self.pools if engine.state == "ready" and engine not in known]
+        able = [engine for engine in self.pools if engine.state != "gone" and engine not in known]
         return max(able, default=None, key=lambda engine: (
-            engine.zone not in asked, engine.zone == here, self.pools[engine].heard))
+            engine.state == "ready", engine.zone not in asked, engine.zone == here, self.pools[engine].heard))
 
     def _probe_path(self) -> str:
         return protocol.ALIVE if self.module_settings["reports"] == "off" else protocol.LOAD_PATH
--- a/worksmux/node/held.py
+++ b/worksmux/node/held.py
@@ -1,88 +1,148 @@
-"""Which engines may hold KV cache for one request, since when, and what ends that.  Free of I/O and clock.
+"""What engines may hold for one request, attempt by attempt, and since when.  Free of I/O and clock.
 
-One release, heard by any running engine, lets go of all that is held for its request at that moment,
-wherever it lies.  It does not undo what an engine does later: an engine that has not seen an attempt end, as
-its zone is cut off or it hangs, may finish a read after the release, or drop a write whose state then still
-waits.
+Each attempt that may have left KV cache at its engine has a claim of its own; two attempts at one engine have
+two.  The states of a claim, and what leads from one to the next:
 
-States of one engine's claim, and what ends them:
+    state      meaning                                    next
+    HELD       the engine has read the prompt             gone, when a decode engine takes that state or any
+                                                          engine hears a release
+    POSSIBLE   this side ended the attempt, or its        CLEARED, when any engine hears a release
+               connection broke: state may be there now,
+               or appear later
+    CLEARED    nothing is there now; state may still      gone, when a release is heard after the engine has
+               appear                                     run for long enough to finish what it had
 
-    HELD        The engine has read the prompt.  Ends when a decode engine takes the state, or when any engine
-                hears a release.
-    UNSEEN_END  This side ended an attempt there, and the engine may hold state now or later.  Ends when this
-                very engine hears a release; becomes MAY_FOLLOW when another one does.
-    MAY_FOLLOW  Nothing is held now; state may still appear.  Ends when this engine hears a release, or when
-                any one does after the attempt's own time is over.
+One release, heard by any running engine, lets go of all that is held for its request at that moment,
+wherever it lies, but not of what an engine finishes later: one that is cut off or hangs knows nothing of the
+attempt's end, and one that does may go on with a read that it has begun.  So a claim that nobody is sure of
+ends only by a release that its very engine has answered, once that is known to have run for as long as the
+work may take.
 
-The time to let go runs from `owed_since`.  It rests while an attempt that has arrived is out, and starts anew
-with that attempt's end; attempts that never arrived leave it running.
+The time to let go runs from `since`.  It starts anew with the end of an attempt that is known to have
+arrived; an attempt that may never have arrived leaves it running, unless a release was heard beside it.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 
 from ..interface import Engine
 
+LONGEST_SILENCE = 30_000.0  # milliseconds: an engine that is silent for longer has lost what it had
+
+
+class Presence(Enum):
+    """What is known of the state that an attempt may have left."""
 
-class Claim(Enum):
-    """How sure it is that an engine holds something."""
     HELD = "held"
-    UNSEEN_END = "unseen end"
-    MAY_FOLLOW = "may follow"
+    POSSIBLE = "possible"
+    CLEARED = "cleared"
 
 
-@dataclass(slots=True)
-class Holder:
-    """One engine's claim; `until` (milliseconds) is when the attempt that led to it is over by itself."""
-    claim: Claim
-    until: float = 0.0
+@dataclass(eq=False, slots=True)
+class Claim:
+    """What one attempt may have left at its engine; times are milliseconds."""
+
+    engine: Engine
+    presence: Presence
+    since: float  # when the attempt ended
+    started: float  # the engine's start then: a new one has lost all
+    work_left: float = 0.0  # how long the engine may go on with it, if it runs
+    runs_since: float | None = None  # from when on the engine is known to run
+    refused_since: float | None = None  # when its machine first refused a connection, since it last answered
+
+    def answered(self, begun: float, now: float) -> bool:
+        """Its engine has answered a release that began at `begun`: whether nothing can appear any more."""
+        if begun < self.since:
+            return False
+        self.refused_since = None
+        if self.runs_since is None:
+            self.runs_since = now
+            return self.work_left <= 0
+        return begun >= self.runs_since + self.work_left
 
 
 @dataclass(eq=False, slots=True)
 class HeldState:
     """All claims of one request; `key` is its id towards engines."""
-    key: str
-    holders: dict[Engine, Holder] = field(default_factory=dict)
-    owed_since: float | None = None          # when the release first fell due; None: it is not due
-
-    def held_at(self, engine: Engine) -> None:
-        """A prefill engine has read the prompt, or its answer about that was lost or made no sense."""
-        self.holders[engine] = Holder(Claim.HELD)
 
-    def ended_unseen(self, engine: Engine, until: float) -> None:
-        """An attempt was ended by this side, or its connection broke."""
-        self.holders[engine] = Holder(Claim.UNSEEN_END, until)
+    key: str
+    claims: list[Claim] = field(default_factory=list)
+    since: float | None = None  # from when the time to let go runs; None: nothing is held
+    heard_beside: float | None = (
+        None  # a release was heard while an attempt was out that may not have arrived
+    )
+
+    def read(self, engine: Engine, now: float) -> None:
+        """An engine has read the prompt, or its answer about that made no sense."""
+        self._claim(Claim(engine, Presence.HELD, now, engine.started))
+
+    def ended_unseen(self, engine: Engine, now: float, work_left: float) -> None:
+        """An attempt was ended by this side, or its connection broke; a running engine may go on with it for
+        `work_left` milliseconds."""
+        self._claim(Claim(engine, Presence.POSSIBLE, now, engine.started, work_left))
+
+    def _claim(self, claim: Claim) -> None:
+        self.claims.append(claim)
+        if self.since is None:
+            self.since = claim.since
 
     def taken(self, engine: Engine) -> None:
-        """A decode engine has taken the state that this one held."""
-        self.holders.pop(engine, None)
-
-    def attempt_ended(self) -> None:
-        """An attempt that had arrived is over: the time to let go starts anew."""
-        self.owed_since = None
-
-    def due(self, now: float) -> None:
-        """No attempt is out and nothing is to be kept for a next one."""
-        if self.owed_since is None:
-            self.owed_since = now
-
-    def heard(self, engine: Engine, called_at: float) -> None:
-        """An engine has answered a release that was begun at `called_at`."""
-        for one, holder in list(self.holders.items()):
-            if one is engine or holder.claim is Claim.HELD or called_at >= holder.until:
-                del self.holders[one]
-            else:
-                holder.claim = Claim.MAY_FOLLOW
+        """A decode engine has taken the newest state that this one held."""
+        for claim in reversed(self.claims):
+            if claim.engine is engine and claim.presence is Presence.HELD:
+                self.claims.remove(claim)
+                break
         if not self.owed:
-            self.owed_since = None
-
-    def expire(self, before: float) -> None:
-        """Forgets where state could only have followed until `before`."""
-        self.holders = {engine: holder for engine, holder in self.holders.items()
-                        if holder.claim is not Claim.MAY_FOLLOW or holder.until >= before}
+            self.since = None
+
+    def outcome(self, now: float, arrived: bool) -> None:
+        """An attempt is over.  `arrived`: it is known that its engine got it."""
+        if self.since is not None and (arrived or self.heard_beside is not None):
+            self.since = now
+        self.heard_beside = None
+
+    def heard(self, engine: Engine, begun: float, now: float) -> None:
+        """An engine has answered a release that began at `begun`; no attempt was out."""
+        kept = []
+        for claim in self.claims:
+            settled = claim.engine is engine and claim.answered(begun, now)
+            if claim.presence is not Presence.HELD and not settled:
+                claim.presence = Presence.CLEARED
+                kept.append(claim)
+        self.claims, self.since = kept, None
+
+    def refused(self, engine: Engine, begun: float, apart: float) -> None:
+        """An engine's machine has refused a connection.  Where it did so before, `apart` milliseconds ago or
+        more, its process has died, and all that it held with it; once may be for want of room."""
+        for claim in [one for one in self.claims if one.engine is engine and begun >= one.since]:
+            if claim.refused_since is None:
+                claim.refused_since = begun
+            elif begun >= claim.refused_since + apart:
+                self.claims.remove(claim)
+        if not self.owed:
+            self.since = None
+
+    def work_left(self, now: float) -> float:
+        """How long it takes at most until engines that run have finished; infinite where one is silent."""
+        ends = [
+            inf if claim.runs_since is None else claim.runs_since + claim.work_left for claim in self.claims
+        ]
+        return max(0.0, max(ends, default=now) - now)
+
+    def expire(self, now: float) -> None:
+        """Forgets claims at engines that have started anew, or have been silent for very long."""
+        self.claims = [
+            claim
+            for claim in self.claims
+            if claim.started == claim.engine.started and now - claim.since < LONGEST_SILENCE
+        ]
+        if not self.owed:
+            self.since = None
 
     @property
     def owed(self) -> bool:
         """Whether something may be held now."""
-        return any(holder.claim is not Claim.MAY_FOLLOW for holder in self.holders.values())
+        return any(claim.presence is not Presence.CLEARED for claim in self.claims)
--- a/worksmux/node/releases.py
+++ b/worksmux/node/releases.py
@@ -1,41 +1,56 @@
-"""Sends releases for what engines hold (`held.HeldState`) until they are known to have been heard.
+"""Sends releases for what engines may hold (`held.HeldState`) until they are known to have been heard.
 
-One call releases all that is held for a request, at whichever engine it arrives, and also what an attempt
-that is out was about to leave.  So no call is made while an attempt that has arrived is out, and calls that
-wait are given up as an attempt's connection comes up; the release goes on, with its first clock, once that is
-over.
+A release that any running engine hears lets go of all that is held for a request.  So it is sought by rounds:
+first the engines that may hold are asked, then at each step one more, for a connection that does not come up
+is known only after half of the time there is; the less of that time is left, the more are asked at once.
 
-The engines that may hold are asked first.  Where none answers at once any other will do: one more is asked at
-each step, two later, for a connection that does not come up is known only after half of the time there is.
-Once a release was heard, state can only follow at an engine that has not seen its attempt end: that one is
-asked until it answers, and beside it another one, so often that what follows is let go in time.
+Once a release was heard, state can still appear at an engine that works on its attempt yet (CLEARED claims):
+another release is sought when it has finished by rights, and each time that the time to let go has passed,
+until that is ruled out.
+
+No release is sent while an attempt is out, which would lose what it brings.  The exception is an attempt that
+may never have arrived, while state waits for it: to the engines none is out then, and the time runs.  An
+engine spares state that an attempt waits for, so such a release costs nothing where the attempt has arrived.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from enum import Enum
+from typing import Protocol
 
 import structlog
 
-from .. import interface as i
+from ..interface import Engine
 from ..net import client, clock
-from ..net.loop import Reactor
+from ..net.loop import Reactor, Timer
 from . import protocol
 from .held import HeldState
 
 LOG = structlog.get_logger()
-STEPS = 8                # a step, and the first pause before a repeat, is this part of the time there is
-SINGLE_STEPS = 4         # steps that ask one engine more; later ones ask two
-MOST_AT_ONCE = 8         # calls of one release that are out
-SETTLING_ROUNDS = 2      # within the time there is, while state may still follow
-GIVE_UP = 20             # times the time there is: by then the engines' own time-outs have ended it
+STEPS = 8  # a step, and the first pause before a repeat, is this part of the time there is
+SINGLE_STEPS = 4  # steps that ask one engine more; later ones ask two
+MOST_AT_ONCE = 8  # calls of one release that are out, beside those to engines that may hold
+STRETCH = 1.25  # times the time: the next release is put off to when an engine has finished, so far at most
+LATE, VERY_LATE = 0.6, 0.75  # parts of the time: after them one, and two engines more are asked at once
+LONGEST_PAUSE = 8.0  # times the time there is, between two calls to an engine that does not answer
 
 
 class Calls(Protocol):
     """Sends one small call; what it returns ends it without a word."""
 
-    def __call__(self, engine: i.Engine, method: str, path: str, body: bytes, on_end: client.OnEnd, /
-                 ) -> Callable[[], None]: ...
+    def __call__(
+        self, engine: Engine, method: str, path: str, body: bytes, on_end: client.OnEnd, /
+    ) -> Callable[[], None]: ...
+
+
+class Phase(Enum):
+    """What a release is doing."""
+
+    RESTING = "an attempt is out"
+    SEEKING = "engines are asked until one has heard"
+    WATCHING = "one has heard; state may still appear, so that others are sought later"
+    BESIDE = "as SEEKING, while an attempt is out that may not have arrived"
 
 
 class Release:
@@ -44,121 +59,163 @@
     def __init__(self, releases: Releases, held: HeldState) -> None:
         self.releases, self.held = releases, held
         self.path = protocol.HOLDS + held.key
-        self.active = False                          # it rests while an attempt is out
-        self.rounds = 0
-        self.since: float | None = None              # the clock that the rounds go by
-        self.asked: dict[i.Engine, int] = {}         # how often, in this pass over all engines
-        self.all_asked = False                       # the first pass is over
-        self.not_before: dict[i.Engine, float] = {}  # when an engine may be asked again
-        self.out: dict[i.Engine, Callable[[], None]] = {}
-        self.timer: Any = None
-
-    def start(self) -> None:
+        self.phase = Phase.RESTING
+        self.on_heard: Callable[[], None] | None = None  # called once, with the next answer or end
+        self._rounds = 0
+        self._since: float | None = None  # the clock by which the engines were asked so far
+        self._asked: dict[Engine, None] = {}  # in this pass over all engines
+        self._all_asked = False  # the first pass is over
+        self._tries: dict[Engine, int] = {}  # calls that were not answered, since the last answer
+        self._not_before: dict[Engine, float] = {}  # when an engine may be asked again
+        self._out: dict[Engine, Callable[[], None]] = {}
+        self._timer: Timer | None = None
+
+    @property
+    def seeking(self) -> bool:
+        return self.phase in (Phase.SEEKING, Phase.BESIDE)
+
+    def start(self, beside: bool = False) -> None:
         """Begins, or goes on after a rest."""
-        self.held.due(clock.now())
-        if self.since != self.held.owed_since:       # a new debt, with time of its own
-            self.since, self.rounds, self.all_asked = self.held.owed_since, 0, False
-            self.asked.clear()
-        self.not_before.clear()
-        self.active = True
+        if self._since is None or self._since != self.held.since:
+            self._begin_pass()  # else those that were silent are not asked first again
+        self._since = self.held.since
+        self._not_before.clear()
+        self.phase = Phase.BESIDE if beside else Phase.SEEKING
         self._round()
 
+    def _begin_pass(self) -> None:
+        self._asked.clear()
+        self._all_asked, self._rounds = False, 0
+
     def rest(self) -> None:
-        """An attempt arrives: nothing may be let go from under it."""
-        self.active = False
-        for end in self.out.values():
+        """An attempt arrives, or the release is over: nothing is sent."""
+        self.phase = Phase.RESTING
+        for end in list(self._out.values()):
             end()
-        self.out.clear()
-        self._cancel_round()
-
-    def _round_in(self, ms: float) -> None:
-        self._cancel_round()
-        self.timer = self.releases.reactor.callLater(ms / 1000, self._round)
-
-    def _cancel_round(self) -> None:
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        self._out.clear()
+        self._no_round()
+        self._tell_heard()
 
     def _round(self) -> None:
-        now, too_old = clock.now(), clock.now() - GIVE_UP * self.releases.within
-        self.held.expire(too_old)
-        if (self.held.owed_since or now) < too_old:
-            LOG.warning("a release was never heard", request=self.held.key,
-                        engines=[engine.id.decode() for engine in self.held.holders])
-            self.held.holders.clear()
-        if not self.held.holders:
+        now = clock.now()
+        self.held.expire(now)
+        if not self.held.claims:
             return self.releases.forget(self)
-        for engine in self.held.holders:
-            if engine not in self.out and self.not_before.get(engine, 0.0) <= now:
-                self._call(engine)
-        for _ in range(self._others()):
+        if self.phase is Phase.WATCHING:
+            self._begin_pass()
+        if self.phase is not Phase.BESIDE:
+            self.phase = Phase.SEEKING
+        self._ask_claimed(now)
+        for _ in range(self._others(now)):
             self._ask_another(again=True)
-        self.rounds += 1
-        self._round_in(self._pause())
+        self._rounds += 1
+        self._round_in(min(self.releases.within, self.releases.step * 2.0 ** max(0, self._rounds - STEPS)))
 
-    def _others(self) -> int:
+    def _ask_claimed(self, now: float) -> None:
+        """Asks the engines that may hold, if it is time for each."""
+        for engine in {claim.engine: None for claim in self.held.claims}:
+            if engine not in self._out and self._not_before.get(engine, 0.0) <= now:
+                self._call(engine)
+
+    def _others(self, now: float) -> int:
         """How many engines are asked in this round beside those that may hold."""
-        if not self.held.owed:
+        if self._rounds > SINGLE_STEPS:
+            return 2
+        if self._rounds or not self._out:
             return 1
-        return 0 if not self.rounds else 1 if self.rounds <= SINGLE_STEPS else 2
+        if self.held.since is None:
+            return 0 if any(claim.runs_since is not None for claim in self.held.claims) else 1
+        used = (now - self.held.since) / self.releases.within
+        return (used > LATE) + (used > VERY_LATE)
 
-    def _pause(self) -> float:
-        """Until the next round."""
-        within = self.releases.within
-        if not self.held.owed:
-            return within / SETTLING_ROUNDS
-        return min(within, self.releases.step * 2.0 ** max(0, self.rounds - STEPS))
-
-    def _ask_another(self, again: bool = False) -> None:
+    def _ask_another(self, again: bool) -> None:
         """Asks one engine beside those that may hold; with `again` also one that was asked before, once all
         others were."""
-        if len(self.out) >= MOST_AT_ONCE:
+        claimed = {claim.engine for claim in self.held.claims}
+        if len(self._out.keys() - claimed) >= MOST_AT_ONCE:
             return
-        busy = {*self.held.holders, *self.out}
-        other = self.releases.other({*busy, *self.asked})
+        other = self.releases.other({*claimed, *self._out, *self._asked})
         if other is None and again:
-            self.all_asked = True
-            self.asked = {engine: tries for engine, tries in self.asked.items() if engine in busy}
-            other = self.releases.other({*busy, *self.asked})
+            self._all_asked = True
+            self._asked.clear()
+            other = self.releases.other({*claimed, *self._out})
         if other is not None:
             self._call(other)
 
-    def _call(self, engine: i.Engine) -> None:
+    def _call(self, engine: Engine) -> None:
         begun = clock.now()
-        tries = self.asked[engine] = self.asked.get(engine, 0) + 1
-        pause = min(self.releases.within, self.releases.step * 2.0 ** min(tries, STEPS))
-        self.not_before[engine] = begun + pause
+        first = engine not in self._asked
+        self._asked[engine] = None
+        tries = self._tries[engine] = self._tries.get(engine, 0) + 1
+        pause = min(LONGEST_PAUSE * self.releases.within, self.releases.step * 2.0**tries)
+        self._not_before[engine] = begun + pause
 
         def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
-            self.out.pop(engine, None)
-            if not self.active:
+            self._out.pop(engine, None)
+            if self.phase is Phase.RESTING:
                 return
             if 200 <= status < 300 and trouble is None:
+                self._tries.pop(engine, None)
                 self._heard(engine, begun)
-            elif tries == 1 and self.held.owed and not self.all_asked:
-                self._ask_another()                  # at once, for it may have been refused
+                return
+            if isinstance(trouble, client.Refused):
+                self.held.refused(engine, begun, self.releases.within)
+                if not self.held.claims:
+                    return self.releases.forget(self)
+            if first and self.seeking and not self._all_asked:
+                self._ask_another(again=False)  # at once, for it may have been refused
+
+        self._out[engine] = self.releases.call(engine, "DELETE", self.path, b"", ended)
+
+    def _heard(self, engine: Engine, begun: float) -> None:
+        now = clock.now()
+        if self.phase is Phase.BESIDE:
+            self.held.heard_beside = begun
+            return self.rest()
+        since = self.held.since
+        self.held.heard(engine, begun, now)
+        if since is not None and now - since > self.releases.within:
+            LOG.warning("a release was heard late", request=self.held.key, ms=round(now - since))
+        if not self.held.claims:
+            return self.releases.forget(self)
+        if self.phase is Phase.SEEKING:
+            self.phase = Phase.WATCHING
+            claimed = {claim.engine for claim in self.held.claims}
+            for other in self._out.keys() - claimed:
+                self._out.pop(other)()
+            self._round_in(self._next_pass(now))
+        self._tell_heard()
+
+    def _next_pass(self, now: float) -> float:
+        """Milliseconds until the next release is sought: when the engines have finished by rights, if that is
+        soon."""
+        within, left = self.releases.within, self.held.work_left(now)
+        return left + 1.0 if 0 < left <= STRETCH * within else within
+
+    def _tell_heard(self) -> None:
+        on_heard, self.on_heard = self.on_heard, None
+        if on_heard is not None:
+            on_heard()
 
-        self.out[engine] = self.releases.call(engine, "DELETE", self.path, b"", ended)
+    def _round_in(self, ms: float) -> None:
+        self._no_round()
+        self._timer = self.releases.reactor.callLater(max(0.0, ms) / 1000, self._round)
 
-    def _heard(self, engine: i.Engine, begun: float) -> None:
-        was_owed, since = self.held.owed, self.held.owed_since
-        self.held.heard(engine, begun)
-        if not self.held.holders:
-            return self.releases.forget(self)
-        if was_owed:
-            if since is not None and clock.now() - since > self.releases.within:
-                LOG.warning("a release was heard late", request=self.held.key, ms=round(clock.now() - since))
-            for other in [one for one in self.out if one not in self.held.holders]:
-                self.out.pop(other)()
-            self.rounds = 0
-            self._round_in(self._pause())
+    def _no_round(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
 
 
 class Releases:
     """All releases of a node; `running` has those that are not over, by the request's id."""
 
-    def __init__(self, reactor: Reactor, call: Calls, other: Callable[[set[i.Engine]], i.Engine | None],
-                 within: float) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        call: Calls,
+        other: Callable[[set[Engine]], Engine | None],
+        within: float,
+    ) -> None:
         """`other` gives an engine outside a set that is likely to hear, or None; `within` is the time there
         is for a release, milliseconds."""
         self.reactor, self.call, self.other, self.within = reactor, call, other, within
@@ -172,11 +229,38 @@
 
     def start(self, held: HeldState) -> None:
         """What is held is to be let go."""
+        release = self._of(held)
+        if release.phase in (Phase.RESTING, Phase.BESIDE):
+            release.rest()
+            release.start()
+
+    def start_beside(self, held: HeldState) -> None:
+        """State waits for an attempt that may not have arrived: it is let go beside it."""
+        release = self._of(held)
+        if release.phase is Phase.RESTING:
+            release.start(beside=True)
+
+    def stop_beside(self, held: HeldState) -> None:
+        """The attempt that may not have arrived is over."""
+        release = self.running.get(held.key)
+        if release is not None and release.phase is Phase.BESIDE:
+            release.rest()
+
+    def _of(self, held: HeldState) -> Release:
         release = self.running.get(held.key)
         if release is None:
             release = self.running[held.key] = Release(self, held)
-        if not release.active:                       # else it has all of it: nothing is added without a rest
-            release.start()
+        return release
+
+    def seeking(self, held: HeldState) -> Release | None:
+        """The release that is on its way for what may be held now, and that nobody has heard yet."""
+        release = self.running.get(held.key)
+        return release if release is not None and release.phase is Phase.SEEKING and held.owed else None
+
+    @property
+    def open(self) -> bool:
+        """Whether anything may be held now, or still appear."""
+        return any(release.held.claims for release in self.running.values())
 
     @property
     def owed(self) -> bool:
@@ -189,6 +273,12 @@
         if release is not None:
             release.rest()
 
+    def drop_if_over(self, held: HeldState) -> None:
+        """Forgets a release that rests and has nothing left to let go."""
+        release = self.running.get(held.key)
+        if release is not None and not held.claims:
+            self.forget(release)
+
     def forget(self, release: Release) -> None:
         release.rest()
         if self.running.get(release.held.key) is release:
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -12,6 +12,8 @@
 from ..door import Door
 from ..front.logbook import set_up
 from ..front.process import FLUSH, let_out, run_reactor
+from ..net import clock
+from ..net.lateness import Lateness
 from ..net.loop import Reactor, listen, the_reactor
 from ..net.server import Server
 from .clients import NodeClients
@@ -19,6 +21,7 @@
 from .core import BODY, HEAD, NodeCore
 from .counts import NodeCounts
 from .discovery import Discovery
+from .held import LONGEST_SILENCE
 from .limits import shares
 
 LOG = structlog.get_logger()
@@ -43,7 +46,8 @@
         self.core.engine_list = self.discovery
         self.core.on_empty = self._emptied
         self.clients = NodeClients(self.core)
-        self.server = Server(self.clients, BODY, HEAD, IDLE, reactor, PATIENCE, share.clients)
+        self.lateness = Lateness(reactor)
+        self.server = Server(self.clients, BODY, HEAD, IDLE, reactor, PATIENCE, share.clients, self.lateness)
         self.listener: Any = None
         self.port = 0
         self.on_end: Callable[[], None] = lambda: None
@@ -58,6 +62,7 @@
         self.discovery.remember(self.config.known)
         self.discovery.on_word = self._serve
         self.discovery.start()
+        self.lateness.start()
         self.waiting = self.reactor.callLater(FIRST_WORD / 1000, self._serve)
         self._tell_counts()
 
@@ -118,9 +123,12 @@
     def _emptied(self) -> None:
         if self.stopping and not self.accepting and not self.core.cases and not self.ended:
             self.ended = True
-            releases = self.core.releases
-            let_out(self.reactor, lambda: self.server.channels or releases.owed, self._over,
-                    max(FLUSH, 2 * releases.within))
+            flushed = clock.now() + FLUSH
+
+            def waiting() -> bool:
+                return self.core.releases.open or bool(self.server.channels) and clock.now() < flushed
+
+            let_out(self.reactor, waiting, self._over, LONGEST_SILENCE)
 
     def _over(self) -> None:
         self.close()
@@ -129,6 +137,7 @@
     def close(self) -> None:
         self.discovery.stop()
         self.server.stop()
+        self.lateness.stop()
         for timer in (self.timer, self.waiting):
             if timer is not None and timer.active():
                 timer.cancel()
--- a/worksmux/node/trips.py
+++ b/worksmux/node/trips.py
@@ -19,6 +19,8 @@
     asked: protocol.Asked
     made_at = 0.0                    # when its head was written
     expires = 0.0                    # when the time told to its engine is over
+    written_at = 0.0                 # when its connection was up and its bytes were handed over
+    held_back = False                # it has waited for a release
 
     def send(self, asked: protocol.Asked, time_out: float) -> client.Call:
         self.asked, self.made_at = asked, clock.now()
@@ -39,6 +41,11 @@
             self.call.data = client.request("POST", self.asked.path, self.pool.name, self._headers(),
                                             self.asked.body)
 
+    def go(self) -> None:
+        """Its wait for a release is over."""
+        if self.call is not None:
+            self.call.go()
+
     def _refusal(self) -> tuple[i.Outcome, int]:
         return protocol.refusal(self.status, self.headers)
 
