--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -16,6 +16,7 @@
 from fault_injection.world import play
 from test_floods import small_fleet
 
+from worksmux.net.lateness import Lateness
 from worksmux.node.held import Claim, HeldState
 from worksmux.node.releases import Releases
 
@@ -112,6 +113,12 @@
     assert any(one.rule is Rule.PINNED for one in play(draw(seed)).violations)
 
 
+def test_time_that_counts_from_when_a_request_was_read_is_found(monkeypatch: Any) -> None:
+    """Guards against a deadline that is told longer than its client waits, by a process that was late."""
+    monkeypatch.setattr(Lateness, "__call__", lambda self: 0.0)
+    assert any(one.rule is Rule.TOLD_TOO_MUCH for one in play(draw(72)).violations)
+
+
 def test_exit_too_soon_is_found(monkeypatch: Any) -> None:
     monkeypatch.setattr(Releases, "open", property(lambda _: False))
     with pytest.raises(AssertionError):
