Held state: engines that started before the list said so; a late exit; steadier repeats

Compared now by time: only a start after the attempt's end voids it. - node/held.py `refused`: two refused connections 0.3 s apart proved a process dead that only had bad luck with connections.

Tried and not kept: going on with a release while a read is out (it lets go of what that read brings; two tests hold that it must not).

--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -28,7 +28,7 @@
 BESIDE = 0.6                         # of the time to let go: then an attempt that state waits for is in doubt
 ENGINE_LATE = 150.0                  # for an engine to end what it was told to end
 READS = 32                           # the latest, of which the slowest tells how long an engine may go on
-SLOWER = 1.5                         # times the slowest of them
+SLOWER = 3.0                         # times the slowest of them
 HELD_BACK_STEPS = 2                  # of a release: so long an attempt waits for it to be heard
 SECOND = 1000.0                      # to let go in, where the settings know no time for it
 CONNECTING = 250.0                   # for a connection to come up, where the settings do not say
@@ -133,15 +133,16 @@
             held.read(trip.engine, now)
 
     def _work_left(self, case: Case, carrier: Trip, now: float) -> float:
-        """How long an engine that runs may go on with a read that was given up: by the slowest of the latest
-        ones, or for the time that it was told, where none was as long.  What waits for state ends at once."""
+        """How long an engine that runs may go on with a read that was given up, which it may have begun only
+        now: by the slowest of the latest reads, or for the time that it was told, where none was as long.
+        What waits for state ends at once."""
         if not carrier.trip.reading:
             return 0.0
-        longest = max((time for tokens, time in self.read_times), default=0.0)
-        ends = carrier.written_at + SLOWER * longest
-        if case.job.prompt > max((tokens for tokens, _ in self.read_times), default=0.0):
-            ends = carrier.expires + ENGINE_LATE
-        return max(self.releases.within, ends - now)
+        longest = max((time for _, time in self.read_times), default=0.0)
+        most = max((tokens for tokens, _ in self.read_times), default=0.0)
+        if case.job.prompt > most or now - carrier.written_at > longest:
+            return max(self.releases.within, carrier.expires + ENGINE_LATE - carrier.written_at)
+        return max(self.releases.within, SLOWER * longest)
 
     def _release(self, job: i.Job) -> None:
         case = self.cases.get(job)
--- a/worksmux/node/held.py
+++ b/worksmux/node/held.py
@@ -48,7 +48,6 @@
     engine: Engine
     presence: Presence
     since: float  # when the attempt ended
-    started: float  # the engine's start then: a new one has lost all
     work_left: float = 0.0  # how long the engine may go on with it, if it runs
     runs_since: float | None = None  # from when on the engine is known to run
     refused_since: float | None = None  # when its machine first refused a connection, since it last answered
@@ -77,12 +76,12 @@
 
     def read(self, engine: Engine, now: float) -> None:
         """An engine has read the prompt, or its answer about that made no sense."""
-        self._claim(Claim(engine, Presence.HELD, now, engine.started))
+        self._claim(Claim(engine, Presence.HELD, now))
 
     def ended_unseen(self, engine: Engine, now: float, work_left: float) -> None:
         """An attempt was ended by this side, or its connection broke; a running engine may go on with it for
         `work_left` milliseconds."""
-        self._claim(Claim(engine, Presence.POSSIBLE, now, engine.started, work_left))
+        self._claim(Claim(engine, Presence.POSSIBLE, now, work_left))
 
     def _claim(self, claim: Claim) -> None:
         self.claims.append(claim)
@@ -137,7 +136,7 @@
         self.claims = [
             claim
             for claim in self.claims
-            if claim.started == claim.engine.started and now - claim.since < LONGEST_SILENCE
+            if claim.engine.started <= claim.since and now - claim.since < LONGEST_SILENCE
         ]
         if not self.owed:
             self.since = None
--- a/worksmux/node/releases.py
+++ b/worksmux/node/releases.py
@@ -33,6 +33,8 @@
 MOST_AT_ONCE = 8  # calls of one release that are out, beside those to engines that may hold
 STRETCH = 1.25  # times the time: the next release is put off to when an engine has finished, so far at most
 LATE, VERY_LATE = 0.6, 0.75  # parts of the time: after them one, and two engines more are asked at once
+OWED_STEPS = 2  # between two calls to an engine that may hold, while something is owed
+DEAD = 4.0  # times the time: an engine whose machine refuses every connection for that long has died
 LONGEST_PAUSE = 8.0  # times the time there is, between two calls to an engine that does not answer
 
 
@@ -109,7 +111,9 @@
         for _ in range(self._others(now)):
             self._ask_another(again=True)
         self._rounds += 1
-        self._round_in(min(self.releases.within, self.releases.step * 2.0 ** max(0, self._rounds - STEPS)))
+        self._round_in(
+            min(self.releases.within, self.releases.step * 2.0 ** max(0, self._rounds - 2 * STEPS))
+        )
 
     def _ask_claimed(self, now: float) -> None:
         """Asks the engines that may hold, if it is time for each."""
@@ -147,7 +151,8 @@
         first = engine not in self._asked
         self._asked[engine] = None
         tries = self._tries[engine] = self._tries.get(engine, 0) + 1
-        pause = min(LONGEST_PAUSE * self.releases.within, self.releases.step * 2.0**tries)
+        longest = OWED_STEPS * self.releases.step if self.held.owed else LONGEST_PAUSE * self.releases.within
+        pause = min(longest, self.releases.step * 2.0**tries)
         self._not_before[engine] = begun + pause
 
         def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
@@ -159,7 +164,7 @@
                 self._heard(engine, begun)
                 return
             if isinstance(trouble, client.Refused):
-                self.held.refused(engine, begun, self.releases.within)
+                self.held.refused(engine, begun, DEAD * self.releases.within)
                 if not self.held.claims:
                     return self.releases.forget(self)
             if first and self.seeking and not self._all_asked:
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -29,6 +29,7 @@
 IDLE = 2000.0            # a client's connection without an open job, milliseconds
 PATIENCE = 2600.0        # for a request to come whole: who sends none is owed an end within 3 s
 ACCEPTING = 700.0        # after SIGTERM: connections may still come
+LAST_TURNS = 3           # of the reactor after that: a connection is accepted, read and taken
 TELL = 1000.0            # between two lines of counts
 FIRST_WORD = 250.0       # what discovery's agent has it tells at once; a silent one has nothing to tell
 
@@ -110,10 +111,16 @@
         self.stopping, self.clients.ready = True, False
         LOG.info("stopping", open=len(self.core.cases))
         self.server.close_idle()
-        self.reactor.callLater(ACCEPTING / 1000, self._accepted)
+        self.reactor.callLater(ACCEPTING / 1000, self._accepted, LAST_TURNS)
 
-    def _accepted(self) -> None:
-        """No more connections are to come: what is left is answered and the node ends."""
+    def _accepted(self, turns: int) -> None:
+        """No more connections are to come: what is left is answered and the node ends.
+
+        Guards against a reactor that is late: what came in time is taken first.
+        """
+        if turns:
+            self.reactor.callLater(0, self._accepted, turns - 1)
+            return
         self.accepting = False
         if self.listener is not None:
             self.listener.stopListening()
