One time-out for a late reactor; evictions share the server's own connections

Seen on a second reading: the turn that lets what has come be read before time is called stood five times (calls, small calls, attempts, a request's guard, the end of a node), each with a timer put off by hand. It is net/time_out.py now, with the number of turns as before (1, 1, 1, 3, 3). EvictionQueue kept a second dict of the very connections that the server keeps; it looks into the server's.

No behaviour changes; 238 tests of the parts touched pass (floods, faults, crossings, nodes and their ends, the front).

--- a/worksmux/front/carriage.py
+++ b/worksmux/front/carriage.py
@@ -8,7 +8,8 @@
 
 from .. import interface as i
 from ..net import client, clock
-from ..net.loop import Reactor
+from ..net.loop import Reactor, Timer
+from ..net.time_out import TimeOut
 
 
 class Listener(Protocol):
@@ -40,7 +41,7 @@
         self.status, self.headers = 0, {}  # type: int, dict[str, str]
         self.body = bytearray()
         self.over = False
-        self.timer = reactor.callLater(max(0.0, time_out) / 1000, self._look_again)
+        self.timer: Timer = TimeOut(reactor, max(0.0, time_out) / 1000, self._time_is_up)
         self.call: client.Call | None = None
 
     # What a protocol brings.
@@ -69,10 +70,6 @@
         """Whether its last byte has left; what this side ends before that was never sent."""
         return bool(self.status) or self.call is not None and self.call.written
 
-    def _look_again(self) -> None:
-        """Guards against a reactor that is late: what has come up is heard before time is called."""
-        self.timer = self.reactor.callLater(0, self._time_is_up)
-
     def _time_is_up(self) -> None:
         self._end(i.Outcome.TIMED_OUT if self._sent else i.Outcome.MOOT)
 
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -16,6 +16,7 @@
 from ..door import Door
 from ..net import client, clock
 from ..net.loop import Reactor
+from ..net.time_out import TimeOut
 from .carriage import outcome_of
 from .case import Carrying, Case
 from .counts import Counts
@@ -109,9 +110,9 @@
         """A job is told to the module; from here on it is owed one answer."""
         job = case.job
         slack = float(self.module_settings["answer_slack"])
-        case.guard = self.reactor.callLater(
-            max(0.0, job.give_up_at + slack - clock.now()) / 1000, self._overdue, case
-        )
+        left = max(0.0, job.give_up_at + slack - clock.now())
+        # Where the reactor itself was late, the module first hears what has come up to now.
+        case.guard = TimeOut(self.reactor, left / 1000, lambda: self._overdue(case), LATE_LOOKS)
         self.cases[job] = case
         self.metrics.arrived(case.name)
         self.tell(self.door.arrived(job))
@@ -128,14 +129,10 @@
             else:
                 carrier.withdraw()                   # guards against trips that begin for nobody
 
-    def _overdue(self, case: Case, looks: int = LATE_LOOKS) -> None:
-        """Guards against a module that lets a job's time pass: the client is told, and the fault is counted.
-
-        Where the reactor itself was late, the module first hears what has come up to now.
-        """
-        if looks and not case.answered:
-            case.guard = self.reactor.callLater(0, self._overdue, case, looks - 1)
-        elif not case.answered and not case.first_at:
+    def _overdue(self, case: Case) -> None:
+        """Guards against a module that lets a job's time pass: the client is told, and the fault is
+        counted."""
+        if not case.answered and not case.first_at:
             LOG.error("a job's time passed without an answer", job=case.key)
             self.metrics.overdue()
             case.timed_out = True
--- a/worksmux/front/small_calls.py
+++ b/worksmux/front/small_calls.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from ..net import client
-from ..net.loop import Reactor, Timer
+from ..net.loop import Reactor
+from ..net.time_out import TimeOut
 
 
 class SmallCall:
@@ -11,8 +12,8 @@
 
     `on_end` is called once, with status 0 and no trouble where time was called; never after `end`.
 
-    Guards against a reactor that is late: what has come up to now is read before time is called, and a call
-    that could not be written in time is not given up before its answer could have come.
+    Guards against a reactor that is late: a call that could not be written in time is not given up before
+    its answer could have come.
     """
 
     def __init__(
@@ -29,7 +30,7 @@
     ) -> None:
         """`bound`: bytes of the answer's body."""
         self._reactor, self._time_out, self._on_end = reactor, time_out, on_end
-        self._timer: Timer = reactor.callLater(time_out / 1000, self._look_again)
+        self._timer = TimeOut(reactor, time_out / 1000, self._time_is_up)
         self._call = pool.call(method, path, client.Whole(bound, self._ended), headers, body)
         self._call.on_up = self._came_up
 
@@ -40,10 +41,7 @@
 
     def _came_up(self) -> None:
         self._stop_timer()
-        self._timer = self._reactor.callLater(self._time_out / 1000, self._look_again)
-
-    def _look_again(self) -> None:
-        self._timer = self._reactor.callLater(0, self._time_is_up)
+        self._timer = TimeOut(self._reactor, self._time_out / 1000, self._time_is_up)
 
     def _time_is_up(self) -> None:
         self.end()
--- a/worksmux/net/client.py
+++ b/worksmux/net/client.py
@@ -19,7 +19,8 @@
 from twisted.python.failure import Failure
 
 from . import clock
-from .loop import Reactor, Timer, Transport
+from .loop import Reactor, Transport
+from .time_out import TimeOut
 
 Headers = Iterable[tuple[str, str]]
 CHUNK = 2**24            # bytes of one chunk, where nothing else is said
@@ -296,21 +297,15 @@
         self.over = False
         self.begun = clock.now()
         self._opened: _Opened | None = None          # its connection, while it is held back
-        self._time_out: Timer | None = None          # for its connection to come up
+        self._time_out: TimeOut | None = None          # for its connection to come up
 
     def connect(self, pool: Pool) -> None:
         """Opens a connection of its own."""
-        seconds = pool.connect_time_out / 1000
-        self._time_out = pool.reactor.callLater(seconds, self._look_again, pool)
+        self._time_out = TimeOut(pool.reactor, pool.connect_time_out / 1000, self._connect_timed_out)
         # No time-out of Twisted's own, which would be called before what has come up is read.
         self.connector = pool.reactor.connectTCP(
             pool.host, pool.port, _Opening(pool, self), timeout=None)  # type: ignore[arg-type]
 
-    def _look_again(self, pool: Pool) -> None:
-        """Guards against a reactor that is late: a connection that has come up meanwhile is heard of before
-        its time is called.  Otherwise no connection comes up at all while each turn takes that long."""
-        self._time_out = pool.reactor.callLater(0, self._connect_timed_out)
-
     def _connect_timed_out(self) -> None:
         self.failed(Unsent("no connection came up in time"))
         self.connector.disconnect()
--- a/worksmux/net/eviction.py
+++ b/worksmux/net/eviction.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Collection
 from itertools import count
 from typing import Protocol
 
@@ -22,33 +23,20 @@
 class EvictionQueue:
     """Connections by rank, the highest first, and within a rank by how long they have been in it.
 
-    A connection is filed again by `changed` whenever its rank or `since` may have changed; older entries of
-    it are skipped.  Guards against a search through all connections for each new one: in a burst of hundreds
-    that took longer than the burst.
+    `members` are the connections there are, as their owner keeps them.  One is filed whenever its rank or
+    `since` may have changed; older entries of it are skipped, and those of what is no member any more.
+    Guards against a search through all connections for each new one: in a burst of hundreds that took longer
+    than the burst.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, members: Collection[Evictable]) -> None:
         self._entries: list[tuple[int, float, int, Evictable]] = []
-        self._members: dict[Evictable, None] = {}
+        self._members = members
         self._numbers = count()
 
-    def __len__(self) -> int:
-        return len(self._members)
-
-    def add(self, connection: Evictable) -> None:
-        self._members[connection] = None
-        self._file(connection)
-
-    def changed(self, connection: Evictable) -> None:
-        if connection in self._members:
-            self._file(connection)
-
-    def remove(self, connection: Evictable) -> None:
-        self._members.pop(connection, None)
-
     def take(self, newest: Evictable) -> Evictable:
-        """The one to close, which is then no member any more; `newest` only where nothing else can be spared,
-        as it has had no time to speak."""
+        """The one to close; `newest` only where nothing else can be spared, as it has had no time to
+        speak."""
         passed_over = []
         chosen = newest
         while self._entries:
@@ -62,7 +50,6 @@
             passed_over.append(entry)
         for entry in passed_over:
             heapq.heappush(self._entries, entry)
-        self.remove(chosen)
         return chosen
 
     def _holds(self, rank: int, since: float, connection: Evictable) -> bool:
@@ -73,12 +60,13 @@
         if connection.rank() == rank and connection.since == since:
             return rank > 0
         if connection.rank() != rank and connection.since == since:
-            self._file(connection)
+            self.file(connection)
         return False
 
-    def _file(self, connection: Evictable) -> None:
+    def file(self, connection: Evictable) -> None:
+        """A connection is new, or its rank or `since` may have changed."""
         rank = connection.rank()
-        if rank <= 0:
+        if rank <= 0 or connection not in self._members:
             return
         heapq.heappush(self._entries, (-rank, connection.since, next(self._numbers), connection))
         if len(self._entries) > STALE * len(self._members) + SPARE:
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -193,7 +193,7 @@
         self.factory.made(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.factory.forget(self)
+        self.factory.channels.pop(self, None)
         super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:
@@ -212,7 +212,7 @@
             self.receiving = True
             if self.asked:
                 self.since = clock.now()             # the first one's time runs from the connection's start
-            self.factory.evictions.changed(self)
+            self.factory.evictions.file(self)
         super().dataReceived(data)
 
     def refuse(self, status: bytes = b"400 Bad Request") -> None:
@@ -231,7 +231,7 @@
             return
         self.spoilt = self.closing = True
         self.since, self.behind = clock.now(), 0
-        self.factory.evictions.changed(self)
+        self.factory.evictions.file(self)
         self.setTimeout(LINGER / 1000)
         self._wire.unregisterProducer()
         self._wire.resumeProducing()
@@ -284,7 +284,7 @@
 
     def requestDone(self, request: http.Request) -> None:
         self.busy, self.asked, self.since, self.behind = False, True, clock.now(), 0
-        self.factory.evictions.changed(self)
+        self.factory.evictions.file(self)
         super().requestDone(request)
 
     def rank(self) -> int:
@@ -312,14 +312,14 @@
         self.keep_alive, self.patience, self.most, self.late = keep_alive, patience, most, late
         self.closing = False                         # each answer closes its connection
         self.channels: dict[Any, None] = {}
-        self.evictions = EvictionQueue()
+        self.evictions = EvictionQueue(self.channels)
         self.channel_hook: Callable[[Any], None] | None = None     # called with each new connection
         self._look: Any = None
 
     def made(self, channel: Any) -> None:
         """A connection has come; where they are too many, one that is of the least use is closed."""
         self.channels[channel] = None
-        self.evictions.add(channel)
+        self.evictions.file(channel)
         if self.channel_hook:
             self.channel_hook(channel)
         if self.most and len(self.channels) > self.most:
@@ -329,12 +329,8 @@
 
     def _abort(self, channel: Any) -> None:
         """Its descriptor is free a moment later: until then it must not be chosen again."""
-        self.forget(channel)
-        channel.transport.abortConnection()
-
-    def forget(self, channel: Any) -> None:
         self.channels.pop(channel, None)
-        self.evictions.remove(channel)
+        channel.transport.abortConnection()
 
     def _look_later(self) -> None:
         reactor: Any = self.reactor
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -16,6 +16,7 @@
 from ..net.lateness import Lateness
 from ..net.loop import Reactor, listen, the_reactor
 from ..net.server import Server
+from ..net.time_out import TimeOut
 from .clients import NodeClients
 from .config import BadConfig, Config, load
 from .core import BODY, HEAD, NodeCore
@@ -111,16 +112,10 @@
         self.stopping, self.clients.ready = True, False
         LOG.info("stopping", open=len(self.core.cases))
         self.server.close_idle()
-        self.reactor.callLater(ACCEPTING / 1000, self._accepted, LAST_TURNS)
+        TimeOut(self.reactor, ACCEPTING / 1000, self._accepted, LAST_TURNS)
 
-    def _accepted(self, turns: int) -> None:
-        """No more connections are to come: what is left is answered and the node ends.
-
-        Guards against a reactor that is late: what came in time is taken first.
-        """
-        if turns:
-            self.reactor.callLater(0, self._accepted, turns - 1)
-            return
+    def _accepted(self) -> None:
+        """No more connections are to come: what is left is answered and the node ends."""
         self.accepting = False
         if self.listener is not None:
             self.listener.stopListening()
