Tests: the fault model uses the rig's messages; what nothing used is gone

On a second reading: chunk, answers, events and the settings' rules stood in node_rig and again in the fault model; a head was taken apart a second time in the runs over sockets; a schedule was put together field by field where msgspec's replace does. Unused fields and two functions are gone.

--- a/tests/fault_injection/draw.py
+++ b/tests/fault_injection/draw.py
@@ -19,7 +19,7 @@
     engines = _engines(random, zones)
     classes = _classes(random)
     behaviour = _behaviour(random)
-    requests = _requests(random, len(processes), classes, behaviour)
+    requests = _requests(random, len(processes), classes)
     faults = _faults(random, zones, processes, engines)
     return s.Schedule(seed, zones, processes, engines, classes, behaviour, requests, faults)
 
@@ -79,9 +79,7 @@
     )
 
 
-def _requests(
-    random: Random, processes: int, classes: list[s.RequestClass], behaviour: s.Behaviour
-) -> list[s.RequestSpec]:
+def _requests(random: Random, processes: int, classes: list[s.RequestClass]) -> list[s.RequestSpec]:
     found = []
     early = random.choice([0.0, 0.1, 0.4])  # the part of clients that leave early
     for _ in range(random.randint(10, 50)):
--- a/tests/fault_injection/engine.py
+++ b/tests/fault_injection/engine.py
@@ -8,6 +8,9 @@
 from random import Random
 from zlib import crc32
 
+from node_rig import EVENTS as ANSWER_EVENTS
+from node_rig import LAST, NO_CONTENT, STREAM, chunk
+
 from .ledger import Attempt, Ledger, Rule, State
 from .network import End, Host, Network
 from .schedule import BadAnswers, Behaviour, EngineSpec, Message
@@ -16,18 +19,11 @@
 FETCH = 0.01  # seconds that a state takes to move
 EVENTS, EVENT_PAUSE = 3, 0.04  # of an answer
 GOES_ON = 0.1  # seconds beyond the time told that an engine works on what it knows to be given up
-NO_CONTENT = b"HTTP/1.1 204 No Content\r\n\r\n"
-STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 NOISE = b"\x00\x17\x88 no head at all\r\n\r\n"
-EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"oq"},"finish_reason":null}]}\n\n'
-DONE = b"data: [DONE]\n\n"
+EVENT, _, DONE = ANSWER_EVENTS
 NOT_RUN = "X-Not-Processed: 1\r\n"
 
 
-def chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 def reply(status: int, more: str = "", body: bytes = b"") -> bytes:
     return f"HTTP/1.1 {status} X\r\n{more}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
@@ -77,7 +73,6 @@
     connection: Connection
     told: float  # seconds that its sender waits
     tokens: int
-    idempotent: bool
     running: bool = False
     answered: bool = False
     dropped: bool = False
@@ -122,7 +117,6 @@
 
     left_at: Callable[[], float | None]
     gives_up_at: float
-    idempotent: bool
 
 
 @dataclass
@@ -173,7 +167,6 @@
         self.works: dict[Work, None] = {}
         self.queue: list[Work] = []
         self.running: dict[Work, None] = {}
-        self.states: dict[str, list[State]] = {}
         self.draining = False
         host.accept = lambda end: Connection(self, end)
 
@@ -222,7 +215,7 @@
         told = int(request.headers["x-timeout-ms"]) / 1000
         reading = self.spec.role == "read"
         attempt = Attempt(key, self.name, now, reading)
-        work = connection.work = Work(attempt, connection, told, tokens, client.idempotent)
+        work = connection.work = Work(attempt, connection, told, tokens)
         self._judge_times(key, client, told, connection.end.peer.sent_at)
         if connection.end.peer.closed_at is not None:
             return None  # given up before it arrived
@@ -282,8 +275,7 @@
             or self.simulation.now > work.attempt.since + work.told + GOES_ON
         )
         if not work.attempt.released and not gone:
-            state = self.ledger.appeared(work.attempt.request, self.name)
-            self.states.setdefault(work.attempt.request, []).append(state)
+            self.ledger.appeared(work.attempt.request, self.name)
         self._answer(work, NOISE if work.spoilt else reply(202, "", b'{"cached_tokens":0}'))
 
     def _fetch(self, work: Work) -> None:
@@ -336,7 +328,7 @@
                 work.connection.send(chunk(EVENT))
             self.host.loop.call_later(EVENT_PAUSE, self._event, work, number + 1)
             return None
-        return self._answer(work, chunk(DONE) + b"0\r\n\r\n")
+        return self._answer(work, chunk(DONE) + LAST)
 
     def _answer(self, work: Work, data: bytes) -> None:
         if not work.silent:
--- a/tests/fault_injection/ledger.py
+++ b/tests/fault_injection/ledger.py
@@ -70,7 +70,8 @@
 
 
 class Ledger:
-    """`isolated` gives for how many seconds of an interval a process could reach no running engine."""
+    """Judges as things happen.  `isolated` has process, start and end (seconds) of each time in which a
+    process can reach no running engine."""
 
     def __init__(self, simulation: Simulation, release_within: float, releases_end_reads: bool) -> None:
         """`release_within` in milliseconds."""
--- a/tests/fault_injection/network.py
+++ b/tests/fault_injection/network.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Protocol
@@ -294,6 +294,3 @@
             end.closed = True
         host.ends.clear()
         host.loop.die()
-
-    def names(self, hosts: Iterable[Host]) -> frozenset[str]:
-        return frozenset(host.name for host in hosts)
--- a/tests/fault_injection/outside.py
+++ b/tests/fault_injection/outside.py
@@ -5,11 +5,12 @@
 from collections.abc import Callable
 from enum import Enum
 
+from node_rig import chunk
+
 from .engine import Requests
 from .ledger import Ledger, Rule
 from .network import End, Host, Network
 from .schedule import RequestClass, RequestSpec
-from .simulation import START
 
 TOKEN = 4  # bytes
 LATE_ANSWER = 0.5  # seconds after its time at which a final answer only earns nothing
@@ -164,15 +165,10 @@
             self.agent.watches[self] = None
 
     def say(self, line: bytes) -> None:
-        self.end.send(b"%x\r\n%s\r\n" % (len(line), line))
+        self.end.send(chunk(line))
 
     def ended(self, reset: bool) -> None:
         self.agent.watches.pop(self, None)
         self.end.close()
 
     def writable(self) -> None: ...
-
-
-def sent_whole(client: Client, run_start: float = START) -> bool:
-    """Whether the request's last byte has left its client."""
-    return client.sent_at > 0 and not client._unsent
--- a/tests/fault_injection/reactor.py
+++ b/tests/fault_injection/reactor.py
@@ -234,8 +234,7 @@
 
 
 class Reactor:
-    """One process's reactor.  Addresses of others are host names of the network, made into numbers by
-    `address_of`."""
+    """One process's reactor; `port_of` and `host_at` turn hosts of the network into ports and back."""
 
     def __init__(self, network: Network, host: Host) -> None:
         self.network, self.host = network, host
--- a/tests/fault_injection/world.py
+++ b/tests/fault_injection/world.py
@@ -7,12 +7,13 @@
 import random as global_random
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 from typing import Any, assert_never
 from zlib import crc32
 
 import structlog
+from node_rig import SETTINGS
 
 from worksmux.net import clock
 from worksmux.node.config import Config, read
@@ -31,7 +32,6 @@
 TAKES_MORE = 0.7  # seconds after SIGTERM that connections may still come
 KILL_AFTER = 0.7  # seconds beyond the longest deadline (3 s at most) from SIGTERM to SIGKILL
 LONGEST_COUNTED = 3000.0
-CLASS_LIST = "services"
 
 
 @dataclass
@@ -55,7 +55,6 @@
     requests: int
     served: int
     releases: int
-    crashes: list[str] = field(default_factory=list)
 
 
 class World:
@@ -63,7 +62,6 @@
 
     def __init__(self, schedule: s.Schedule, simulation: Simulation) -> None:
         self.schedule, self.simulation = schedule, simulation
-        self.random = Random(schedule.seed)
         behaviour = schedule.behaviour
         self.network = Network(self.simulation, Random(schedule.seed + 1), behaviour.resets_are_lost)
         self.network.side_ended = self._side_ended
@@ -79,7 +77,6 @@
         self.index = 1
         self.agents: dict[str, Agent] = {}
         self.processes: dict[str, Process] = {}
-        self.crashes: list[str] = []
         self._numbers: dict[str, int] = {}
         self._build()
 
@@ -143,7 +140,7 @@
             "zone": schedule.zones.index(zone) if schedule.zones else 0,
             "kinds": ["read", "write", "both"],
             "zones": schedule.zones,
-            CLASS_LIST: [
+            "services": [
                 {
                     "name": one.name,
                     "aim": one.target,
@@ -161,14 +158,7 @@
                 "connect_timeout": behaviour.connect_timeout,
             },
             "extra": {"duty_by_kind": ["read", "write", "both"], "release_within": behaviour.release_within},
-            "rules": {
-                "answer_slack": 8.0,
-                "drain_grace": 250.0,
-                "cold_share": 0.3,
-                "warm_up": 13000.0,
-                "tip_multiple": 4.0,
-                "fall": 2000.0,
-            },
+            "rules": SETTINGS["rules"],
         }
         told = {
             "name": name,
@@ -214,7 +204,6 @@
         self.views[key] = ClientView(
             lambda: client.left_at,
             START + (request.at + request.timeout) / 1000 + 0.01,
-            request_class.effect == "free",
         )
         self.simulation.call_at(START + request.at / 1000, client.start)
 
@@ -399,7 +388,6 @@
             len(self.clients),
             served,
             self.ledger.releases,
-            self.crashes,
         )
 
 
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 from fault_injection import schedule as s
 from fault_injection.draw import draw
@@ -42,17 +43,7 @@
 
 
 def fleet_with(faults: list[s.Fault], requests: list[s.RequestSpec], **behaviour: Any) -> s.Schedule:
-    schedule = small_fleet(faults, **behaviour)
-    return s.Schedule(
-        schedule.seed,
-        schedule.zones,
-        schedule.processes,
-        schedule.engines,
-        schedule.classes,
-        schedule.behaviour,
-        requests,
-        faults,
-    )
+    return msgspec.structs.replace(small_fleet(faults, **behaviour), requests=requests)
 
 
 def pinned(schedule: s.Schedule) -> list[str]:
@@ -153,9 +144,7 @@
 def test_input_that_makes_no_sense_is_named(tmp_path: Path, arguments: list[str], wanted: str) -> None:
     file = tmp_path / "schedule.json"
     if arguments[1] == "WRONG":
-        from fault_injection.schedule import save
-
-        save(fleet_with([], [request(0.0, process=7)]), file)
+        s.save(fleet_with([], [request(0.0, process=7)]), file)
         arguments = [arguments[0], str(file)]
     elif arguments[1] == "{}":
         file.write_text("{}")
--- a/tests/test_held_sockets.py
+++ b/tests/test_held_sockets.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import pytest
+from fault_injection.engine import Requests
 from fault_injection.ledger import Attempt, Ledger, Rule, State
 from node_rig import ANSWER, NO_CONTENT, READ, Engine, Peer, Rig, ask
 
@@ -72,15 +73,14 @@
         self.rig.reactor.callLater(seconds, call, *arguments)
 
     def _request(self, peer: Connection, request: bytes) -> None:
-        head = request.split(b"\r\n", 1)[0].decode()
-        if head.startswith("DELETE"):
+        (asked,) = Requests().feed(request)
+        if asked.method == "DELETE":
             if self.random.random() < self.loses:
                 return
-            self.ledger.released(head.split(" ")[1].rpartition("/")[2], self.name)
+            self.ledger.released(asked.path.rpartition("/")[2], self.name)
             self._send(peer, NO_CONTENT)
             return
-        lines = dict(line.split(b": ", 1) for line in request.split(b"\r\n\r\n")[0].split(b"\r\n")[1:])
-        key = lines[b"X-Request-ID"].decode()
+        key = asked.headers["x-request-id"]
         attempt = Attempt(key, self.name, monotonic(), self.kind == "prefill")
         if not peer.ended:
             peer.attempt = attempt
