Six small schedules that break the rule on held state, red

Six that differ in kind were shrunk to 1 to 6 requests and 0 to 4 faults.

One needs no fault at all: a client leaves 7 ms after its request, the prefill goes on at the engine and takes longer than any that this process has seen, and its state appears after the last release. One needs a single vanished engine.

--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -22,6 +22,7 @@
 from worksmux.node.releases import Releases
 
 SEEDS, CHUNKS = 320, 8
+FOUND = sorted((Path(__file__).parent / "fault_injection" / "found").glob("*.json"))
 
 
 @pytest.mark.parametrize("chunk", range(CHUNKS))
@@ -32,6 +33,12 @@
     assert not broken
 
 
+@pytest.mark.parametrize("path", FOUND, ids=[path.stem for path in FOUND])
+def test_schedule_that_once_broke_a_rule_keeps_them(path: Path) -> None:
+    """Shrunk from a drawn schedule that broke a rule; its name says what happens."""
+    assert not play(s.load(path)).violations
+
+
 def test_schedule_gives_the_same_result_each_time() -> None:
     first, second = play(draw(8)), play(draw(8))
     assert first.trace == second.trace and first.releases == second.releases
