Releases: no call waits for a connection that does not come up; a hung engine is not dead

With few engines in reach all were barred at once. The number asked in a round went by the rounds since the release's start (_others), though the time runs from the last outcome.

Ruled out: the list (all engines were known), the clock (it ran from the outcome in each).

Change: another connection is opened after the usual pause while one does not come up, three at most; the less time is left, the more engines are asked; a connection that comes up ends the count of refusals.

--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -1,6 +1,7 @@
 """What engines may hold for a request, and releases in scripted time: who is asked, how often, until when."""
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -94,6 +95,17 @@
     assert not held.claims
 
 
+def test_engine_that_refuses_connections_between_others_that_come_up_lives() -> None:
+    """Guards against an engine that hangs with its queue full at times, taken for one that has died."""
+    held = HeldState("a1")
+    engine = ENGINES[0]
+    held.ended_unseen(engine, 100.0, 500.0)
+    held.refused(engine, 110.0, WITHIN)
+    held.connected(engine)                           # nobody answered, but its machine took the connection
+    held.refused(engine, 110.0 + WITHIN, WITHIN)
+    assert held.claims
+
+
 def test_engine_that_has_started_anew_or_is_silent_for_very_long_holds_nothing() -> None:
     held = HeldState("a1")
     engine = i.Engine(b"n", 9)
@@ -154,6 +166,7 @@
         self.asked: list[tuple[float, i.Engine, Any]] = []
         self.out: dict[i.Engine, Any] = {}
         self.silent: set[i.Engine] = set()
+        self.unconnected: set[i.Engine] = set()      # connections to these do not come up
         self.most_out = 0
         self.releases = Releases(self.clock, self._call, self._other, WITHIN)  # type: ignore[arg-type]
         self.held = HeldState("a1")
@@ -170,7 +183,7 @@
                 timer.cancel()
             self.out.pop(engine, None)
 
-        return drop
+        return SimpleNamespace(connected=engine not in self.unconnected, end=drop)
 
     def end(self, engine: i.Engine, status: int, trouble: client.Trouble | None = None) -> None:
         on_end = self.out.pop(engine, None)
@@ -224,6 +237,19 @@
     assert len(script.asked) == asked and not script.clock.getDelayedCalls()
 
 
+@pytest.mark.parametrize("connected", [True, False])
+def test_engine_is_asked_again_while_a_connection_does_not_come_up(monkeypatch: Any, connected: bool) -> None:
+    """Guards against one lost connection that takes most of the time there is; an engine that has the release
+    and does not answer is not asked twice at once."""
+    script = Script(monkeypatch, engines_of(1))
+    if not connected:
+        script.unconnected.update(script.engines)
+    script.start().run(module.OWED_STEPS * STEP + 2)
+    assert len(script.asked) == (1 if connected else 2)
+    script.run(WITHIN)
+    assert len(script.releases.running["a1"]._out) <= module.MOST_TO_ONE
+
+
 def test_refusals_lead_to_another_engine_at_once_and_never_round_in_circles(monkeypatch: Any) -> None:
     script = Script(monkeypatch, engines_of(5)).start()
     refused = client.Unsent("refused")
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -20,7 +20,7 @@
 from .carriage import outcome_of
 from .case import Carrying, Case
 from .counts import Counts
-from .small_calls import SmallCall
+from .small_calls import NeverSent, OutgoingCall, SmallCall
 from .turns import Turns
 
 LOG = structlog.get_logger()
@@ -291,15 +291,13 @@
     # Small calls.
 
     def _small(self, engine: i.Engine, method: str, path: str, body: bytes, on_end: client.OnEnd
-               ) -> Callable[[], None]:
-        """A call beside the jobs, with its own time-out; gives what ends it without a word.  One to an engine
-        never listed is unreachable."""
-        time_out, bound, headers = self._small_bounds()
+               ) -> OutgoingCall:
+        """A call beside the jobs, with its own time-out.  One to an engine never listed is unreachable."""
         if engine not in self.pools:
-            timer = self.reactor.callLater(0, on_end, 0, {}, b"", client.Unsent("no address is known"))
-            return lambda: timer.cancel() if timer.active() else None
+            return NeverSent(self.reactor, on_end)
+        time_out, bound, headers = self._small_bounds()
         return SmallCall(self.reactor, self.pools[engine], method, path, headers, body, bound, time_out,
-                         on_end).end
+                         on_end)
 
     def probe(self, engine: i.Engine, tell: Callable[[i.Event], None]) -> None:
         """Asks an engine how it does; `tell` gets the answer."""
--- a/worksmux/front/small_calls.py
+++ b/worksmux/front/small_calls.py
@@ -2,11 +2,38 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 from ..net import client
-from ..net.loop import Reactor
+from ..net.loop import Reactor, Timer
 from ..net.time_out import TimeOut
 
 
+class OutgoingCall(Protocol):
+    """A call that is out, as its sender sees it."""
+
+    @property
+    def connected(self) -> bool:
+        """Whether its connection has come up."""
+
+    def end(self) -> None:
+        """Gives it up without a word."""
+
+
+class NeverSent:
+    """A call to an engine whose address is not known; its sender hears of it in the reactor's next turn."""
+
+    connected = False
+
+    def __init__(self, reactor: Reactor, on_end: client.OnEnd) -> None:
+        trouble = client.Unsent("no address is known")
+        self._timer: Timer = reactor.callLater(0, on_end, 0, {}, b"", trouble)
+
+    def end(self) -> None:
+        if self._timer.active():
+            self._timer.cancel()
+
+
 class SmallCall:
     """A call whose connection has `time_out` milliseconds to come up, and as long again to be answered.
 
@@ -33,6 +60,7 @@
         self._timer = TimeOut(reactor, time_out / 1000, self._time_is_up)
         self._call = pool.call(method, path, client.Whole(bound, self._ended), headers, body)
         self._call.on_up = self._came_up
+        self.connected = self._call.up
 
     def end(self) -> None:
         """Gives it up without a word."""
@@ -40,6 +68,7 @@
         self._call.abandon()
 
     def _came_up(self) -> None:
+        self.connected = True
         self._stop_timer()
         self._timer = TimeOut(self._reactor, self._time_out / 1000, self._time_is_up)
 
--- a/worksmux/node/held.py
+++ b/worksmux/node/held.py
@@ -50,7 +50,7 @@
     since: float  # when the attempt ended
     work_left: float = 0.0  # how long the engine may go on with it, if it runs
     runs_since: float | None = None  # from when on the engine is known to run
-    refused_since: float | None = None  # when its machine first refused a connection, since it last answered
+    refused_since: float | None = None  # when its machine refused a connection, since one last came up
 
     def answered(self, begun: float, now: float) -> bool:
         """Its engine has answered a release that began at `begun`: whether nothing can appear any more."""
@@ -113,9 +113,16 @@
                 kept.append(claim)
         self.claims, self.since = kept, None
 
+    def connected(self, engine: Engine) -> None:
+        """A connection to an engine has come up: its process lives, also where it does not answer."""
+        for claim in self.claims:
+            if claim.engine is engine:
+                claim.refused_since = None
+
     def refused(self, engine: Engine, begun: float, apart: float) -> None:
-        """An engine's machine has refused a connection.  Where it did so before, `apart` milliseconds ago or
-        more, its process has died, and all that it held with it; once may be for want of room."""
+        """An engine's machine has refused a connection.  Where it has done nothing else for `apart`
+        milliseconds or more, its process has died, and all that it held with it; once may be for want of
+        room."""
         for claim in [one for one in self.claims if one.engine is engine and begun >= one.since]:
             if claim.refused_since is None:
                 claim.refused_since = begun
--- a/worksmux/node/releases.py
+++ b/worksmux/node/releases.py
@@ -16,11 +16,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
 import structlog
 
+from ..front.small_calls import OutgoingCall
 from ..interface import Engine
 from ..net import client, clock
 from ..net.loop import Reactor, Timer
@@ -31,19 +33,30 @@
 STEPS = 8  # a step, and the first pause before a repeat, is this part of the time there is
 SINGLE_STEPS = 4  # steps that ask one engine more; later ones ask two
 MOST_AT_ONCE = 8  # calls of one release that are out, beside those to engines that may hold
+MOST_TO_ONE = 3  # calls to one engine that are out while their connections do not come up
+MOST_IN_A_ROUND = 4  # other engines asked in one round, when hardly any time is left
 STRETCH = 1.25  # times the time: the next release is put off to when an engine has finished, so far at most
-LATE, VERY_LATE = 0.6, 0.75  # parts of the time: after them one, and two engines more are asked at once
+LATE, VERY_LATE = 0.6, 0.75  # parts of the time: after them more engines are asked at once
+HOPELESS = 1.75  # times the time: by then nobody is likely to hear, and fewer are asked again
 OWED_STEPS = 2  # between two calls to an engine that may hold, while something is owed
 DEAD = 4.0  # times the time: an engine whose machine refuses every connection for that long has died
 LONGEST_PAUSE = 8.0  # times the time there is, between two calls to an engine that does not answer
 
 
 class Calls(Protocol):
-    """Sends one small call; what it returns ends it without a word."""
+    """Sends one small call."""
 
     def __call__(
         self, engine: Engine, method: str, path: str, body: bytes, on_end: client.OnEnd, /
-    ) -> Callable[[], None]: ...
+    ) -> OutgoingCall: ...
+
+
+@dataclass(eq=False, slots=True)
+class _Asked:
+    """One engine that is being asked."""
+
+    engine: Engine
+    call: OutgoingCall
 
 
 class Phase(Enum):
@@ -69,7 +82,7 @@
         self._all_asked = False  # the first pass is over
         self._tries: dict[Engine, int] = {}  # calls that were not answered, since the last answer
         self._not_before: dict[Engine, float] = {}  # when an engine may be asked again
-        self._out: dict[Engine, Callable[[], None]] = {}
+        self._out: list[_Asked] = []
         self._timer: Timer | None = None
 
     @property
@@ -92,9 +105,7 @@
     def rest(self) -> None:
         """An attempt arrives, or the release is over: nothing is sent."""
         self.phase = Phase.RESTING
-        for end in list(self._out.values()):
-            end()
-        self._out.clear()
+        self._end_calls(set())
         self._no_round()
         self._tell_heard()
 
@@ -115,34 +126,59 @@
             min(self.releases.within, self.releases.step * 2.0 ** max(0, self._rounds - 2 * STEPS))
         )
 
+    def _end_calls(self, kept: set[Engine]) -> None:
+        """Gives up the calls that are out, but for those to the engines that are kept."""
+        ended = [asked for asked in self._out if asked.engine not in kept]
+        self._out = [asked for asked in self._out if asked.engine in kept]
+        for asked in ended:
+            asked.call.end()
+
+    def _may_ask(self, engine: Engine, now: float) -> bool:
+        """Whether it is time to ask an engine, first or again.
+
+        Guards against a connection that never comes up, known as such only after most of the time there is:
+        meanwhile another one is opened.
+        """
+        out = [asked.call for asked in self._out if asked.engine is engine]
+        if any(call.connected for call in out) or len(out) >= MOST_TO_ONE:
+            return False
+        return self._not_before.get(engine, 0.0) <= now
+
     def _ask_claimed(self, now: float) -> None:
         """Asks the engines that may hold, if it is time for each."""
         for engine in {claim.engine: None for claim in self.held.claims}:
-            if engine not in self._out and self._not_before.get(engine, 0.0) <= now:
+            if self._may_ask(engine, now):
                 self._call(engine)
 
     def _others(self, now: float) -> int:
-        """How many engines are asked in this round beside those that may hold."""
-        if self._rounds > SINGLE_STEPS:
+        """How many engines are asked in this round beside those that may hold: the more, the less time is
+        left."""
+        used = 0.0 if self.held.since is None else (now - self.held.since) / self.releases.within
+        if self._rounds and VERY_LATE < used < HOPELESS:
+            return MOST_IN_A_ROUND
+        if self._rounds > SINGLE_STEPS or self._rounds and used > LATE:
             return 2
         if self._rounds or not self._out:
             return 1
         if self.held.since is None:
             return 0 if any(claim.runs_since is not None for claim in self.held.claims) else 1
-        used = (now - self.held.since) / self.releases.within
         return (used > LATE) + (used > VERY_LATE)
 
     def _ask_another(self, again: bool) -> None:
         """Asks one engine beside those that may hold; with `again` also one that was asked before, once all
         others were."""
         claimed = {claim.engine for claim in self.held.claims}
-        if len(self._out.keys() - claimed) >= MOST_AT_ONCE:
+        out = {asked.engine for asked in self._out}
+        if sum(asked.engine not in claimed for asked in self._out) >= MOST_AT_ONCE:
             return
-        other = self.releases.other({*claimed, *self._out, *self._asked})
+        other = self.releases.other({*claimed, *out, *self._asked})
         if other is None and again:
             self._all_asked = True
             self._asked.clear()
-            other = self.releases.other({*claimed, *self._out})
+            now = clock.now()
+            other = self.releases.other(
+                claimed | {engine for engine in out if not self._may_ask(engine, now)}
+            )
         if other is not None:
             self._call(other)
 
@@ -156,9 +192,11 @@
         self._not_before[engine] = begun + pause
 
         def ended(status: int, headers: dict[str, str], reply: bytes, trouble: client.Trouble | None) -> None:
-            self._out.pop(engine, None)
-            if self.phase is Phase.RESTING:
+            if asked not in self._out:
                 return
+            self._out.remove(asked)
+            if asked.call.connected:
+                self.held.connected(engine)
             if 200 <= status < 300 and trouble is None:
                 self._tries.pop(engine, None)
                 self._heard(engine, begun)
@@ -170,7 +208,8 @@
             if first and self.seeking and not self._all_asked:
                 self._ask_another(again=False)  # at once, for it may have been refused
 
-        self._out[engine] = self.releases.call(engine, "DELETE", self.path, b"", ended)
+        asked = _Asked(engine, self.releases.call(engine, "DELETE", self.path, b"", ended))
+        self._out.append(asked)
 
     def _heard(self, engine: Engine, begun: float) -> None:
         now = clock.now()
@@ -185,9 +224,7 @@
             return self.releases.forget(self)
         if self.phase is Phase.SEEKING:
             self.phase = Phase.WATCHING
-            claimed = {claim.engine for claim in self.held.claims}
-            for other in self._out.keys() - claimed:
-                self._out.pop(other)()
+            self._end_calls({claim.engine for claim in self.held.claims})
             self._round_in(self._next_pass(now))
         self._tell_heard()
 
