Held state: an engine may go on with a read for the time that it was told

Ruled out: a lost or late release (both were answered in under 1 ms), the engine's end (it was never silent).

--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -133,16 +133,18 @@
             held.read(trip.engine, now)
 
     def _work_left(self, case: Case, carrier: Trip, now: float) -> float:
-        """How long an engine that runs may go on with a read that was given up, which it may have begun only
-        now: by the slowest of the latest reads, or for the time that it was told, where none was as long.
-        What waits for state ends at once."""
+        """How long an engine that runs may go on with a read that was given up: at least for what is left of
+        the time that it was told.  One that was silent may begin only when it runs again: by the slowest of
+        the latest reads, or for all of the time told, where none was as long.  What waits for state ends at
+        once."""
         if not carrier.trip.reading:
             return 0.0
+        ends = carrier.expires + ENGINE_LATE
         longest = max((time for _, time in self.read_times), default=0.0)
         most = max((tokens for tokens, _ in self.read_times), default=0.0)
-        if case.job.prompt > most or now - carrier.written_at > longest:
-            return max(self.releases.within, carrier.expires + ENGINE_LATE - carrier.written_at)
-        return max(self.releases.within, SLOWER * longest)
+        unknown = case.job.prompt > most or now - carrier.written_at > longest
+        takes = ends - carrier.written_at if unknown else SLOWER * longest
+        return max(self.releases.within, ends - now, takes)
 
     def _release(self, job: i.Job) -> None:
         case = self.cases.get(job)
