Failover: a zone without a prefill engine that answers is lost, whatever its decode engines were

The zone was cut off whole, yet two fronts of five voted for lost and one did not speak, the zone counted as grey and came back time and again, and once the test's six seconds of traffic are over nothing votes any more.

Cause: failover/watcher.py report took a zone for lost only with six in ten of its engines at fault. Its one prefill engine is set aside after a fault, and decode engines get no attempts then, so they counted as fine as they were last found. Ruled out: council and relays (the leader saw all votes), the machine (the same at load 2).

Change: a zone is lost too where the engines able to do one of both stages are at fault and nothing there has ended well since. The test of the watcher fails without it. The tables of docs/fleet.md were not measured again.

--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -251,6 +251,18 @@
     assert watcher.report(NOW + 9000).zones["north"].lost == 0
 
 
+def test_zone_whose_only_prefill_engine_fails_is_lost_though_its_decode_engine_was_fine() -> None:
+    """Guards against a zone that is cut off while fronts wait for its decode engines to fail, which get no
+    attempts any more: two votes of five, and no plan."""
+    watcher, (reader, writer, *_) = watched()
+    fault(watcher, writer, NOW + 300, i.Outcome.DELIVERED)
+    fault(watcher, reader, NOW + 500)
+    report = watcher.report(NOW + 900).zones["north"]
+    assert report.lost == 1 and report.spoke == 1
+    fault(watcher, writer, NOW + 950, i.Outcome.DELIVERED)
+    assert watcher.report(NOW + 1500).zones["north"].lost == 0
+
+
 def test_one_engine_of_many_at_fault_loses_no_zone() -> None:
     watcher, (reader, writer, *_) = watched()
     fault(watcher, reader, NOW + 500)
--- a/worksmux/failover/watcher.py
+++ b/worksmux/failover/watcher.py
@@ -26,6 +26,16 @@
         self.fine: dict[i.Engine, float] = {}        # by when their last trip ended well
         self.bad: dict[i.Engine, float] = {}         # of the others, when it ended in a fault
 
+    def lacks_role(self, ready: list[i.Engine]) -> bool:
+        """Whether the zone's engines for one of both stages were last found at fault, and nothing there has
+        ended well since.  Without prefill its decode engines get no attempts that could tell how they are."""
+        for stage in ("read", "write"):
+            able = [engine for engine in ready if engine.role in (stage, "both")]
+            found = [self.bad[engine] for engine in able if engine in self.bad]
+            if found and len(found) >= ALL_BUT * len(able) and max(found) > self.last_good:
+                return True
+        return False
+
 
 class Watcher:
     """`saw` each event, in the order told; `report` what came of it."""
@@ -80,7 +90,8 @@
         waits = self._waits(now)
         whole = sum(one[2] for one in self.engines.values() if one[0] == "ready") or 1.0
         for at, name in enumerate(self.zones):
-            ready = [one for one in self.engines.values() if one[1] == at and one[0] == "ready"]
+            engines = [engine for engine, one in self.engines.items() if one[1] == at and one[0] == "ready"]
+            ready = [self.engines[engine] for engine in engines]
             zone = self.seen[at]
             good, faults = zone.good.count(now), zone.faults.count(now)
             begun, size = zone.press.count(now), sum(one[2] for one in ready)
@@ -93,10 +104,12 @@
             for found in (zone.fine, zone.bad):
                 for engine in [one for one, at in found.items() if at < now - LASTS]:
                     del found[engine]
-            spoke = good + faults >= ENOUGH or len(zone.bad) + len(zone.fine) >= min(
+            lacks_role = zone.lacks_role(engines)
+            spoke = lacks_role or good + faults >= ENOUGH or len(zone.bad) + len(zone.fine) >= min(
                 ENOUGH, max(1, len(ready)))
             lost = (spoke and bool(zone.bad) and now - zone.last_good > SPAN / 4
-                    and (faults >= ENOUGH and faults > good or len(zone.bad) >= ALL_BUT * len(ready)))
+                    and (faults >= ENOUGH and faults > good or len(zone.bad) >= ALL_BUT * len(ready)
+                         or lacks_role))
             grey = spoke and not lost and (faults > GREY * (good + faults)
                                            or begun >= ENOUGH and wait > LATE)
             told.zones[name] = ZoneTally(
