SIGTERM: a first request on its way is answered, also one that had begun to come

Cause: net/server.py close_idle closed connections on which nothing had come yet as if they rested, and set persistent False on those in the middle of a request's first line, from which Twisted's channel throws away what follows. Ruled out: the listener (open for 0.7 s after SIGTERM), the module (never told of the request).

Change: at SIGTERM only connections that have had a request are closed; those without stay until the 0.7 s are over; only a channel with a whole request is told to end with its answer, checkPersistence does so for the others.

--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -352,12 +352,20 @@
         if self.channels:
             self._look_later()
 
-    def close_idle(self) -> None:
-        """From now on each answer closes its connection, and those without a request are closed at once."""
+    def close_idle(self, unused_too: bool = True) -> None:
+        """From now on each answer closes its connection, and those without a request are closed at once;
+        without `unused_too` only those that have had one.
+
+        Guards against a new connection that is closed as its first request is on its way: a client sends a
+        request again where that crosses the end of one that rested, not on a new one.  A channel that is not
+        persistent throws away what begins a request, so that only those with a whole one are told so here;
+        for the others `checkPersistence` sees to it.
+        """
         self.closing = True
         for channel in list(self.channels):
-            channel.persistent = False
-            if not channel.busy and not channel.receiving:
+            if channel.busy:
+                channel.persistent = False
+            elif not channel.receiving and (channel.asked or unused_too):
                 channel.loseConnection()
 
     def stop(self) -> None:
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -111,7 +111,7 @@
             return
         self.stopping, self.clients.ready = True, False
         LOG.info("stopping", open=len(self.core.cases))
-        self.server.close_idle()
+        self.server.close_idle(unused_too=False)
         TimeOut(self.reactor, ACCEPTING / 1000, self._accepted, LAST_TURNS)
 
     def _accepted(self) -> None:
