Held state: an attempt whose engine is silent may not be out, also a prefill or a stream

A prefill written to an engine that hangs or into a cut put releases off for as long as its own time-out while state of an earlier attempt was held, and so did a stream whose machine had vanished. Second: the time in which state may appear at an engine that was heard once counted from the next attempt's end (held.py outcome), though that attempt had never arrived, so the search began without haste. Ruled out: lost releases, the list, the reactor.

Change: node/in_doubt.py looks at each attempt that is out beside claims until it is over. Once its engine has been silent for 0.6 of the time there is a release is sought beside it; a prefill, which loses what it brings by that, is probed first where probes are allowed, and left alone once it is known to have arrived. HeldState.possible_since is the clock by which releases hurry.

--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -12,6 +12,7 @@
 from . import protocol
 from .counts import NodeCounts
 from .held import HeldState
+from .in_doubt import DoubtWatch
 from .limits import Shares
 from .releases import Release, Releases
 from .trips import Reading, Trip, Writing
@@ -25,7 +26,6 @@
 MOST_IDLE = 0
 MARGIN = 10.0                        # off a client's time for both ways; 99 of 100 took under 6 on the bench
 SETTLING = 20.0                      # for the close of a trip's connection to be seen, before a deferral is
-BESIDE = 0.6                         # of the time to let go: then an attempt that state waits for is in doubt
 ENGINE_LATE = 150.0                  # for an engine to end what it was told to end
 READS = 32                           # the latest, of which the slowest tells how long an engine may go on
 SLOWER = 3.0                         # times the slowest of them
@@ -47,6 +47,8 @@
         self.keys: dict[str, Case] = {}              # of the jobs that are open
         self.releases = Releases(reactor, self._small, self._other,
                                  float(door.settings["release_within"]) or SECOND)
+        self.doubts = DoubtWatch(reactor, self.releases,
+                                 self._seek_sign if door.settings["may_probe"] else None)
         self.held: dict[i.Job, HeldState] = {}       # what engines may hold for the jobs that are open
         self.read_times: deque[tuple[float, float]] = deque(maxlen=READS)    # tokens, milliseconds
         self._letting_go: list[Case] = []
@@ -105,17 +107,17 @@
         held = self.held[case.job]
         self.releases.rest(held)
         carrier.written_at = clock.now()
-        if not carrier.trip.reading and held.since is not None:
-            due = held.since + BESIDE * self.releases.within - clock.now()
-            self.reactor.callLater(max(self.releases.step, due) / 1000, self._let_go_beside, case, carrier)
-
-    def _let_go_beside(self, case: Case, carrier: Trip) -> None:
-        """Guards against state that waits for an attempt which never arrived, as its zone was cut off when
-        its connection was up, or its engine hangs: to the engines no attempt is out.  An engine that has
-        answered a later call has this one too."""
-        arrived = carrier.pool.answered >= carrier.written_at
-        if not (carrier.over or carrier.trip.began or arrived):
-            self.releases.start_beside(self.held[case.job])
+        if held.claims:
+            self._watch(held, carrier)
+
+    def _watch(self, held: HeldState, carrier: Trip) -> None:
+        if not carrier.watched:
+            carrier.watched = True
+            self.doubts.watch(held, carrier)
+
+    def _seek_sign(self, engine: i.Engine) -> None:
+        """Probes an engine for a sign of life, of which the module is told nothing."""
+        self.probe(engine, lambda _: None)
 
     def _may_hold(self, case: Case, trip: i.Trip, outcome: i.Outcome, carrier: Trip) -> None:
         held = self.held[case.job]
@@ -131,6 +133,10 @@
             held.ended_unseen(trip.engine, now, self._work_left(case, carrier, now))
         elif trip.reading and outcome is not i.Outcome.FULL:
             held.read(trip.engine, now)
+        if held.claims:
+            for other in case.out.values():          # this one is no longer among them
+                if other.written_at:
+                    self._watch(held, other)
 
     def _work_left(self, case: Case, carrier: Trip, now: float) -> float:
         """How long an engine that runs may go on with a read that was given up: at least for what is left of
--- a/worksmux/node/held.py
+++ b/worksmux/node/held.py
@@ -70,6 +70,7 @@
     key: str
     claims: list[Claim] = field(default_factory=list)
     since: float | None = None  # from when the time to let go runs; None: nothing is held
+    heard_at: float | None = None  # when a release was last heard, or an attempt has ended since
     heard_beside: float | None = (
         None  # a release was heard while an attempt was out that may not have arrived
     )
@@ -99,8 +100,9 @@
 
     def outcome(self, now: float, arrived: bool) -> None:
         """An attempt is over.  `arrived`: it is known that its engine got it."""
-        if self.since is not None and (arrived or self.heard_beside is not None):
-            self.since = now
+        if arrived or self.heard_beside is not None:
+            self.since = None if self.since is None else now
+            self.heard_at = None if self.heard_at is None else now
         self.heard_beside = None
 
     def heard(self, engine: Engine, begun: float, now: float) -> None:
@@ -111,7 +113,7 @@
             if claim.presence is not Presence.HELD and not settled:
                 claim.presence = Presence.CLEARED
                 kept.append(claim)
-        self.claims, self.since = kept, None
+        self.claims, self.since, self.heard_at = kept, None, now
 
     def connected(self, engine: Engine) -> None:
         """A connection to an engine has come up: its process lives, also where it does not answer."""
@@ -131,6 +133,14 @@
         if not self.owed:
             self.since = None
 
+    @property
+    def possible_since(self) -> float | None:
+        """From when on something may have been held that nobody has let go; None: nothing is."""
+        times = [] if self.since is None else [self.since]
+        if self.heard_at is not None and any(claim.presence is Presence.CLEARED for claim in self.claims):
+            times.append(self.heard_at)
+        return min(times, default=None)
+
     def work_left(self, now: float) -> float:
         """How long it takes at most until engines that run have finished; infinite where one is silent."""
         ends = [
--- /dev/null
+++ b/worksmux/node/in_doubt.py
@@ -0,0 +1,109 @@
+"""Attempts whose engine gives no sign of life, while KV cache may be held for their request.  Free of I/O.
+
+An attempt that was written into a cut, or to an engine that hangs, has not arrived; one at a machine that has
+vanished is over, though its connection stays open.  To the engines none is out then, and the time to let go
+runs.  So each attempt that is out beside claims is looked at until it is over, and once its engine has been
+silent for most of that time, a release is sought beside it:
+
+    attempt             a release beside it             sought
+    a stream            does it no harm                 while its engine is silent
+    waiting for state   spares that state, if it has    while its engine is silent
+                        arrived
+    a prefill           loses what it brings            while nothing shows that it has arrived; a probe is
+                                                        tried first, where probes are allowed, else only where
+                                                        something is owed for sure
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from ..interface import Engine
+from ..net import clock
+from ..net.loop import Reactor
+from .held import HeldState
+from .releases import Releases
+
+QUIET = 0.6  # of the time to let go: an engine that is silent for so long is in doubt
+PROBE_STEPS = 2  # steps of a release that a probe has to be answered in
+
+
+class Attempt(Protocol):
+    """An attempt that is out, as far as it is looked at here; times are milliseconds."""
+
+    @property
+    def over(self) -> bool: ...
+
+    @property
+    def engine(self) -> Engine: ...
+
+    @property
+    def reading(self) -> bool: ...
+
+    @property
+    def written_at(self) -> float: ...
+
+    @property
+    def last_sign(self) -> float:
+        """When its engine was last known to run."""
+
+
+class DoubtWatch:
+    """Looks at attempts that are out; `probe` asks an engine for a sign of life, None where that is not
+    allowed."""
+
+    def __init__(self, reactor: Reactor, releases: Releases, probe: Callable[[Engine], None] | None) -> None:
+        self.reactor, self.releases, self.probe = reactor, releases, probe
+
+    def watch(self, held: HeldState, attempt: Attempt) -> None:
+        """Looks at an attempt from now on until it is over."""
+        _Watched(self, held, attempt).look_when_due()
+
+
+class _Watched:
+    """One attempt that is looked at."""
+
+    def __init__(self, watch: DoubtWatch, held: HeldState, attempt: Attempt) -> None:
+        self._watch, self._held, self._attempt = watch, held, attempt
+        self._probed = False
+
+    def look_when_due(self) -> None:
+        due = self._quiet_since() + QUIET * self._watch.releases.within
+        self._look_in(due - clock.now())
+
+    def _look_in(self, ms: float) -> None:
+        self._watch.reactor.callLater(max(self._watch.releases.step, ms) / 1000, self._look)
+
+    def _quiet_since(self) -> float:
+        attempt, held = self._attempt, self._held
+        if attempt.last_sign >= attempt.written_at:
+            return attempt.last_sign
+        return attempt.written_at if held.since is None else min(attempt.written_at, held.since)
+
+    def _look(self) -> None:
+        attempt, within = self._attempt, self._watch.releases.within
+        if attempt.over or attempt.reading and attempt.last_sign >= attempt.written_at:
+            return
+        if not self._held.claims or clock.now() < self._quiet_since() + QUIET * within:
+            self.look_when_due()
+        elif attempt.reading:
+            self._doubt_prefill()
+        else:
+            self._release_beside()
+
+    def _doubt_prefill(self) -> None:
+        probe = self._watch.probe
+        if probe is not None and not self._probed:
+            self._probed = True
+            probe(self._attempt.engine)
+            self._look_in(PROBE_STEPS * self._watch.releases.step)
+        elif probe is not None or self._held.owed:
+            self._release_beside()
+        else:
+            self._look_in(self._watch.releases.within)
+
+    def _release_beside(self) -> None:
+        self._probed = False
+        self._watch.releases.start_beside(self._held)
+        self._look_in(self._watch.releases.within)
--- a/worksmux/node/releases.py
+++ b/worksmux/node/releases.py
@@ -153,7 +153,8 @@
     def _others(self, now: float) -> int:
         """How many engines are asked in this round beside those that may hold: the more, the less time is
         left."""
-        used = 0.0 if self.held.since is None else (now - self.held.since) / self.releases.within
+        since = self.held.possible_since
+        used = 0.0 if since is None else (now - since) / self.releases.within
         if self._rounds and VERY_LATE < used < HOPELESS:
             return MOST_IN_A_ROUND
         if self._rounds > SINGLE_STEPS or self._rounds and used > LATE:
--- a/worksmux/node/trips.py
+++ b/worksmux/node/trips.py
@@ -21,6 +21,8 @@
     expires = 0.0                    # when the time told to its engine is over
     written_at = 0.0                 # when its connection was up and its bytes were handed over
     held_back = False                # it has waited for a release
+    watched = False                  # it is looked at for signs of life
+    last = 0.0                       # when the latest piece of its stream came
 
     def send(self, asked: protocol.Asked, time_out: float) -> client.Call:
         self.asked, self.made_at = asked, clock.now()
@@ -46,6 +48,20 @@
         if self.call is not None:
             self.call.go()
 
+    @property
+    def engine(self) -> i.Engine:
+        return self.trip.engine
+
+    @property
+    def reading(self) -> bool:
+        return self.trip.reading
+
+    @property
+    def last_sign(self) -> float:
+        """When its engine was last known to run: as the newest call that it answered began, or as the latest
+        piece of this one's stream came."""
+        return max(self.pool.answered, self.last)
+
     def _refusal(self) -> tuple[i.Outcome, int]:
         return protocol.refusal(self.status, self.headers)
 
