Held state: connections that do not come up, and engines left alone, no longer put releases off

Change: from 0.6 of the time on a release is sought while an attempt's connection does not come up; a pass that can ask nobody else asks the engines that may hold; the wait looks once more; without probes one release beside a prefill in doubt.

--- a/tests/fault_injection/world.py
+++ b/tests/fault_injection/world.py
@@ -277,6 +277,8 @@
         self.engines[name].draining = True
 
     def _join(self, name: str) -> None:
+        if name in self.status:  # it has vanished and come back meanwhile, and was listed with its start
+            return
         self.started[name] = 1000 * self.simulation.now
         self._tell(name, "SERVING")
 
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -9,6 +9,7 @@
 from ..front.core import Core
 from ..net import client, clock
 from ..net.loop import Reactor
+from ..net.time_out import TimeOut
 from . import protocol
 from .counts import NodeCounts
 from .held import HeldState
@@ -107,13 +108,14 @@
         held = self.held[case.job]
         self.releases.rest(held)
         carrier.written_at = clock.now()
-        if held.claims:
-            self._watch(held, carrier)
+        self._watch(case, carrier)
 
-    def _watch(self, held: HeldState, carrier: Trip) -> None:
-        if not carrier.watched:
+    def _watch(self, case: Case, carrier: Trip) -> None:
+        """Looks at an attempt where something may be held for its request beside it."""
+        held = self.held[case.job]
+        if held.claims and not carrier.watched:
             carrier.watched = True
-            self.doubts.watch(held, carrier)
+            self.doubts.watch(held, carrier, lambda: self._let_all_go(case))
 
     def _seek_sign(self, engine: i.Engine) -> None:
         """Probes an engine for a sign of life, of which the module is told nothing."""
@@ -133,10 +135,8 @@
             held.ended_unseen(trip.engine, now, self._work_left(case, carrier, now))
         elif trip.reading and outcome is not i.Outcome.FULL:
             held.read(trip.engine, now)
-        if held.claims:
-            for other in case.out.values():          # this one is no longer among them
-                if other.written_at:
-                    self._watch(held, other)
+        for other in case.out.values():              # this one is no longer among them
+            self._watch(case, other)
 
     def _work_left(self, case: Case, carrier: Trip, now: float) -> float:
         """How long an engine that runs may go on with a read that was given up: at least for what is left of
@@ -173,6 +173,7 @@
             self._arrives(case, carrier)
         else:
             call.on_up = lambda: self._came_up(case, carrier)
+            self._watch(case, carrier)
         return carrier
 
     def _came_up(self, case: Case, carrier: Trip) -> None:
@@ -202,7 +203,7 @@
                 self._came_up(case, carrier)
                 carrier.go()
 
-        timer = self.reactor.callLater(HELD_BACK_STEPS * self.releases.step / 1000, go)
+        timer = TimeOut(self.reactor, HELD_BACK_STEPS * self.releases.step / 1000, go)
         release.on_heard = go
 
     # Small calls.
--- a/worksmux/node/in_doubt.py
+++ b/worksmux/node/in_doubt.py
@@ -2,15 +2,16 @@
 
 An attempt that was written into a cut, or to an engine that hangs, has not arrived; one at a machine that has
 vanished is over, though its connection stays open.  To the engines none is out then, and the time to let go
-runs.  So each attempt that is out beside claims is looked at until it is over, and once its engine has been
-silent for most of that time, a release is sought beside it:
+runs.  So each attempt beside claims is looked at until it is over, and once its engine has been silent for
+most of that time, a release is sought beside it:
 
     attempt             a release beside it             sought
+    has no connection   loses what it is sent for       once, where something is owed for sure
     a stream            does it no harm                 while its engine is silent
     waiting for state   spares that state, if it has    while its engine is silent
                         arrived
     a prefill           loses what it brings            while nothing shows that it has arrived; a probe is
-                                                        tried first, where probes are allowed, else only where
+                                                        tried first; where none is allowed, once, or while
                                                         something is owed for sure
 """
 
@@ -42,7 +43,8 @@
     def reading(self) -> bool: ...
 
     @property
-    def written_at(self) -> float: ...
+    def written_at(self) -> float:
+        """When its connection was up and it was written; 0 before."""
 
     @property
     def last_sign(self) -> float:
@@ -56,17 +58,21 @@
     def __init__(self, reactor: Reactor, releases: Releases, probe: Callable[[Engine], None] | None) -> None:
         self.reactor, self.releases, self.probe = reactor, releases, probe
 
-    def watch(self, held: HeldState, attempt: Attempt) -> None:
-        """Looks at an attempt from now on until it is over."""
-        _Watched(self, held, attempt).look_when_due()
+    def watch(self, held: HeldState, attempt: Attempt, let_go: Callable[[], None]) -> None:
+        """Looks at an attempt from now on until it is over; `let_go` releases what is held for its request,
+        where no other attempt has a connection."""
+        _Watched(self, held, attempt, let_go).look_when_due()
 
 
 class _Watched:
     """One attempt that is looked at."""
 
-    def __init__(self, watch: DoubtWatch, held: HeldState, attempt: Attempt) -> None:
-        self._watch, self._held, self._attempt = watch, held, attempt
-        self._probed = False
+    def __init__(
+        self, watch: DoubtWatch, held: HeldState, attempt: Attempt, let_go: Callable[[], None]
+    ) -> None:
+        self._watch, self._held, self._attempt, self._let_go = watch, held, attempt, let_go
+        self._asked = False  # a prefill was probed, or a release sought beside it
+        self._next_release = 0.0  # not before it, while there is no connection
 
     def look_when_due(self) -> None:
         due = self._quiet_since() + QUIET * self._watch.releases.within
@@ -77,33 +83,47 @@
 
     def _quiet_since(self) -> float:
         attempt, held = self._attempt, self._held
-        if attempt.last_sign >= attempt.written_at:
+        if self._arrived:
             return attempt.last_sign
-        return attempt.written_at if held.since is None else min(attempt.written_at, held.since)
+        begun = attempt.written_at or clock.now()
+        return begun if held.since is None else min(begun, held.since)
+
+    @property
+    def _arrived(self) -> bool:
+        attempt = self._attempt
+        return bool(attempt.written_at) and attempt.last_sign >= attempt.written_at
 
     def _look(self) -> None:
         attempt, within = self._attempt, self._watch.releases.within
-        if attempt.over or attempt.reading and attempt.last_sign >= attempt.written_at:
+        if attempt.over or attempt.reading and self._arrived:
             return
         if not self._held.claims or clock.now() < self._quiet_since() + QUIET * within:
             self.look_when_due()
+        elif not attempt.written_at:
+            self._release_without_connection()
         elif attempt.reading:
             self._doubt_prefill()
         else:
             self._release_beside()
 
+    def _release_without_connection(self) -> None:
+        if clock.now() >= self._next_release:
+            self._next_release = clock.now() + self._watch.releases.within
+            self._let_go()
+        self._look_in(0.0)  # its connection may come up at any moment
+
     def _doubt_prefill(self) -> None:
-        probe = self._watch.probe
-        if probe is not None and not self._probed:
-            self._probed = True
+        probe, asked = self._watch.probe, self._asked
+        self._asked = True
+        if probe is not None and not asked:
             probe(self._attempt.engine)
             self._look_in(PROBE_STEPS * self._watch.releases.step)
-        elif probe is not None or self._held.owed:
+        elif probe is not None or not asked or self._held.owed:
             self._release_beside()
+            self._asked = probe is None
         else:
             self._look_in(self._watch.releases.within)
 
     def _release_beside(self) -> None:
-        self._probed = False
         self._watch.releases.start_beside(self._held)
         self._look_in(self._watch.releases.within)
--- a/worksmux/node/releases.py
+++ b/worksmux/node/releases.py
@@ -121,6 +121,9 @@
         self._ask_claimed(now)
         for _ in range(self._others(now)):
             self._ask_another(again=True)
+        if not self._out:  # nobody else is left to ask
+            self._not_before.clear()
+            self._ask_claimed(now)
         self._rounds += 1
         self._round_in(
             min(self.releases.within, self.releases.step * 2.0 ** max(0, self._rounds - 2 * STEPS))
@@ -155,15 +158,15 @@
         left."""
         since = self.held.possible_since
         used = 0.0 if since is None else (now - since) / self.releases.within
-        if self._rounds and VERY_LATE < used < HOPELESS:
+        if self._rounds and VERY_LATE <= used < HOPELESS:
             return MOST_IN_A_ROUND
-        if self._rounds > SINGLE_STEPS or self._rounds and used > LATE:
+        if self._rounds > SINGLE_STEPS or self._rounds and used >= LATE:
             return 2
         if self._rounds or not self._out:
             return 1
         if self.held.since is None:
             return 0 if any(claim.runs_since is not None for claim in self.held.claims) else 1
-        return (used > LATE) + (used > VERY_LATE)
+        return (used >= LATE) + (used >= VERY_LATE)
 
     def _ask_another(self, again: bool) -> None:
         """Asks one engine beside those that may hold; with `again` also one that was asked before, once all
