--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -9,8 +9,9 @@
 from worksmux.council.entries import Seats
 from worksmux.council.messages import Vote
 from worksmux.council.raft import Raft
-from worksmux.council.steps import Change, HandOver, Out, Role
-from worksmux.model.council import Broken, CouncilWorld, Make, storm
+from worksmux.council.steps import Change, Figures, HandOver, Out, Role
+from worksmux.measure import Chance
+from worksmux.model.council import Broken, CouncilWorld, Make, SeatInTime, storm
 
 SAMPLE = 60                          # storms in CI; thousands are played by benchmarks/council_storms.py
 
@@ -128,6 +129,41 @@
     assert world.led().name not in some
 
 
+def leaderless_time(seed: int, pause: float) -> float:
+    """Milliseconds from a cut around the leader until the others have a leader that they follow, where each
+    of their processes stands still for up to `pause` milliseconds, goes on for some, and so on."""
+    world = CouncilWorld(3, seed)
+    old, chance = world.led(), Chance(seed + 5)
+    others = [seat for seat in world.seats.values() if seat is not old]
+    world.run(500.0)
+    world.wire.cut([old.name], [seat.name for seat in others])
+    start = world.sim.now
+
+    def stand_still(seat: SeatInTime) -> None:
+        seat.freeze()
+        world.sim.after(pause * chance.share(), go_on, seat)
+
+    def go_on(seat: SeatInTime) -> None:
+        seat.go_on()
+        world.sim.after(20.0 + 40.0 * chance.share(), stand_still, seat)
+
+    if pause:
+        for seat in others:
+            world.sim.after(100.0 * chance.share(), stand_still, seat)
+    while not any(seat.raft is not None and not seat.frozen and seat.raft.leads_surely(seat.now)
+                  and seat.raft.commit >= seat.raft.began for seat in others):
+        world.run(5.0)
+    return world.sim.now - start
+
+
+def test_majority_outlasts_its_leases_without_a_leader_only_where_its_processes_starve() -> None:
+    """A front whose lease ends acts alone, as it must: on a machine without processor time so does one of a
+    majority.  There are never two leaders in a term, which the world looks at as it goes."""
+    lease = 4.0 * Figures(60.0, 400.0).patience      # as the fleet's tests have it
+    assert max(leaderless_time(seed, 0.0) for seed in range(40)) < lease / 2
+    assert max(leaderless_time(seed, 300.0) for seed in range(40)) > lease
+
+
 def test_leader_frozen_beyond_its_lease_reads_nothing_old() -> None:
     world = CouncilWorld(3)
     old = world.led()
