Failover: the watcher in the field's words, typed and in short steps

Names: healthy and faulty engines, latency target, attempts, pressure; what the list says of an engine and what waits are types of their own.

--- a/worksmux/failover/watcher.py
+++ b/worksmux/failover/watcher.py
@@ -1,139 +1,221 @@
-"""What one front sees of zones, from the events that its module is told.  Free of I/O."""
+"""What one front sees of zones, from the events that its module is told.
+
+Free of I/O; times are milliseconds.
+"""
+
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from .. import interface as i
 from ..measure import Ring
 from .tally import Tally, ZoneTally
 
-SPAN = 1000.0            # milliseconds that a report looks back
+SPAN = 1000.0  # that a report looks back
 BUCKETS = 5
-ENOUGH = 3               # trips, before a front votes on a zone
-HALF = 600 * SPAN        # after which half of what a zone had is forgotten
-LASTS = 6 * SPAN         # how an engine was last found
-ALL_BUT = 0.6            # of a zone's engines were last found at fault, and nothing went well: it is lost
-GREY = 0.25              # of trips fail: the zone is grey
-LATE = 0.9               # of what was promised is spent waiting, on average: the zone is grey
+MIN_ATTEMPTS = 3  # before a front votes on a zone
+HALF_LIFE = 600 * SPAN  # after which half of the size that a zone had is forgotten
+FINDING_LIFETIME = 6 * SPAN  # how long it counts how an engine was last found
+SINCE_LAST_SUCCESS = SPAN / 4  # no vote for lost sooner after an attempt that ended well
+MOST_ENGINES = 0.6  # of a zone's engines were last found at fault: it is lost
+GREY_FAULTS = 0.25  # of attempts fail: the zone is grey
+GREY_WAIT = 0.9  # of the latency target is spent waiting, on average: the zone is grey
 FAULTS = frozenset({i.Outcome.ERROR, i.Outcome.UNREACHABLE, i.Outcome.RESET, i.Outcome.TIMED_OUT})
-GOOD = frozenset({i.Outcome.READ, i.Outcome.DELIVERED})
-
-
-class _Zone:
-    def __init__(self) -> None:
-        self.good, self.faults, self.press = (Ring(SPAN, BUCKETS) for _ in range(3))
-        self.last_good = self.had = self.had_at = 0.0
-        self.fine: dict[i.Engine, float] = {}        # by when their last trip ended well
-        self.bad: dict[i.Engine, float] = {}         # of the others, when it ended in a fault
-
-    def lacks_role(self, ready: list[i.Engine]) -> bool:
-        """Whether the zone's engines for one of both stages were last found at fault, and nothing there has
-        ended well since.  Without prefill its decode engines get no attempts that could tell how they are."""
-        for stage in ("read", "write"):
-            able = [engine for engine in ready if engine.role in (stage, "both")]
-            found = [self.bad[engine] for engine in able if engine in self.bad]
-            if found and len(found) >= ALL_BUT * len(able) and max(found) > self.last_good:
+SUCCESSES = frozenset({i.Outcome.READ, i.Outcome.DELIVERED})
+STAGES = ("read", "write")
+EITHER_STAGE = "both"
+ANY_ZONE = -1  # of requests that have no attempt yet
+
+
+class ListedEngine(NamedTuple):
+    """What the list says of an engine."""
+
+    state: str
+    zone: int
+    size: float
+    started: float  # 0: long ago
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """Requests whose answer has not begun."""
+
+    count: float = 0.0
+    pressure: float = 0.0  # the sum of their waits, as parts of their latency targets
+
+    def plus(self, count: float, pressure: float) -> Waiting:
+        return Waiting(self.count + count, self.pressure + pressure)
+
+
+def _ring() -> Ring:
+    return Ring(SPAN, BUCKETS)
+
+
+@dataclass(eq=False)
+class ZoneRecord:
+    """What was lately seen of one zone."""
+
+    successes: Ring = field(default_factory=_ring)
+    faults: Ring = field(default_factory=_ring)
+    pressure: Ring = field(default_factory=_ring)  # waits of answers that began, as parts of their targets
+    last_success: float = 0.0
+    size: float = 0.0  # the most that was listed as ready, slowly forgotten
+    sized_at: float = 0.0
+    healthy: dict[i.Engine, float] = field(default_factory=dict)  # when an attempt last ended well there
+    faulty: dict[i.Engine, float] = field(default_factory=dict)  # of the others, when one ended in a fault
+
+    def succeeded(self, now: float, engine: i.Engine) -> None:
+        self.successes.add(now)
+        self.last_success = self.healthy[engine] = now
+        self.faulty.pop(engine, None)
+
+    def failed(self, now: float, engine: i.Engine) -> None:
+        self.faults.add(now)
+        self.faulty[engine] = now
+        self.healthy.pop(engine, None)
+
+    def forget_old_findings(self, now: float) -> None:
+        """An engine that the module has set aside after a fault gets no attempts: how it was last found goes
+        on counting for a while."""
+        for found in (self.healthy, self.faulty):
+            for engine in [one for one, at in found.items() if at < now - FINDING_LIFETIME]:
+                del found[engine]
+
+    def lacks_stage(self, ready: list[i.Engine]) -> bool:
+        """Whether the engines for prefill, or those for decode, were last found at fault, and nothing in the
+        zone has ended well since.  Without prefill, decode engines get no attempts that could tell how they
+        are."""
+        for stage in STAGES:
+            able = [engine for engine in ready if engine.role in (stage, EITHER_STAGE)]
+            found = [self.faulty[engine] for engine in able if engine in self.faulty]
+            if found and len(found) >= MOST_ENGINES * len(able) and max(found) > self.last_success:
                 return True
         return False
 
+    def remembered_size(self, now: float, size: float) -> float:
+        """Guards against a seat that begins to lead after a zone was lost, and would take it for one that
+        never was: fronts remember what they knew of it.  Fleets shrink on purpose too, so it fades."""
+        age = max(0.0, now - self.sized_at) if self.sized_at else 0.0
+        self.size, self.sized_at = max(size, self.size * 0.5 ** (age / HALF_LIFE)), now
+        return self.size
+
 
 class Watcher:
     """`saw` each event, in the order told; `report` what came of it."""
 
     def __init__(self, zones: list[str], offerings: list[str], settings: i.Settings) -> None:
         self.zones, self.offerings, self.settings = zones, offerings, settings
-        self.seen: dict[int, _Zone] = defaultdict(_Zone)
-        self.asked = [Ring(SPAN, BUCKETS) for _ in offerings]
-        self.engines: dict[i.Engine, tuple[str, int, float, float]] = {}     # state, zone, size, started
-        self.open: dict[i.Job, float] = {}           # not yet begun, with what was promised
+        self.records: dict[int, ZoneRecord] = defaultdict(ZoneRecord)
+        self.arrivals = [_ring() for _ in offerings]
+        self.engines: dict[i.Engine, ListedEngine] = {}
+        self.open: dict[i.Job, float] = {}  # requests whose answer has not begun, with their latency targets
 
     def saw(self, now: float, event: i.Event) -> None:
         match event:
             case i.Arrived(job):
-                self.asked[job.offering].add(now)
-                offering = self.settings["offerings"][job.offering]
-                self.open[job] = offering["promised_time"] + offering["promised_per_k"] * job.prompt / 1000
+                self._arrived(now, job)
             case i.Began(trip, _):
-                zone = self.seen[trip.engine.zone]
-                if promised := self.open.pop(trip.job, 0.0):
-                    zone.press.add(now, (now - trip.job.arrived) / promised)
-                self._good(now, zone, trip.engine)
+                record = self.records[trip.engine.zone]
+                if target := self.open.pop(trip.job, 0.0):
+                    record.pressure.add(now, (now - trip.job.arrived) / target)
+                record.succeeded(now, trip.engine)
             case i.Ended(trip, outcome):
-                zone = self.seen[trip.engine.zone]
+                record = self.records[trip.engine.zone]
                 if outcome in FAULTS:
-                    zone.faults.add(now)
-                    zone.bad[trip.engine] = now
-                    zone.fine.pop(trip.engine, None)
-                elif outcome in GOOD:
-                    self._good(now, zone, trip.engine)
+                    record.failed(now, trip.engine)
+                elif outcome in SUCCESSES:
+                    record.succeeded(now, trip.engine)
             case i.Listed(scope, entries) if scope != "failed":
-                if scope != "delta":
-                    self.engines = {}
-                for entry in entries:
-                    self.engines[entry.engine] = entry.state, entry.zone, entry.size, entry.started
-                    if entry.state == "gone":
-                        del self.engines[entry.engine]
+                self._listed(scope, entries)
             case _:
                 pass
 
-    def _good(self, now: float, zone: _Zone, engine: i.Engine) -> None:
-        zone.good.add(now)
-        zone.last_good = zone.fine[engine] = now
-        zone.bad.pop(engine, None)
+    def _arrived(self, now: float, job: i.Job) -> None:
+        self.arrivals[job.offering].add(now)
+        offering = self.settings["offerings"][job.offering]
+        self.open[job] = offering["promised_time"] + offering["promised_per_k"] * job.prompt / 1000
+
+    def _listed(self, scope: str, entries: list[i.Entry]) -> None:
+        if scope != "delta":
+            self.engines = {}
+        for entry in entries:
+            if entry.state == "gone":
+                self.engines.pop(entry.engine, None)
+            else:
+                self.engines[entry.engine] = ListedEngine(entry.state, entry.zone, entry.size, entry.started)
 
     def report(self, now: float) -> Tally:
-        second = SPAN / 1000
-        asked = {name: ring.count(now) / second
-                 for name, ring in zip(self.offerings, self.asked, strict=True)}
-        told = Tally(1, {}, asked)
-        warm_up: float = self.settings["warm_up"]
-        waits = self._waits(now)
-        whole = sum(one[2] for one in self.engines.values() if one[0] == "ready") or 1.0
-        for at, name in enumerate(self.zones):
-            engines = [engine for engine, one in self.engines.items() if one[1] == at and one[0] == "ready"]
-            ready = [self.engines[engine] for engine in engines]
-            zone = self.seen[at]
-            good, faults = zone.good.count(now), zone.faults.count(now)
-            begun, size = zone.press.count(now), sum(one[2] for one in ready)
-            # Who waits for any engine waits for each, as far as it is there.
-            open_, aged = (waits[at][part] + waits[-1][part] * size / whole for part in (0, 1))
-            press = zone.press.mean(now) * begun + aged
-            wait = press / (begun + open_) if begun + open_ else 0.0
-            # Votes need something seen; where nothing was sent, the list alone is told.  An engine that the
-            # module has set aside after a fault is asked no more: how it was last found goes on counting.
-            for found in (zone.fine, zone.bad):
-                for engine in [one for one, at in found.items() if at < now - LASTS]:
-                    del found[engine]
-            lacks_role = zone.lacks_role(engines)
-            spoke = lacks_role or good + faults >= ENOUGH or len(zone.bad) + len(zone.fine) >= min(
-                ENOUGH, max(1, len(ready)))
-            lost = (spoke and bool(zone.bad) and now - zone.last_good > SPAN / 4
-                    and (faults >= ENOUGH and faults > good or len(zone.bad) >= ALL_BUT * len(ready)
-                         or lacks_role))
-            grey = spoke and not lost and (faults > GREY * (good + faults)
-                                           or begun >= ENOUGH and wait > LATE)
-            told.zones[name] = ZoneTally(
-                int(spoke), int(lost), int(grey), int(bool(ready)), size, self._had(now, zone, size),
-                sum(one[2] * max(0.0, 1 - (now - one[3]) / warm_up) for one in ready if one[3] > 0),
-                begun / second, (begun + open_) / second, press / second, faults / second)
+        seconds = SPAN / 1000
+        flows = {
+            name: ring.count(now) / seconds for name, ring in zip(self.offerings, self.arrivals, strict=True)
+        }
+        waiting = self._waiting(now)
+        whole = sum(one.size for one in self.engines.values() if one.state == "ready") or 1.0
+        told = Tally(1, {}, flows)
+        for zone, name in enumerate(self.zones):
+            told.zones[name] = self._zone_report(now, zone, waiting, whole)
         return told
 
-    def _had(self, now: float, zone: _Zone, size: float) -> float:
-        """Guards against a seat that begins to lead after a zone was lost, and would take it for one that
-        never was: fronts remember what they knew of it.  Fleets shrink on purpose too, so it fades."""
-        fades = 0.5 ** (max(0.0, now - zone.had_at) / HALF) if zone.had_at else 1.0
-        zone.had, zone.had_at = max(size, zone.had * fades), now
-        return zone.had
-
-    def _waits(self, now: float) -> dict[int, list[float]]:
-        """Of jobs that have not begun: how many, and the sum of their waits as parts of what was promised,
-        by the zone of their latest trip; -1 where they have none.  What began tells of a jam too late."""
-        found: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
-        for job, promised in list(self.open.items()):
+    def _zone_report(self, now: float, zone: int, waiting: dict[int, Waiting], whole: float) -> ZoneTally:
+        """`whole`: the size of all engines that are ready."""
+        record, seconds = self.records[zone], SPAN / 1000
+        ready = [engine for engine, one in self.engines.items() if one.zone == zone and one.state == "ready"]
+        size = sum(self.engines[engine].size for engine in ready)
+        # Who waits for any engine waits for each, as far as it is there.
+        anywhere = waiting[ANY_ZONE]
+        open_ = waiting[zone].plus(anywhere.count * size / whole, anywhere.pressure * size / whole)
+        begun = record.pressure.count(now)
+        pressure = record.pressure.mean(now) * begun + open_.pressure
+        wait = pressure / (begun + open_.count) if begun + open_.count else 0.0
+        record.forget_old_findings(now)
+        spoke, lost, grey = self._votes(now, record, ready, wait)
+        return ZoneTally(
+            spoke=int(spoke),
+            lost=int(lost),
+            grey=int(grey),
+            listed=int(bool(ready)),
+            ready=size,
+            had=record.remembered_size(now, size),
+            cold=sum(self._cold_size(now, engine) for engine in ready),
+            begun=begun / seconds,
+            met=(begun + open_.count) / seconds,
+            press=pressure / seconds,
+            vain=record.faults.count(now) / seconds,
+        )
+
+    def _votes(
+        self, now: float, record: ZoneRecord, ready: list[i.Engine], wait: float
+    ) -> tuple[bool, bool, bool]:
+        """Whether this front has something to say of a zone; that it is lost; that it is grey.  Where nothing
+        was sent, the list alone is told."""
+        successes, faults = record.successes.count(now), record.faults.count(now)
+        lacks_stage = record.lacks_stage(ready)
+        found = len(record.faulty) + len(record.healthy)
+        enough = successes + faults >= MIN_ATTEMPTS or found >= min(MIN_ATTEMPTS, max(1, len(ready)))
+        spoke = lacks_stage or enough
+        mostly_faults = faults >= MIN_ATTEMPTS and faults > successes
+        engines_faulty = len(record.faulty) >= MOST_ENGINES * len(ready)
+        quiet = bool(record.faulty) and now - record.last_success > SINCE_LAST_SUCCESS
+        lost = spoke and quiet and (mostly_faults or engines_faulty or lacks_stage)
+        late = record.pressure.count(now) >= MIN_ATTEMPTS and wait > GREY_WAIT
+        grey = spoke and not lost and (faults > GREY_FAULTS * (successes + faults) or late)
+        return spoke, lost, grey
+
+    def _cold_size(self, now: float, engine: i.Engine) -> float:
+        """The part of an engine's size that has still to warm up."""
+        listed, warm_up = self.engines[engine], float(self.settings["warm_up"])
+        return listed.size * max(0.0, 1 - (now - listed.started) / warm_up) if listed.started > 0 else 0.0
+
+    def _waiting(self, now: float) -> dict[int, Waiting]:
+        """Requests that have not begun, by the zone of their latest attempt.  What began tells of a jam too
+        late."""
+        found: dict[int, Waiting] = defaultdict(Waiting)
+        for job, target in list(self.open.items()):
             if job.ended or job.began or now > job.give_up_at:
                 del self.open[job]
                 continue
-            entry = found[job.trips[-1].engine.zone if job.trips else -1]
-            entry[0] += 1
-            entry[1] += (now - job.arrived) / promised
+            zone = job.trips[-1].engine.zone if job.trips else ANY_ZONE
+            found[zone] = found[zone].plus(1, (now - job.arrived) / target)
         return found
--- a/worksmux/model/conductor.py
+++ b/worksmux/model/conductor.py
@@ -14,7 +14,7 @@
 from ..failover.plan import Plan
 from ..failover.planner import Map, Planner
 from ..failover.tally import Tally, added
-from ..failover.watcher import Watcher
+from ..failover.watcher import ListedEngine, Watcher
 from ..interface import Planned
 from .day import Model
 from .front import ModelFront
@@ -60,7 +60,7 @@
             if front.watcher is None:
                 front.watcher = watcher_of(self.day)
                 for known in front.roster.keeper.known.values():
-                    front.watcher.engines[known.engine] = (
+                    front.watcher.engines[known.engine] = ListedEngine(
                         known.line.state, self.day.zones.index(known.line.zone), known.line.size,
                         known.line.started)
             reports[at] = front.watcher.report(now)
