--- a/benchmarks/accounting.py
+++ b/benchmarks/accounting.py
@@ -3,6 +3,7 @@
 Each job has three decisions and every 200th changes a version; written to a store in a temporary folder by
 the store's own thread, as a front does.
 """
+
 from __future__ import annotations
 
 import sys
@@ -42,8 +43,10 @@
         writer.close()
         size = sum(map(len, encoded))
         disk = sum(path.stat().st_size for path in Path(folder).iterdir())
-        print(f"{jobs} jobs: {1e6 * took / jobs:.1f} us a job (CPU {1e6 * cpu / jobs:.1f}), {len(kept)} "
-              f"records, {size / jobs:.0f} bytes a job, {disk / 1e6:.0f} MB on disk")
+        print(
+            f"{jobs} jobs: {1e6 * took / jobs:.1f} us a job (CPU {1e6 * cpu / jobs:.1f}), {len(kept)} "
+            f"records, {size / jobs:.0f} bytes a job, {disk / 1e6:.0f} MB on disk"
+        )
         start = time.perf_counter()
         records = [msgspec.msgpack.decode(data, type=Record) for data in encoded]
         accounts = Accounts()
--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -6,6 +6,7 @@
 without limits and a plain token bucket.  Then a storm: for 10 s the stations work at a third, clients repeat
 at once; how long until service is whole again, with and without the budget.  Last, what a decision costs.
 """
+
 from __future__ import annotations
 
 import random
@@ -20,7 +21,7 @@
 from worksmux.model.sim import Sim
 
 STATIONS, SERVICE, COST, CALLERS = 20, 50.0, 100.0, 1000
-CAPACITY = STATIONS / SERVICE        # calls a millisecond
+CAPACITY = STATIONS / SERVICE  # calls a millisecond
 PROMISED, LENGTH = 1000.0, 20_000.0
 
 
@@ -61,10 +62,11 @@
 class Day:
     """One run.  Stations serve in the order that calls are let in; a call whose client has left is served all
     the same once it has begun."""
+
     gate: Any
     load: float
-    retry: Callable[[int], float | None] = lambda tries: None       # milliseconds until the next try
-    slow: tuple[float, float, float] = (0.0, 0.0, 1.0)      # from, to, factor
+    retry: Callable[[int], float | None] = lambda tries: None  # milliseconds until the next try
+    slow: tuple[float, float, float] = (0.0, 0.0, 1.0)  # from, to, factor
     length: float = LENGTH
     got: Counter[int] = field(default_factory=Counter)
     wanted: Counter[int] = field(default_factory=Counter)
@@ -75,7 +77,7 @@
         self.sim, self.chance = Sim(), random.Random(1)
         self.line: deque[Asked] = deque()
         self.busy = 0
-        self.sent: dict[Asked, float] = {}           # past the gate
+        self.sent: dict[Asked, float] = {}  # past the gate
 
     def run(self) -> Day:
         self._arrive()
@@ -157,7 +159,7 @@
         parts = [min(1.0, self.got[caller] / fair[caller]) for caller in fair if fair[caller] >= 1]
         jain = sum(parts) ** 2 / (len(parts) * sum(part * part for part in parts)) if any(parts) else 0.0
         parts.sort()
-        return served / min(1.0, self.load), jain, sum(parts[:len(parts) // 20]) / max(1, len(parts) // 20)
+        return served / min(1.0, self.load), jain, sum(parts[: len(parts) // 20]) / max(1, len(parts) // 20)
 
 
 def max_min(wanted: dict[int, float], whole: float) -> dict[int, float]:
@@ -179,14 +181,24 @@
 
 def storm() -> None:
     """Clients repeat after 50 ms, up to 20 times; the cause lasts from the 5th to the 15th second."""
-    for name, gate in (("gate with budget", Gate(settings(), 1)),
-                       ("gate without budget", Gate(settings(1.0), 1)),
-                       ("FIFO", Fifo()), ("token bucket", Bucket())):
-        day = Day(gate, 0.8, lambda tries: 50.0 if tries < 20 else None, (5000.0, 15_000.0, 3.0),
-                  60_000.0).run()
+    for name, gate in (
+        ("gate with budget", Gate(settings(), 1)),
+        ("gate without budget", Gate(settings(1.0), 1)),
+        ("FIFO", Fifo()),
+        ("token bucket", Bucket()),
+    ):
+        day = Day(
+            gate, 0.8, lambda tries: 50.0 if tries < 20 else None, (5000.0, 15_000.0, 3.0), 60_000.0
+        ).run()
         usual = 0.9 * 0.8 * CAPACITY * 1000
-        back = next((second for second in range(15, 57)
-                     if min(day.seconds[later] for later in range(second, second + 3)) >= usual), None)
+        back = next(
+            (
+                second
+                for second in range(15, 57)
+                if min(day.seconds[later] for later in range(second, second + 3)) >= usual
+            ),
+            None,
+        )
         told = "never within 45 s" if back is None else f"{back - 15} s"
         print(f"storm, {name}: whole again {told} after the cause; {dict(day.ends)}", flush=True)
 
@@ -235,8 +247,11 @@
             for one in gate.arrived(now, asked).go:
                 gate.ended(now + 1.0, one, 1.0, True)
         whole = (time.perf_counter() - start) / count * 1e6
-        print(f"{callers:5} callers: a turn {ours:.1f} us, by a plain scan {plain:.1f} us "
-              f"({plain / ours:.1f} times); a call through the gate {whole:.1f} us", flush=True)
+        print(
+            f"{callers:5} callers: a turn {ours:.1f} us, by a plain scan {plain:.1f} us "
+            f"({plain / ours:.1f} times); a call through the gate {whole:.1f} us",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/calibration.py
+++ b/benchmarks/calibration.py
@@ -5,6 +5,7 @@
 and by the model with several seeds; the differences in delivered share, quantiles of the first token and
 trips a job.
 """
+
 from __future__ import annotations
 
 import sys
@@ -34,9 +35,14 @@
 
 
 def figures(told: dict[str, Any]) -> dict[str, float]:
-    return {"delivered": told["delivered_share"], "credit": told["credit_share"],
-            **{f"first {at}": float(value) for at, value in told["first_ms"].items()},
-            "trips a job": told["trips_a_job"], "jobs": float(told["jobs"]), "kept": float(told["kept"])}
+    return {
+        "delivered": told["delivered_share"],
+        "credit": told["credit_share"],
+        **{f"first {at}": float(value) for at, value in told["first_ms"].items()},
+        "trips a job": told["trips_a_job"],
+        "jobs": float(told["jobs"]),
+        "kept": float(told["kept"]),
+    }
 
 
 def main() -> None:
@@ -51,8 +57,10 @@
     for key, value in sockets.items():
         values = [run[key] for run in runs]
         mean = sum(values) / len(values)
-        print(f"{key:12} sockets {value:9.3f}  model {mean:9.3f} ({min(values):.3f} to {max(values):.3f})  "
-              f"difference {mean - value:+.3f}")
+        print(
+            f"{key:12} sockets {value:9.3f}  model {mean:9.3f} ({min(values):.3f} to {max(values):.3f})  "
+            f"difference {mean - value:+.3f}"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/council_storms.py
+++ b/benchmarks/council_storms.py
@@ -2,6 +2,7 @@
 
 Prints how many broke something that must always hold, what was acknowledged and read, and how long it took.
 """
+
 from __future__ import annotations
 
 import sys
@@ -24,9 +25,11 @@
     with ProcessPoolExecutor() as pool:
         told = list(pool.map(one, range(seeds), chunksize=16))
     broken = [text for text, *_ in told if text]
-    print(f"{seeds} storms, {len(broken)} broken, {sum(one[1] for one in told)} acknowledged, "
-          f"{sum(one[2] for one in told)} reads, {sum(one[3] for one in told)} terms with a leader, "
-          f"{time.perf_counter() - start:.0f} s")
+    print(
+        f"{seeds} storms, {len(broken)} broken, {sum(one[1] for one in told)} acknowledged, "
+        f"{sum(one[2] for one in told)} reads, {sum(one[3] for one in told)} terms with a leader, "
+        f"{time.perf_counter() - start:.0f} s"
+    )
     for text in broken[:10]:
         print(text)
     return 1 if broken else 0
--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -5,6 +5,7 @@
 Variants: as it is; with a stream of giant prompts; with a change of version half-way; and each prompt counted
 whole on the reactor. Then the same pieces through three caches.
 """
+
 from __future__ import annotations
 
 import json
@@ -95,7 +96,7 @@
         nonlocal sent
         now = clock.now()
         while sent < RATE * (now - start) / 1000:
-            one(start + 1000 * sent / RATE)          # from the intended time: a stall stands in the delays
+            one(start + 1000 * sent / RATE)  # from the intended time: a stall stands in the delays
             sent += 1
         if now < start + 1000 * seconds:
             reactor.callLater(0.002, send)
@@ -123,11 +124,16 @@
     service.stop()
     delays.sort()
     return found | {
-        "prompts": len(delays), "p50": delays[len(delays) // 2], "p99": delays[int(len(delays) * 0.99)],
-        "p99.9": delays[int(len(delays) * 0.999)], "stall": beat["longest"], "kept MiB": beat["most"] / 2**20,
+        "prompts": len(delays),
+        "p50": delays[len(delays) // 2],
+        "p99": delays[int(len(delays) * 0.99)],
+        "p99.9": delays[int(len(delays) * 0.999)],
+        "stall": beat["longest"],
+        "kept MiB": beat["most"] / 2**20,
         "hit rate": service.hits / max(1, service.hits + service.misses),
         "cpu": sum(resource.getrusage(resource.RUSAGE_SELF)[:2]) / seconds,
-        "memory MiB": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024}
+        "memory MiB": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024,
+    }
 
 
 def caches(prompts: int) -> None:
@@ -152,15 +158,21 @@
                 else:
                     cache.put(piece.key, ids[piece.key])
             rates.append(hit / sum(piece.size for piece in trace))
-        print(f"bound {part:.2f} of it: bytes found kept {rates[0]:.3f} recent, {rates[1]:.3f} frequent, "
-              f"{rates[2]:.3f} unbounded")
+        print(
+            f"bound {part:.2f} of it: bytes found kept {rates[0]:.3f} recent, {rates[1]:.3f} frequent, "
+            f"{rates[2]:.3f} unbounded"
+        )
 
 
 def main(seconds: float) -> None:
     base = 0.0
     for variant in ("as it is", "giants", "version change", "whole on the reactor", "whole, giants"):
-        done = subprocess.run([sys.executable, "-m", "benchmarks.counting", variant, str(seconds)],
-                              capture_output=True, text=True, check=True)
+        done = subprocess.run(
+            [sys.executable, "-m", "benchmarks.counting", variant, str(seconds)],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
         told = json.loads(done.stdout)
         base = base or told["p99"]
         delay = ", ".join(f"{name} {told[name]:.2f}" for name in ("p50", "p99", "p99.9"))
--- a/benchmarks/fleet_growth.py
+++ b/benchmarks/fleet_growth.py
@@ -4,6 +4,7 @@
 all know of a death and of new plan, and false deaths, at 0, 5 and 20% loss.  The number of engines enters by
 the zones that a report names: 12 to 1,000 engines lie in 2 to 9 zones.
 """
+
 from __future__ import annotations
 
 import argparse
@@ -40,20 +41,22 @@
     world.peers["f1"].stop()
     found = world.agree(200 * PERIOD)
     false = {fact.now.name for _, _, fact in world.told if fact.now.state == State.DEAD} - {"f1"}
-    return (f"peers {count:5} fronts, loss {loss:4.0%}: {messages:5.1f} messages and {size:6.0f} bytes a "
-            f"front a second; all joined {joined / 1000:.1f} s after the last; a death known by all after "
-            f"{found / 1000:.1f} s; false deaths {len(false)}")
+    return (
+        f"peers {count:5} fronts, loss {loss:4.0%}: {messages:5.1f} messages and {size:6.0f} bytes a "
+        f"front a second; all joined {joined / 1000:.1f} s after the last; a death known by all after "
+        f"{found / 1000:.1f} s; false deaths {len(false)}"
+    )
 
 
 def follow(task: tuple[int, int]) -> str:
     count, zones = task
     fleet = Following(count)
     seen = ZoneTally(1, 0, 0, 1, 3.0, 3.0, 0.0, 1.25, 1.5, 0.3, 0.0)
-    own = Tally(1, {f"zone-{at}": seen for at in range(zones)},
-                {"hint": 1.0, "explain": 0.6, "mark": 0.4})
+    own = Tally(1, {f"zone-{at}": seen for at in range(zones)}, {"hint": 1.0, "explain": 0.6, "mark": 0.4})
     for one in fleet.followers.values():
         one.report = lambda below: msgspec.msgpack.encode(
-            added([own, *(msgspec.msgpack.decode(data, type=Tally) for data in below)]))
+            added([own, *(msgspec.msgpack.decode(data, type=Tally) for data in below)])
+        )
     fleet.run(2 * LEASE)
     fleet.sent, fleet.wire.weigh = 0, True
     fleet.wire.sent.clear()
@@ -67,10 +70,12 @@
     told = sorted(at - start for at, _, fact in fleet.facts if isinstance(fact, Fresh) and at >= start)
     leader = fleet.followers["f0"]
     heard = msgspec.msgpack.decode(leader.report(leader.reports()), type=Tally)
-    return (f"following {count:5} fronts, {zones} zones: {rate:.1f} messages and {size:.0f} bytes a front a "
-            f"second, {most:.0f} at the busiest; a plan of 2 kB is with half after "
-            f"{told[len(told) // 2]:.0f} ms, with all {len(told)} after {told[-1]:.0f} ms; the leader hears "
-            f"of {heard.fronts}")
+    return (
+        f"following {count:5} fronts, {zones} zones: {rate:.1f} messages and {size:.0f} bytes a front a "
+        f"second, {most:.0f} at the busiest; a plan of 2 kB is with half after "
+        f"{told[len(told) // 2]:.0f} ms, with all {len(told)} after {told[-1]:.0f} ms; the leader hears "
+        f"of {heard.fronts}"
+    )
 
 
 def main() -> None:
@@ -80,10 +85,14 @@
     parser.add_argument("--procs", type=int, default=4)
     args = parser.parse_args()
     with ProcessPoolExecutor(args.procs) as pool:
-        jobs = [pool.submit(follow, (int(count), zones)) for count in args.follow.split(",")
-                for zones in (2, 9)]
-        jobs += [pool.submit(peers, (int(count), loss)) for count in args.peers.split(",")
-                 for loss in (0.0, 0.05, 0.2)]
+        jobs = [
+            pool.submit(follow, (int(count), zones)) for count in args.follow.split(",") for zones in (2, 9)
+        ]
+        jobs += [
+            pool.submit(peers, (int(count), loss))
+            for count in args.peers.split(",")
+            for loss in (0.0, 0.05, 0.2)
+        ]
         for job in jobs:
             print(job.result(), flush=True)
 
--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -5,6 +5,7 @@
 client coming back at once, once.  Beside it in the same run: the same day without
 the flood, and the flood with no gate (every call goes to the lane as it comes).
 """
+
 from __future__ import annotations
 
 import contextlib
@@ -24,10 +25,12 @@
 from worksmux.front import serve
 from worksmux.trial.small import FIGURES, SETTINGS, Rig
 
-SPEED = 1_000.0                      # tokens a second of an embeddings engine; two of them
-INPUTS, TOKENS = 10, 10              # of a call
+SPEED = 1_000.0  # tokens a second of an embeddings engine; two of them
+INPUTS, TOKENS = 10, 10  # of a call
 FLEET = [("prefill", 0), ("decode", 0), ("decode", 0), ("embedder", 0), ("embedder", 0)]
-TEXT = SETTINGS + """
+TEXT = (
+    SETTINGS
+    + """
 kind "embedder" role="both" memory=1000000 call="embeddings"
 offering "vectors" {
     call "embeddings"
@@ -45,6 +48,7 @@
     stay-away "100ms" "5s"
 }
 """
+)
 
 
 class NoGate(RealGate):
@@ -73,8 +77,12 @@
 
         def ask(number: int, again: bool) -> None:
             texts = [f"{number} {at} ".ljust(4 * TOKENS, "x") for at in range(INPUTS)]
-            body = {"model": "vectors", "input": texts, "user": f"u{number % 20}",
-                    "encoding_format": "base64"}
+            body = {
+                "model": "vectors",
+                "input": texts,
+                "user": f"u{number % 20}",
+                "encoding_format": "base64",
+            }
 
             def ended(status: int, head: dict[str, str], reply: bytes, trouble: Any) -> None:
                 ends[status] += 1
@@ -93,21 +101,32 @@
         rig.reactor.callLater(0.1, lambda: rig.fault(rig.engines[1], "slow", factor=2.0))
         records = rig.day(length=1000 * seconds, rate=30.0, patience=0.9)
         told = summary(records, FIGURES)
-        return {"chat credit": told["credit_share"], "kept": told["kept"],
-                "first p99": told["first_ms"]["p99"],
-                "goodput": sum(good) * TOKENS / (2 * SPEED * seconds), "calls": number, "ends": dict(ends)}
+        return {
+            "chat credit": told["credit_share"],
+            "kept": told["kept"],
+            "first p99": told["first_ms"]["p99"],
+            "goodput": sum(good) * TOKENS / (2 * SPEED * seconds),
+            "calls": number,
+            "ends": dict(ends),
+        }
 
 
 def main() -> None:
     seconds = float([*sys.argv[1:], "6"][0])
     quiet = play(seconds, 0.0, Gate)
     print(f"{seconds:g} s; chat alone: {quiet}", flush=True)
-    for name, flood, gate in (("half of capacity", 0.5, Gate), ("10 times, with the gate", 10.0, Gate),
-                              ("10 times, no gate", 10.0, NoGate)):
+    for name, flood, gate in (
+        ("half of capacity", 0.5, Gate),
+        ("10 times, with the gate", 10.0, Gate),
+        ("10 times, no gate", 10.0, NoGate),
+    ):
         found = play(seconds, flood, gate)
         share = found["chat credit"] / quiet["chat credit"]
-        print(f"{name}: chat at {share:.3f} of its credit alone; embeddings served {found['goodput']:.2f} of "
-              f"capacity; {found}", flush=True)
+        print(
+            f"{name}: chat at {share:.3f} of its credit alone; embeddings served {found['goodput']:.2f} of "
+            f"capacity; {found}",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/front_against_relay.py
+++ b/benchmarks/front_against_relay.py
@@ -5,6 +5,7 @@
 relay and front. Printed: jobs a second, delay at one job at a time, the module's part of the front's CPU, and
 memory for each of 2,000 open streams.
 """
+
 from __future__ import annotations
 
 import json
@@ -29,12 +30,23 @@
 from worksmux.trial.processes import ports_of_front
 
 TOKENS = 8
-BODY = json.dumps({"model": "hint", "stream": True, "max_tokens": TOKENS, "messages": [
-    {"role": "system", "content": "guide " * 80},
-    {"role": "user", "content": "why does it fall? " * 20}]}).encode()
+BODY = json.dumps(
+    {
+        "model": "hint",
+        "stream": True,
+        "max_tokens": TOKENS,
+        "messages": [
+            {"role": "system", "content": "guide " * 80},
+            {"role": "user", "content": "why does it fall? " * 20},
+        ],
+    }
+).encode()
 CHUNKS = b"".join(event(chat.chunk("c", "hint", f"w{at} ")) for at in range(TOKENS))
-END = (event(chat.chunk("c", "hint", finish="stop"))
-       + event(chat.chunk("c", "hint", usage=chat.Usage(9, 8, 17))) + DONE)
+END = (
+    event(chat.chunk("c", "hint", finish="stop"))
+    + event(chat.chunk("c", "hint", usage=chat.Usage(9, 8, 17)))
+    + DONE
+)
 JSON = [("Content-Type", "application/json")]
 
 
@@ -46,8 +58,10 @@
         if exchange.path != calls.CHAT.encode():
             return exchange.answer(200, b"{}")
         if reader:
-            return exchange.answer(200, chat.ENCODE.encode(chat.ReadReply(
-                chat.KvParams("r", "127.0.0.1", 1), chat.Usage(9, 1, 10))))
+            return exchange.answer(
+                200,
+                chat.ENCODE.encode(chat.ReadReply(chat.KvParams("r", "127.0.0.1", 1), chat.Usage(9, 1, 10))),
+            )
         exchange.begin("text/event-stream")
         if slow:
             return exchange.more(event(chat.chunk("c", "hint", "w0 ")))
@@ -107,8 +121,13 @@
         self.reactor.callLater((self.end - start) / 1000 + 2, self.reactor.stop)
         self.reactor.run()
         delays = sorted(self.delays) or [0.0]
-        return {"rate": 1000 * len(self.delays) / (self.end - start), "p50": statistics.median(delays),
-                "p99": delays[int(0.99 * (len(delays) - 1))], "bad": self.bad, "first": self.first}
+        return {
+            "rate": 1000 * len(self.delays) / (self.end - start),
+            "p50": statistics.median(delays),
+            "p99": delays[int(0.99 * (len(delays) - 1))],
+            "bad": self.bad,
+            "first": self.first,
+        }
 
     def ask(self) -> None:
         sent, loader = clock.now(), self
@@ -130,8 +149,12 @@
 
 
 def load(port: int, width: int, seconds: float, hold: bool = False) -> dict[str, float]:
-    done = subprocess.run([sys.executable, "-m", __spec__.name, "load", str(port), str(width), str(seconds),
-                           str(int(hold))], capture_output=True, text=True, check=True)
+    done = subprocess.run(
+        [sys.executable, "-m", __spec__.name, "load", str(port), str(width), str(seconds), str(int(hold))],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     found: dict[str, float] = json.loads(done.stdout)
     return found
 
@@ -157,8 +180,9 @@
     text = Path("benchmarks/front.kdl").read_text().replace("127.0.0.1:7000", f"127.0.0.1:{port}")
     path = folder / f"front-{port}.kdl"
     path.write_text(text)
-    child = subprocess.Popen([sys.executable, "-m", "worksmux", "serve", str(path)], stderr=subprocess.PIPE,
-                             text=True)
+    child = subprocess.Popen(
+        [sys.executable, "-m", "worksmux", "serve", str(path)], stderr=subprocess.PIPE, text=True
+    )
     assert child.stderr
     while True:
         ports = ports_of_front(child.stderr.readline().encode())
@@ -171,8 +195,9 @@
             pass
 
     import threading
+
     threading.Thread(target=drain, daemon=True).start()
-    time.sleep(0.5)                                  # the list arrives; no measure depends on it
+    time.sleep(0.5)  # the list arrives; no measure depends on it
     return [listing, child], *ports
 
 
@@ -190,6 +215,7 @@
 def turns(watch: int) -> float:
     """Seconds that the front says it spent in its module."""
     from urllib.request import urlopen
+
     text = urlopen(f"http://127.0.0.1:{watch}/metrics").read().decode()
     wanted = "worksmux_turn_seconds_sum"
     return float(next(line.split()[1] for line in text.splitlines() if line.startswith(wanted)))
@@ -207,15 +233,16 @@
         bare, bare_port = start("relay", str(engines[0][1]))
         children.append(bare)
         mixed, mixed_port, mixed_watch = front([("mixed", port) for _, port in engines], folder)
-        split, split_port, _ = front([("prefill", port) for _, port in readers]
-                                     + [("decode", port) for _, port in engines[:2]], folder)
+        split, split_port, _ = front(
+            [("prefill", port) for _, port in readers] + [("decode", port) for _, port in engines[:2]], folder
+        )
         held, held_port, _ = front([("mixed", slow[1])], folder)
         children += [*mixed, *split, *held]
         try:
             rates: dict[str, list[float]] = {"relay": [], "front": [], "two stages": []}
             ones: dict[str, dict[str, float]] = {}
             used, inside = cpu(mixed[1].pid), turns(mixed_watch)
-            for _ in range(3):                       # in turn, so that drift of the machine hits all alike
+            for _ in range(3):  # in turn, so that drift of the machine hits all alike
                 for what, port in (("relay", bare_port), ("front", mixed_port), ("two stages", split_port)):
                     found = load(port, width, seconds)
                     assert not found["bad"], f"{what}: {found['bad']} jobs failed"
--- a/benchmarks/mass_restart.py
+++ b/benchmarks/mass_restart.py
@@ -6,6 +6,7 @@
 running front's own; engines, sockets and clients are the model's.  Beside it, in the same run: fronts with
 live discovery, and fronts that trust the list wholly.  Fronts that refuse to serve deliver nothing.
 """
+
 from __future__ import annotations
 
 import sys
@@ -82,21 +83,24 @@
 
 def day(fronts: int, engines: int, length: float = 10_000.0, load: float = 0.4, seed: int = 1) -> Scenario:
     """Engines in cells of six (two read, four write); `load` is a part of what the readers can read."""
-    cells = "".join(f'cell "c{at}" zone="{"north" if at % 2 else "south"}" {{\n    engines "prefill" 2\n'
-                    '    engines "decode" 4\n}\n' for at in range(engines // 6))
+    cells = "".join(
+        f'cell "c{at}" zone="{"north" if at % 2 else "south"}" {{\n    engines "prefill" 2\n'
+        '    engines "decode" 4\n}\n'
+        for at in range(engines // 6)
+    )
     rate = load * engines / 3 * 20_000 / 200
     return read_scenario(parse(DAY.format(fronts=fronts, cells=cells, rate=rate, length=length, seed=seed)))
 
 
 @dataclass
 class Found:
-    first: float | None              # milliseconds until a first job was delivered
+    first: float | None  # milliseconds until a first job was delivered
     delivered: int
-    stale: int                       # sends to engines that are no more
-    stale_until: float               # when the last of them went
-    peak: float                      # the most that reached a cold engine, against what it can stand
+    stale: int  # sends to engines that are no more
+    stale_until: float  # when the last of them went
+    peak: float  # the most that reached a cold engine, against what it can stand
     falls: int
-    probes: int                      # the most at one engine within a second
+    probes: int  # the most at one engine within a second
 
 
 def play(scenario: Scenario, age: float, part: float, how: str) -> Found:
@@ -130,27 +134,39 @@
     fronts = [front for front in model.fronts if front]
     counts = [engine.counts for engine in model.engines.values()]
     return Found(
-        min(ends) - start if ends else None, model.clients.totals.ends.get("delivered", 0),
+        min(ends) - start if ends else None,
+        model.clients.totals.ends.get("delivered", 0),
         sum(front.counts.unreachable for front in fronts),
         max([0.0, *(front.counts.stale_last - start for front in fronts if front.counts.stale_last)]),
-        max(one.peak for one in counts), sum(one.falls for one in counts),
-        max(one.probe_peak for one in counts))
+        max(one.peak for one in counts),
+        sum(one.falls for one in counts),
+        max(one.probe_peak for one in counts),
+    )
 
 
 def trust_wholly(model: Model, at: int, lines: list[Saved]) -> None:
     front = model.fronts[at]
     if front is not None:
-        entries = [entry for saved in lines if (entry := front.roster.keeper.remember(
-            front.sim.now, front.sim.now, saved.line, "ready", careful=False))]
+        entries = [
+            entry
+            for saved in lines
+            if (
+                entry := front.roster.keeper.remember(
+                    front.sim.now, front.sim.now, saved.line, "ready", careful=False
+                )
+            )
+        ]
         front.tell(Listed("cached", entries))
 
 
 def row(name: str, found: Found, live: Found) -> None:
     first = "never" if found.first is None else f"{found.first:.0f} ms"
-    print(f"{name:32} first {first:>8}, {found.delivered / max(1, live.delivered):.2f} of live; "
-          f"{found.stale} sends to what is gone, the last after {found.stale_until / 1000:.1f} s; "
-          f"cold peak {found.peak:.2f} of what falls, {found.falls} fell; probes {found.probes}/s",
-          flush=True)
+    print(
+        f"{name:32} first {first:>8}, {found.delivered / max(1, live.delivered):.2f} of live; "
+        f"{found.stale} sends to what is gone, the last after {found.stale_until / 1000:.1f} s; "
+        f"cold peak {found.peak:.2f} of what falls, {found.falls} fell; probes {found.probes}/s",
+        flush=True,
+    )
 
 
 def main() -> None:
--- a/benchmarks/module_by_size.py
+++ b/benchmarks/module_by_size.py
@@ -2,6 +2,7 @@
 
 A job arrives, is read, written and delivered; 200 jobs are out at any moment.  No sockets, one process.
 """
+
 from __future__ import annotations
 
 import random
@@ -57,8 +58,11 @@
         actions = front.decide(now, events)
         spent += time.perf_counter() - start
         ended += sum(isinstance(action, (i.Defer, i.BreakOff)) for action in actions)
-        line.extend((now + 50.0 * chance.uniform(0.9, 1.1), action.trip) for action in actions
-                    if isinstance(action, i.Send))
+        line.extend(
+            (now + 50.0 * chance.uniform(0.9, 1.1), action.trip)
+            for action in actions
+            if isinstance(action, i.Send)
+        )
         now += 1.0
     return 1000 * spent / JOBS
 
--- a/benchmarks/remembering.py
+++ b/benchmarks/remembering.py
@@ -3,6 +3,7 @@
 Bytes of the store, time of a first write, of a change of one line and of a start, at 50, 1,000 and 20,000
 engines; beside a plain file of JSON that is written whole, for the same lines.
 """
+
 from __future__ import annotations
 
 import os
@@ -33,8 +34,20 @@
     for count in (50, 1000, 20_000):
         with tempfile.TemporaryDirectory() as name:
             folder = Path(name)
-            lines = [Line(f"north-{at // 20}-decode-{at}", "10.0.0.1", 8000 + at % 1000, "decode", "ready",
-                          "north", at // 20, 1.0, 1.7e12 + at) for at in range(count)]
+            lines = [
+                Line(
+                    f"north-{at // 20}-decode-{at}",
+                    "10.0.0.1",
+                    8000 + at % 1000,
+                    "decode",
+                    "ready",
+                    "north",
+                    at // 20,
+                    1.0,
+                    1.7e12 + at,
+                )
+                for at in range(count)
+            ]
             saved = [Saved(line, 1.7e12) for line in lines]
             data = {one.line.id: msgspec.msgpack.encode(one) for one in saved}
             store = open_store(folder / "store")
--- a/benchmarks/timers.py
+++ b/benchmarks/timers.py
@@ -3,6 +3,7 @@
 Timers of 0 to 60 s, put in, a part of them taken out again before they ring (as time-outs are), the rest rung
 in steps of 1 ms; microseconds for each timer, the heap with lazy deletion beside it in the same run.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -47,8 +48,11 @@
             times = [chance.uniform(0, 60_000) for _ in range(count)]
             cancelled = set(chance.sample(range(count), int(part * count)))
             ours, plain = wheel(times, cancelled), heap(times, cancelled)
-            print(f"{count:7} timers, {part:.0%} taken out: by tick {ours / count * 1e6:.2f} us, heap "
-                  f"{plain / count * 1e6:.2f} us, ratio {ours / plain:.2f}", flush=True)
+            print(
+                f"{count:7} timers, {part:.0%} taken out: by tick {ours / count * 1e6:.2f} us, heap "
+                f"{plain / count * 1e6:.2f} us, ratio {ours / plain:.2f}",
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/benchmarks/without_discovery.py
+++ b/benchmarks/without_discovery.py
@@ -5,6 +5,7 @@
 engines that no longer are. Beside two baselines: the list trusted wholly, and no memory at all.  A replaced
 engine is one whose address refuses connections; as many new ones run that the list does not know.
 """
+
 from __future__ import annotations
 
 import contextlib
@@ -43,7 +44,11 @@
     engine."""
     with tempfile.TemporaryDirectory() as name, contextlib.redirect_stdout(io.StringIO()):
         folder = Path(name)
-        text = SETTINGS if how in ("live", "refuse") else SETTINGS + f"""
+        text = (
+            SETTINGS
+            if how in ("live", "refuse")
+            else SETTINGS
+            + f"""
 memory {{
     file "{folder / "memory"}"
     believed-for "1h"
@@ -51,6 +56,7 @@
     write-pause "100ms"
 }}
 """
+        )
         rig = Rig(folder, FLEET, text=text)
         if how != "live":
             remember(rig, folder / "memory", 0.0 if how == "wholly" else age, gone)
@@ -67,7 +73,7 @@
 
         front.core.on_trip = trip
         if how == "wholly" and front.memory and front.memory.beliefs:
-            front.memory.beliefs.due.clear()         # nothing is asked, nothing is dropped
+            front.memory.beliefs.due.clear()  # nothing is asked, nothing is dropped
         records = rig.day(length=3000.0, rate=20.0)
         firsts = [float(line["t"]) for line in records.lines if line["what"] == "first token"]
         start = min(float(line["t"]) for line in records.lines if line["what"] == "try")
@@ -83,8 +89,10 @@
     for gone_name, gone in GONE.items():
         wholly = run(0.0, gone, "wholly")
         first = "never" if wholly[0] is None else f"{wholly[0]:.0f} ms"
-        print(f"{gone_name} gone, trusted wholly: first {first}, {wholly[1] / live[1]:.2f} of live, "
-              f"{wholly[2]} sends to engines that are no more")
+        print(
+            f"{gone_name} gone, trusted wholly: first {first}, {wholly[1] / live[1]:.2f} of live, "
+            f"{wholly[2]} sends to engines that are no more"
+        )
         for name, age in AGES.items():
             found = run(age, gone, "weighed")
             first = "never" if found[0] is None else f"{found[0]:.0f} ms"
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """The same verdict every time: hypothesis draws the same examples, but for long runs of a person's own.
 Tests that KNOWN-RED.txt lists are run and passed over, and are printed at the end."""
+
 from __future__ import annotations
 
 import os
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -3,6 +3,7 @@
 One line each: the test, its cause, its issue, with ` | ` between them; three at most.  Such a test is run,
 and its failure is printed and passed over.  A fourth line, or one that names no test, stops the run.
 """
+
 from __future__ import annotations
 
 import re
@@ -14,7 +15,7 @@
 
 
 class Red(NamedTuple):
-    test: str                # as pytest names it, without a parameter's value: tests/test_x.py::test_y
+    test: str  # as pytest names it, without a parameter's value: tests/test_x.py::test_y
     cause: str
     issue: str
 
--- a/tests/node_rig.py
+++ b/tests/node_rig.py
@@ -1,4 +1,5 @@
 """A front node between scripted peers on loopback: what they send is in the test."""
+
 from __future__ import annotations
 
 import json
@@ -16,17 +17,32 @@
 from worksmux.node.serve import Node
 
 SETTINGS = {
-    "me": 0, "balancers": 1, "zone": 0, "tick": 2.0, "kinds": ["prefill", "decode"], "zones": ["a"],
+    "me": 0,
+    "balancers": 1,
+    "zone": 0,
+    "tick": 2.0,
+    "kinds": ["prefill", "decode"],
+    "zones": ["a"],
     "services": [
         {"name": "chat", "aim": 1000.0, "deadline": 4000.0, "worth": 1.0, "repeat": "free"},
-        {"name": "mark", "aim": 1000.0, "deadline": 4000.0, "worth": 5.0, "repeat": "single_shot"}],
+        {"name": "mark", "aim": 1000.0, "deadline": 4000.0, "worth": 5.0, "repeat": "single_shot"},
+    ],
     "limits": {"cancel": True, "probes": True, "try_limit": 5, "connect_timeout": 250.0},
     "extra": {"duty_by_kind": ["read", "write"], "release_within": 500.0},
-    "rules": {"answer_slack": 8.0, "drain_grace": 250.0, "cold_share": 0.3, "warm_up": 13000.0,
-              "tip_multiple": 4.0, "fall": 2000.0}}
-EVENTS = (b'data: {"choices":[{"index":0,"delta":{"content":"oq"},"finish_reason":null}]}\n\n',
-          b'data: {"choices":[{"index":0,"delta":{"content":"vh"},"finish_reason":"stop"}]}\n\n',
-          b"data: [DONE]\n\n")
+    "rules": {
+        "answer_slack": 8.0,
+        "drain_grace": 250.0,
+        "cold_share": 0.3,
+        "warm_up": 13000.0,
+        "tip_multiple": 4.0,
+        "fall": 2000.0,
+    },
+}
+EVENTS = (
+    b'data: {"choices":[{"index":0,"delta":{"content":"oq"},"finish_reason":null}]}\n\n',
+    b'data: {"choices":[{"index":0,"delta":{"content":"vh"},"finish_reason":"stop"}]}\n\n',
+    b"data: [DONE]\n\n",
+)
 READ = b'HTTP/1.1 202 Accepted\r\nContent-Length: 21\r\n\r\n{"cached_tokens":409}'
 STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 NO_CONTENT = b"HTTP/1.1 204 No Content\r\n\r\n"
@@ -41,12 +57,15 @@
 ANSWER = STREAM + b"".join(map(chunk, EVENTS)) + LAST
 
 
-def ask(key: str = "a1", offering: str = "chat", left: str = "3000", body: bytes = BODY,
-        more: str = "") -> bytes:
-    return (f"POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {key}\r\n"
-            f"X-Priority-Class: {offering}\r\nX-Route-Key: 7f\r\nX-Timeout-Ms: {left}\r\n"
-            f"X-Attrs: prefix=5c,prompt_len=500,prefix_len=100,max_out=80\r\n{more}"
-            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+def ask(
+    key: str = "a1", offering: str = "chat", left: str = "3000", body: bytes = BODY, more: str = ""
+) -> bytes:
+    return (
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {key}\r\n"
+        f"X-Priority-Class: {offering}\r\nX-Route-Key: 7f\r\nX-Timeout-Ms: {left}\r\n"
+        f"X-Attrs: prefix=5c,prompt_len=500,prefix_len=100,max_out=80\r\n{more}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
 
 
 class Peer(Protocol):
@@ -66,8 +85,9 @@
     def whole(self) -> bytes | None:
         """The next whole request, taken off what came."""
         head, end, rest = self.got.partition(b"\r\n\r\n")
-        length = next((int(line[15:]) for line in head.split(b"\r\n")
-                       if line.startswith(b"Content-Length:")), 0)
+        length = next(
+            (int(line[15:]) for line in head.split(b"\r\n") if line.startswith(b"Content-Length:")), 0
+        )
         if not end or len(rest) < length:
             return None
         self.got = rest[length:]
@@ -104,8 +124,16 @@
         return [request.split(b" ")[0] for request in self.asked]
 
     def entry(self, status: str = "SERVING") -> dict[str, Any]:
-        return {"name": self.name, "address": f"127.0.0.1:{self.number}", "zone": "a", "type": self.kind,
-                "group": 1, "status": status, "weight": 1.0, "since_ms": 0}
+        return {
+            "name": self.name,
+            "address": f"127.0.0.1:{self.number}",
+            "zone": "a",
+            "type": self.kind,
+            "group": 1,
+            "status": status,
+            "weight": 1.0,
+            "since_ms": 0,
+        }
 
 
 class Silent:
@@ -163,9 +191,15 @@
         return self.engines[-1]
 
     def config(self) -> Config:
-        told = {"name": "n", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.hosts.number}",
-                "seed": "8c", "limits": {"sockets": self.sockets}, "settings": SETTINGS,
-                "known": {"index": 1, "snapshot": True, "endpoints": [one.entry() for one in self.engines]}}
+        told = {
+            "name": "n",
+            "listen": "127.0.0.1:0",
+            "discovery": f"127.0.0.1:{self.hosts.number}",
+            "seed": "8c",
+            "limits": {"sockets": self.sockets},
+            "settings": SETTINGS,
+            "known": {"index": 1, "snapshot": True, "endpoints": [one.entry() for one in self.engines]},
+        }
         return read(json.dumps(told).encode(), "config.json", {})
 
     def start(self) -> Rig:
@@ -194,8 +228,14 @@
 
     def answered(self, peer: Peer) -> bytes:
         """The status of a whole answer, or of what came before the connection ended."""
-        self.until(lambda: peer.ended or peer.got.endswith(LAST) or b"\r\n\r\n" in peer.got and (
-            b"Content-Length" in peer.got or b"content-length" in peer.got))
+        self.until(
+            lambda: (
+                peer.ended
+                or peer.got.endswith(LAST)
+                or b"\r\n\r\n" in peer.got
+                and (b"Content-Length" in peer.got or b"content-length" in peer.got)
+            )
+        )
         return peer.got[9:12]
 
     def idle(self) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,4 +1,5 @@
 """Shares, limits, repeats and brown-out: each on a state built by hand, and in a simulated flood."""
+
 from __future__ import annotations
 
 import random
@@ -12,24 +13,34 @@
 from worksmux.admission.limit import Limit
 from worksmux.admission.repeats import Advice, Budget, Repeats
 
-ANY = lambda cost: True                              # noqa: E731
+ANY = lambda cost: True  # noqa: E731
 
 
 def gate(**changed: float) -> Gate:
-    shares = [Share("cheap", 1.0, 1.0, 100.0, 2000.0, 50, 1000.0, "a"),
-              Share("dear", 4.0, 3.0, 100.0, 2000.0, 50, 1000.0, "a"),
-              Share("other", 2.0, 1.0, 100.0, 2000.0, 50, 1000.0, "b")]
+    shares = [
+        Share("cheap", 1.0, 1.0, 100.0, 2000.0, 50, 1000.0, "a"),
+        Share("dear", 4.0, 3.0, 100.0, 2000.0, 50, 1000.0, "a"),
+        Share("other", 2.0, 1.0, 100.0, 2000.0, 50, 1000.0, "b"),
+    ]
     return Gate(GateSettings(shares, 0.1, 5.0, 100.0, 5000.0, 200.0, 2000.0), 1)
 
 
-def asked(offering: int = 0, caller: str = "c", cost: float = 50.0, now: float = 0.0, body: int = 0,
-          repeat: bool = False) -> Asked:
-    return Asked(offering, caller, cost, now, now + 1000.0, now + 4000.0, repeat,
-                 body or random.getrandbits(60))
+def asked(
+    offering: int = 0,
+    caller: str = "c",
+    cost: float = 50.0,
+    now: float = 0.0,
+    body: int = 0,
+    repeat: bool = False,
+) -> Asked:
+    return Asked(
+        offering, caller, cost, now, now + 1000.0, now + 4000.0, repeat, body or random.getrandbits(60)
+    )
 
 
 # Shares.
 
+
 @given(st.lists(st.tuples(st.integers(0, 5), st.floats(1, 100)), min_size=1, max_size=120))
 @settings(max_examples=100, deadline=None)
 def test_every_flow_gets_its_share_within_a_quantum_and_an_item(items: list[tuple[int, float]]) -> None:
@@ -38,7 +49,7 @@
         lines.put(key, (key, cost), cost)
     served = dict.fromkeys(range(6), 0.0)
     while lines.count:
-        busy = set(lines.flows)                      # as long as all of these wait, none is behind
+        busy = set(lines.flows)  # as long as all of these wait, none is behind
         before = dict(served)
         while set(lines.flows) == busy:
             item = lines.next(ANY)
@@ -46,12 +57,17 @@
             served[item[0]] += item[1]
             gains = [served[key] - before[key] for key in busy]
             assert max(gains) - min(gains) <= 2 * 100.0 + 100.0
-    assert sum(served.values()) == sum(cost for _, cost in items) or abs(
-        sum(served.values()) - sum(cost for _, cost in items)) < 1e-6
+    assert (
+        sum(served.values()) == sum(cost for _, cost in items)
+        or abs(sum(served.values()) - sum(cost for _, cost in items)) < 1e-6
+    )
 
 
-@given(st.lists(st.tuples(st.sampled_from(["put", "next", "drop"]), st.integers(0, 4), st.floats(1, 60)),
-                max_size=150))
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["put", "next", "drop"]), st.integers(0, 4), st.floats(1, 60)), max_size=150
+    )
+)
 @settings(max_examples=100, deadline=None)
 def test_line_never_holds_more_than_its_bound_and_counts_right(steps: list[tuple[str, int, float]]) -> None:
     lines: Lines[int] = Lines(60.0, 300.0, 8)
@@ -102,6 +118,7 @@
 
 # Limits.
 
+
 def played(capacity: int, service: float, length: float = 20_000.0, hold: int = 10_000) -> Limit:
     """A station of `capacity` places, kept busy as far as the limit lets."""
     limit, now = Limit(10.0, 20.0, 1000.0), 0.0
@@ -140,6 +157,7 @@
 
 # Repeats.
 
+
 @given(st.lists(st.booleans(), max_size=400))
 @settings(max_examples=60, deadline=None)
 def test_repeats_never_exceed_their_ratio_of_first_attempts(kinds: list[bool]) -> None:
@@ -164,13 +182,14 @@
 
 def test_those_turned_away_come_back_spread_and_no_faster_than_is_served() -> None:
     advice = Advice(100.0, 60_000.0, 1)
-    back = sorted(advice.stay_away(0.0, 10.0, 1.0, 0.0) for _ in range(500))      # one in 10 ms
+    back = sorted(advice.stay_away(0.0, 10.0, 1.0, 0.0) for _ in range(500))  # one in 10 ms
     assert back[-1] > 4000.0
     assert max(sum(start <= one < start + 1000 for one in back) for start in back) < 2 * 100
 
 
 # Brown-out.
 
+
 def test_the_front_sheds_the_cheapest_first_and_never_all_of_the_dearest() -> None:
     brown = Brownout([5.0, 1.0, 3.0], 200.0, 2000.0)
     for step in range(100):
@@ -178,7 +197,7 @@
         shares = [brown.shed_share(at) for at in (1, 2, 0)]
         assert shares == sorted(shares, reverse=True)
     assert shares == [1.0, 1.0, 0.5] and brown.sheds(1, 0.99)
-    brown.note(1100.0, Pressure(lag=0.9))            # between the bounds: it stays
+    brown.note(1100.0, Pressure(lag=0.9))  # between the bounds: it stays
     assert brown.level == 2.5
     for step in range(60):
         brown.note(1200.0 + 100 * step, Pressure(lag=0.1))
@@ -187,11 +206,12 @@
 
 # The gate.
 
+
 def test_call_that_could_not_be_served_in_time_is_turned_away_at_once() -> None:
     one = gate()
     first = asked()
     assert one.arrived(0.0, first).go == [first]
-    one.ended(100.0, first, 100.0, True)             # half a token a millisecond
+    one.ended(100.0, first, 100.0, True)  # half a token a millisecond
     held = [asked(cost=100.0, now=100.0, caller=f"c{at}") for at in range(40)]
     told = [one.arrived(100.0, each) for each in held]
     refused = [each.why for step in told for each in step.refused]
@@ -231,14 +251,14 @@
 
 def test_storm_of_repeats_is_kept_to_its_ratio() -> None:
     one, now = gate(), 0.0
-    one.arrived(now, asked(cost=100.0))              # these two are out for the whole time
+    one.arrived(now, asked(cost=100.0))  # these two are out for the whole time
     one.arrived(now, asked(cost=100.0))
     held = []
     for number in range(300):
         now += 1.0
         held += one.arrived(now, asked(body=1000 + number, cost=100.0, now=now, caller=f"{number}")).refused
     taken = 0
-    for refused in held:                             # all come back at once, and say nothing of it
+    for refused in held:  # all come back at once, and say nothing of it
         again = asked(body=refused.asked.body, cost=100.0, now=now)
         taken += not [each for each in one.arrived(now, again).refused if each.why is Why.REPEATS]
     assert len(held) > 200 and taken <= 5 + 0.1 * 300
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -1,4 +1,5 @@
 """Batches: whatever the split, the joining and the failures, each call gets what it would unsplit."""
+
 from __future__ import annotations
 
 import random
@@ -11,8 +12,9 @@
 BOUNDS = Bounds(100.0, 8)
 
 
-def call(*costs: float, group: str = "g", now: float = 0.0, promised: float = 1000.0, bounds: Bounds = BOUNDS
-         ) -> Call:
+def call(
+    *costs: float, group: str = "g", now: float = 0.0, promised: float = 1000.0, bounds: Bounds = BOUNDS
+) -> Call:
     return Call(list(costs), group, bounds, now, now + promised, now + 4 * promised)
 
 
@@ -33,11 +35,14 @@
         assert len(part) <= 8 and (len(part) == 1 or sum(costs[at] for at in part) <= 100.0)
 
 
-@given(st.integers(0, 10**6), st.lists(st.lists(st.floats(1, 60), min_size=1, max_size=20), min_size=1,
-                                      max_size=6))
+@given(
+    st.integers(0, 10**6),
+    st.lists(st.lists(st.floats(1, 60), min_size=1, max_size=20), min_size=1, max_size=6),
+)
 @settings(max_examples=150, deadline=None)
-def test_every_order_of_failures_gives_the_unsplit_results_or_one_failure(seed: int, sizes: list[list[float]]
-                                                                          ) -> None:
+def test_every_order_of_failures_gives_the_unsplit_results_or_one_failure(
+    seed: int, sizes: list[list[float]]
+) -> None:
     chance, plan, now = random.Random(seed), planner(), 0.0
     calls = [call(*costs) for costs in sizes]
     waiting: list[Load] = []
@@ -96,7 +101,7 @@
     assert not plan.add(1.0, second).send and not plan.add(2.0, third).send
     at = plan.next_time()
     assert at is not None and at <= 1.0 + WAIT * 1000.0
-    load, = plan.tick(at).send
+    (load,) = plan.tick(at).send
     assert load.calls() == [second, third] and load.cost == 13.0
 
 
@@ -105,7 +110,7 @@
     plan.add(0.0, call(99.0))
     sent = [load for _ in range(6) for load in plan.add(0.0, call(20.0)).send]
     assert sent and max(load.cost for load in sent) <= 100.0
-    hasty = Call([5.0], "g", BOUNDS, 0.0, 50.0, 60.0)        # its time ends before the others are due
+    hasty = Call([5.0], "g", BOUNDS, 0.0, 50.0, 60.0)  # its time ends before the others are due
     plan.add(0.0, call(5.0))
     plan.add(0.0, hasty)
     assert all(hasty not in load.calls() or load.calls() == [hasty] for load in plan.joining.values())
@@ -117,11 +122,11 @@
     good, bad = call(5.0), call(6.0)
     plan.add(0.0, good)
     plan.add(0.0, bad)
-    load, = plan.tick(100.0).send
+    (load,) = plan.tick(100.0).send
     alone = plan.refused(load, "too long").send
     assert sorted(len(one.calls()) for one in alone) == [1, 1]
     by_call = {one.calls()[0]: one for one in alone}
-    done, = plan.refused(by_call[bad], "too long").done
+    (done,) = plan.refused(by_call[bad], "too long").done
     assert done.call is bad and done.bad == "too long"
     asked = by_call[good].needs()
     assert plan.delivered(by_call[good], asked, answers(asked)).done[0].how is None
@@ -133,7 +138,7 @@
     full, bad = call(5.0), call(6.0)
     plan.add(0.0, full)
     plan.add(0.0, bad)
-    load, = plan.tick(100.0).send
+    (load,) = plan.tick(100.0).send
     plan.partial(load, load.needs(), {0: "result"})
     step = plan.refused(load, "too long")
     assert [done.call for done in step.done] == [full] and step.send[0].calls() == [bad]
@@ -145,7 +150,7 @@
     stays, goes = call(5.0), call(6.0)
     plan.add(0.0, stays)
     plan.add(0.0, goes)
-    load, = plan.tick(100.0).send
+    (load,) = plan.tick(100.0).send
     plan.left(goes)
     step = plan.refused(load, "too long")
     assert not step.done and step.send[0].calls() == [stays]
@@ -157,7 +162,7 @@
     stays, goes = call(5.0, 5.0), call(6.0)
     plan.add(0.0, stays)
     plan.add(0.0, goes)
-    load, = plan.tick(100.0).send
+    (load,) = plan.tick(100.0).send
     assert not plan.left(goes).drop and load.needs() == [(stays, 0), (stays, 1)]
     assert plan.left(stays).drop == [load]
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,5 +1,6 @@
 """Cold engines under the sum of all fronts: many instances of the module, each seeded, none with the others'
 knowledge, and what reaches each cold engine in its worst window."""
+
 from __future__ import annotations
 
 import heapq
@@ -14,9 +15,9 @@
 from worksmux import interface as i
 from worksmux.rules import Front
 
-ENGINES = 10             # of each role
-RATE = 0.06              # requests a millisecond in all
-LOAD = 0.8               # of what the fleet can do: a warm engine can do RATE / ENGINES / LOAD
+ENGINES = 10  # of each role
+RATE = 0.06  # requests a millisecond in all
+LOAD = 0.8  # of what the fleet can do: a warm engine can do RATE / ENGINES / LOAD
 READ, WRITE = 60.0, 400.0
 
 
@@ -25,7 +26,7 @@
 
     def __init__(self, front: Front, engines: list[i.Engine]) -> None:
         self.front, self.engines, self.alive = front, engines, True
-        self.told: set[int] = set()                  # engines whose start it has heard of
+        self.told: set[int] = set()  # engines whose start it has heard of
 
 
 class Fleet:
@@ -39,7 +40,7 @@
         self.numbers, self.prefixes = count(1), prefixes
         self.started: dict[int, float] = {}
         self.sent: dict[int, list[float]] = defaultdict(list)
-        self.sent_knowing: dict[int, list[float]] = defaultdict(list)    # by fronts told of its start
+        self.sent_knowing: dict[int, list[float]] = defaultdict(list)  # by fronts told of its start
         self.served = 0
         self.instances = [self._new() for _ in range(fronts)]
         self._after(0.0, self._arrive)
@@ -48,16 +49,19 @@
         heapq.heappush(self.queue, (self.now + ms, next(self.order), call, args))
 
     def _new(self) -> Instance:
-        made = Instance(Front(self.settings, self.chance.getrandbits(60)),
-                        [i.Engine(bytes([number]), number + 1) for number in range(2 * ENGINES)])
+        made = Instance(
+            Front(self.settings, self.chance.getrandbits(60)),
+            [i.Engine(bytes([number]), number + 1) for number in range(2 * ENGINES)],
+        )
         entries = [self._entry(made.engines, one) for one in range(2 * ENGINES)]
         made.told |= self.started.keys()
         self._tell(made, [i.Listed("full", entries)])
         return made
 
     def _entry(self, engines: list[i.Engine], number: int) -> i.Entry:
-        return i.Entry(engines[number], "ready", self.started.get(number, 0.0), 0, number % 2,
-                       number // ENGINES, 1.0)
+        return i.Entry(
+            engines[number], "ready", self.started.get(number, 0.0), 0, number % 2, number // ENGINES, 1.0
+        )
 
     def cold(self, numbers: list[int]) -> None:
         """Engines start anew, and every front is told within half a second."""
@@ -99,7 +103,7 @@
                 else:
                     self._after(30.0, self._tell, made, [i.Began(trip, 30.0)])
                     self._after(WRITE, self._done, made, trip)
-            elif isinstance(action, i.Probe):        # it costs the engine work too
+            elif isinstance(action, i.Probe):  # it costs the engine work too
                 number = made.engines.index(action.engine)
                 self.sent[number].append(self.now)
                 if number in made.told:
@@ -162,7 +166,7 @@
     fleet.cold(MOST)
     fleet.run(fleet.settings["warm_up"] + 1000)
     early = {engine: len([at for at in fleet.sent[engine] if at >= fleet.started[engine]]) for engine in MOST}
-    assert sum(early.values()) > len(MOST)           # they are not left alone meanwhile
+    assert sum(early.values()) > len(MOST)  # they are not left alone meanwhile
     end = fleet.now
     fleet.run(5000)
     share = 5000 * RATE / ENGINES
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -1,5 +1,6 @@
 """The council: one leader a term, logs agree, nothing acknowledged is lost, reads are never old; each of
 these is shown able to fail by a core that is wrong on purpose."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -13,11 +14,16 @@
 from worksmux.measure import Chance
 from worksmux.model.council import Broken, CouncilWorld, Make, SeatInTime, storm
 
-SAMPLE = 60                          # storms in CI; thousands are played by benchmarks/council_storms.py
+SAMPLE = 60  # storms in CI; thousands are played by benchmarks/council_storms.py
 
 
-def first_break(make: Make, seeds: int = 1500, patient: bool = True, fragile: float = 0.04,
-                say: Callable[[str], bool] = bool) -> str:
+def first_break(
+    make: Make,
+    seeds: int = 1500,
+    patient: bool = True,
+    fragile: float = 0.04,
+    say: Callable[[str], bool] = bool,
+) -> str:
     """What breaks first with a wrong core; empty where nothing does in all these storms."""
     for seed in range(seeds):
         try:
@@ -26,7 +32,7 @@
             if say(str(broken)):
                 return str(broken)
         except AssertionError:
-            pass                                     # it also may no longer find a leader
+            pass  # it also may no longer find a leader
     return ""
 
 
@@ -37,11 +43,12 @@
         world = storm(seed)
         acknowledged += len(world.acknowledged)
         reads += world.read_count
-    assert acknowledged and reads                    # something was there to be lost
+    assert acknowledged and reads  # something was there to be lost
 
 
 # Wrong on purpose.
 
+
 class VotesTwice(Raft):
     def _may_vote(self, seat: str) -> bool:
         return True
@@ -68,9 +75,15 @@
         super()._asked(now, seat, vote, out)
 
 
-@pytest.mark.parametrize("make, told", [
-    (VotesTwice, "two leaders in term"), (VotesForAnyLog, ""), (ReadsWithoutLease, "was acknowledged"),
-    (AgreesAlone, "")])
+@pytest.mark.parametrize(
+    "make, told",
+    [
+        (VotesTwice, "two leaders in term"),
+        (VotesForAnyLog, ""),
+        (ReadsWithoutLease, "was acknowledged"),
+        (AgreesAlone, ""),
+    ],
+)
 def test_wrong_core_is_found(make: Make, told: str) -> None:
     assert told in (found := first_break(make, say=lambda text: told in text)) and found
 
@@ -103,6 +116,7 @@
 
 # Single matters.
 
+
 def test_seat_that_was_cut_off_does_not_disturb_the_leader() -> None:
     world = CouncilWorld(3)
     leader = world.led()
@@ -150,8 +164,13 @@
     if pause:
         for seat in others:
             world.sim.after(100.0 * chance.share(), stand_still, seat)
-    while not any(seat.raft is not None and not seat.frozen and seat.raft.leads_surely(seat.now)
-                  and seat.raft.commit >= seat.raft.began for seat in others):
+    while not any(
+        seat.raft is not None
+        and not seat.frozen
+        and seat.raft.leads_surely(seat.now)
+        and seat.raft.commit >= seat.raft.began
+        for seat in others
+    ):
         world.run(5.0)
     return world.sim.now - start
 
@@ -159,7 +178,7 @@
 def test_majority_outlasts_its_leases_without_a_leader_only_where_its_processes_starve() -> None:
     """A front whose lease ends acts alone, as it must: on a machine without processor time so does one of a
     majority.  There are never two leaders in a term, which the world looks at as it goes."""
-    lease = 4.0 * Figures(60.0, 400.0).patience      # as the fleet's tests have it
+    lease = 4.0 * Figures(60.0, 400.0).patience  # as the fleet's tests have it
     assert max(leaderless_time(seed, 0.0) for seed in range(40)) < lease / 2
     assert max(leaderless_time(seed, 300.0) for seed in range(40)) > lease
 
@@ -172,7 +191,7 @@
     world.propose(new.name)
     world.run(500.0)
     assert world.acknowledged
-    old.go_on(asked=True)                            # Broken is raised if it answers from what it had
+    old.go_on(asked=True)  # Broken is raised if it answers from what it had
     world.run(3_000.0)
     assert world.led().raft is not None
 
@@ -192,7 +211,7 @@
     leader = world.led()
     assert leader.raft is not None
     now = tuple(world.seats)
-    leader.step(Change(Seats(now[:1], ())))          # two at once
+    leader.step(Change(Seats(now[:1], ())))  # two at once
     assert leader.raft.seats.voters == now
     leader.step(Change(Seats(now, ("z",))))
     world.run(1_000.0)
--- a/tests/test_council_parts.py
+++ b/tests/test_council_parts.py
@@ -1,4 +1,5 @@
 """The council's book, its followers and its seats."""
+
 from __future__ import annotations
 
 import msgspec
@@ -9,7 +10,19 @@
 from worksmux.council.book import Book, Chapter, Put
 from worksmux.council.entries import CHANGE, Base, Entry, Seats, front_of, next_entry
 from worksmux.council.following import (
-    Agreed, Contradicts, Follower, Fresh, Fronts, Heard, News, Out, Pull, Tick, Told, parent_of)
+    Agreed,
+    Contradicts,
+    Follower,
+    Fresh,
+    Fronts,
+    Heard,
+    News,
+    Out,
+    Pull,
+    Tick,
+    Told,
+    parent_of,
+)
 from worksmux.council.seating import Able, founds, next_seats
 from worksmux.measure import Chance
 from worksmux.model.followers import LEASE, Following
@@ -17,6 +30,7 @@
 
 # The book.
 
+
 def written(book: Book, put: Put, last: Entry | Base) -> Entry:
     entry = next_entry(last, 1, CHANGE, msgspec.msgpack.encode(put))
     book.apply(entry)
@@ -48,6 +62,7 @@
 
 # Seats.
 
+
 def ables(names: str, zones: str = "xyz") -> dict[str, Able]:
     return {name: Able(name, f"{name}#1", zones[at % len(zones)]) for at, name in enumerate(names)}
 
@@ -64,8 +79,11 @@
 
 def test_council_grows_to_its_size_in_as_many_zones_as_there_are() -> None:
     found = settled(Seats(("a#1",)), ables("abcdef"))
-    assert {able.zone for able in ables("abcdef").values()
-            if able.seat in found[-1].voters} == {"x", "y", "z"}
+    assert {able.zone for able in ables("abcdef").values() if able.seat in found[-1].voters} == {
+        "x",
+        "y",
+        "z",
+    }
     assert len(found[-1].voters) == 3 and not found[-1].learners
 
 
@@ -96,10 +114,15 @@
 
 
 @settings(max_examples=200)
-@given(st.sets(st.sampled_from("abcdefgh"), min_size=1), st.sets(st.sampled_from("abcdefgh"), min_size=1),
-       st.sampled_from([1, 3, 5]), st.integers(1, 4))
-def test_each_change_moves_one_voter_and_it_comes_to_an_end(voters: set[str], there: set[str], wanted: int,
-                                                            zones: int) -> None:
+@given(
+    st.sets(st.sampled_from("abcdefgh"), min_size=1),
+    st.sets(st.sampled_from("abcdefgh"), min_size=1),
+    st.sampled_from([1, 3, 5]),
+    st.integers(1, 4),
+)
+def test_each_change_moves_one_voter_and_it_comes_to_an_end(
+    voters: set[str], there: set[str], wanted: int, zones: int
+) -> None:
     able = {name: Able(name, f"{name}#1", "xyzw"[ord(name) % zones]) for name in there}
     seats = Seats(tuple(sorted(f"{name}#1" for name in voters)))
     for following in settled(seats, able, wanted, "abcdefgh"):
@@ -117,6 +140,7 @@
 
 # Followers.
 
+
 def storm(make: type[Follower], seed: int) -> Following:
     """Cuts, freezes and losses while the council goes on agreeing."""
     fleet = Following(12, seed, make, loss=0.1)
@@ -147,6 +171,7 @@
 def test_follower_that_counts_from_the_answer_is_found() -> None:
     class Hasty(Follower):
         """A lease from when the answer came, however long that was under way."""
+
         def _told(self, now: float, name: str, told: Told, out: Out) -> None:
             if told.number in self.asked:
                 self.asked[told.number] = name, now
@@ -183,10 +208,9 @@
     fleet.run(2 * LEASE)
     middle = {parent_of(name, set(fleet.names) - {name}, ["f0"]) for name in fleet.names[1:]} - {"f0", ""}
     assert middle
-    fleet.frozen |= middle                           # nobody has told the others that they are
+    fleet.frozen |= middle  # nobody has told the others that they are
     fleet.run(4 * LEASE)
-    assert all(one.holds(fleet.now(name)) for name, one in fleet.followers.items()
-               if name not in middle)
+    assert all(one.holds(fleet.now(name)) for name, one in fleet.followers.items() if name not in middle)
 
 
 def test_reports_run_up_the_tree_added_up() -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,6 +1,7 @@
 """Every point that a request can be at, crossed with what may end it there: SIGTERM, its client's leave, the
 end of an engine's connection.  The stand-ins hold until the other side was seen; nothing here waits by the
 clock for something to happen."""
+
 from __future__ import annotations
 
 import os
@@ -87,7 +88,8 @@
             self.writer.peers[-1].transport.write(ANSWER)  # type: ignore[union-attr]
         elif at == 5:
             self.writer.peers[-1].transport.write(  # type: ignore[union-attr]
-                b"".join(map(chunk, EVENTS[1:])) + LAST)
+                b"".join(map(chunk, EVENTS[1:])) + LAST
+            )
 
     def read_all(self, client: socket.socket) -> bytes:
         """What a client gets until its connection ends or an answer is whole."""
@@ -127,10 +129,12 @@
 
 # SIGTERM.
 
+
 @pytest.mark.parametrize("point", POINTS)
 @pytest.mark.parametrize("offering", ["chat", "mark"])
-def test_request_taken_before_sigterm_is_answered_and_the_node_ends(scene: Scene, point: str,
-                                                                    offering: str) -> None:
+def test_request_taken_before_sigterm_is_answered_and_the_node_ends(
+    scene: Scene, point: str, offering: str
+) -> None:
     client = scene.to(point, offering)
     scene.rig.node.stop()
     assert not scene.ended
@@ -162,7 +166,7 @@
 def test_request_that_arrives_with_the_listeners_end_is_answered(scene: Scene) -> None:
     rig = scene.rig
     scene.reader.script, scene.writer.script = (lambda _: READ), (lambda _: ANSWER)
-    client = socket.create_connection(("127.0.0.1", rig.node.port))      # accepted by the machine alone
+    client = socket.create_connection(("127.0.0.1", rig.node.port))  # accepted by the machine alone
     client.sendall(ask())
     client.setblocking(False)
     rig.node.stop()
@@ -203,15 +207,20 @@
 
 # A client that leaves.
 
+
 @pytest.mark.parametrize("point", POINTS)
 @pytest.mark.parametrize("offering", ["chat", "mark"])
 def test_nothing_begins_for_a_client_who_has_left(scene: Scene, point: str, offering: str) -> None:
     client = scene.to(point, offering)
     sent = [request for engine in scene.rig.engines for request in engine.asked]
     client.close()
-    scene.rig.until(lambda: [case for case in scene.rig.node.core.cases.values() if case.answered]
-                    or not scene.rig.node.core.cases)
-    scene.finish("connecting to read")               # whatever is asked from now on is answered
+    scene.rig.until(
+        lambda: (
+            [case for case in scene.rig.node.core.cases.values() if case.answered]
+            or not scene.rig.node.core.cases
+        )
+    )
+    scene.finish("connecting to read")  # whatever is asked from now on is answered
     scene.turns()
 
     def over() -> bool:
@@ -229,7 +238,7 @@
     client = scene.to(point)
     engine = scene.reader if point == "connecting to read" else scene.writer
     (channel,) = [one for one in scene.rig.node.server.channels if one.busy]
-    channel.transport.stopReading()                  # the reactor does not come to read it
+    channel.transport.stopReading()  # the reactor does not come to read it
     client.close()
     scene.up(engine)
     scene.turns()
@@ -239,11 +248,13 @@
 
 # What cannot be repeated.
 
+
 @pytest.mark.parametrize("point", ["reading", "writing"])
 @pytest.mark.parametrize("offering", ["chat", "mark"])
 @pytest.mark.parametrize("how", ["reset", "end", "half an answer", "noise"])
-def test_broken_attempt_is_repeated_only_where_that_is_harmless(scene: Scene, point: str, offering: str,
-                                                                how: str) -> None:
+def test_broken_attempt_is_repeated_only_where_that_is_harmless(
+    scene: Scene, point: str, offering: str, how: str
+) -> None:
     client = scene.to(point, offering)
     engine = scene.reader if point == "reading" else scene.writer
     wire: Any = engine.peers[-1].transport
@@ -261,7 +272,7 @@
     status = scene.read_all(client)[9:12]
     may_have_run = point == "writing"
     if offering == "mark" and may_have_run:
-        assert status == b"502" and scene.effects() == 1     # neither repeated nor refused
+        assert status == b"502" and scene.effects() == 1  # neither repeated nor refused
     else:
         assert status in (b"200", b"503") and scene.effects() <= 2
     client.close()
@@ -279,15 +290,16 @@
 
 # A process that dies behind an accept.
 
+
 @pytest.mark.parametrize("offering", ["chat", "mark"])
 @pytest.mark.parametrize("written", [False, True])
 def test_break_proves_no_more_than_it_does(scene: Scene, offering: str, written: bool) -> None:
     """Before the last byte has left nothing has run; after it something may have, also where nobody read."""
     client = scene.to("connecting to write", offering)
     if written:
-        scene.writer.script = lambda _: None         # read, and reset without a word
+        scene.writer.script = lambda _: None  # read, and reset without a word
     else:
-        scene.rig.engines[1].port.stopListening()    # refused
+        scene.rig.engines[1].port.stopListening()  # refused
     for _ in range(3):
         scene.turns()
     status = scene.read_all(client)[9:12]
@@ -301,6 +313,7 @@
 
 # Requests and events in pieces.
 
+
 def test_request_of_single_bytes_is_one_request(scene: Scene) -> None:
     scene.reader.script, scene.writer.script = (lambda _: READ), (lambda _: ANSWER)
     client = socket.create_connection(("127.0.0.1", scene.rig.node.port))
@@ -308,7 +321,7 @@
     head = ask().replace(b"X-Timeout-Ms: 3000", b"x-timeout-ms:\t3000 ")
     data = b"\r\n" + head.replace(b"Host: ", b"HOST:")
     for at in range(len(data)):
-        client.sendall(data[at:at + 1])
+        client.sendall(data[at : at + 1])
         scene.rig.reactor.iterate(0)
     client.setblocking(False)
     got = scene.read_all(client)
@@ -339,7 +352,7 @@
 @pytest.mark.parametrize("size", [1, 7, 10_000])
 def test_each_event_reaches_the_client_before_the_next_is_written(scene: Scene, size: int) -> None:
     """Guards against events held back or sent in lumps: the engine waits for each to be seen."""
-    scene.to("writing").close()                      # its client leaves; another one comes
+    scene.to("writing").close()  # its client leaves; another one comes
     scene.turns()
     rig = scene.rig
     scene.reader.script = lambda _: READ
@@ -355,7 +368,7 @@
     for number, event in enumerate(EVENTS[:1] * 5 + EVENTS[1:]):
         data = chunk(event)
         for at in range(0, len(data), size):
-            wire.write(data[at:at + size])
+            wire.write(data[at : at + size])
             rig.reactor.iterate(0)
         rig.until(lambda number=number: peer.got.count(b"data:") == number + 1)
     wire.write(LAST)
@@ -364,6 +377,7 @@
 
 # Time-outs, engines that change, descriptors.
 
+
 def test_stream_that_stalls_ends_its_client_without_the_last_chunk(scene: Scene, monkeypatch: Any) -> None:
     monkeypatch.setattr(core, "SILENCE", 60.0)
     client = scene.to("streaming")
@@ -375,12 +389,13 @@
 
 @pytest.mark.parametrize("point", POINTS[:5])
 @pytest.mark.parametrize("offering", ["chat", "mark"])
-def test_late_reactor_lets_the_module_answer_a_request_whose_time_is_over(scene: Scene, point: str,
-                                                                         offering: str) -> None:
+def test_late_reactor_lets_the_module_answer_a_request_whose_time_is_over(
+    scene: Scene, point: str, offering: str
+) -> None:
     """Guards against an answer that says less than is known, where all timers come due in one turn."""
     client = scene.to(point, offering, left="400")
     (case,) = scene.rig.node.core.cases.values()
-    while clock.now() < case.job.give_up_at + 30:    # the reactor does not turn
+    while clock.now() < case.job.give_up_at + 30:  # the reactor does not turn
         pass
     scene.rig.until(lambda: case.answered)
     may_have_run = offering == "mark" and point == "writing"
@@ -391,8 +406,9 @@
 
 @pytest.mark.parametrize("point", POINTS[:5])
 @pytest.mark.parametrize("offering", ["chat", "mark"])
-def test_request_whose_time_is_over_is_answered_before_its_client_gives_up(scene: Scene, point: str,
-                                                                          offering: str) -> None:
+def test_request_whose_time_is_over_is_answered_before_its_client_gives_up(
+    scene: Scene, point: str, offering: str
+) -> None:
     begun = clock.now()
     client = scene.to(point, offering, left="400")
 
@@ -405,7 +421,7 @@
     scene.rig.until(answered)
     may_have_run = offering == "mark" and point == "writing"
     assert client.recv(1000)[9:12] in ((b"502", b"504") if may_have_run else (b"503",))
-    assert clock.now() - begun < 400 + 100           # a busy machine has its share in it
+    assert clock.now() - begun < 400 + 100  # a busy machine has its share in it
     client.close()
 
 
@@ -431,7 +447,7 @@
     for _ in range(60):
         try:
             while True:
-                taken.append(os.dup(0))              # whatever becomes free is gone again at once
+                taken.append(os.dup(0))  # whatever becomes free is gone again at once
         except OSError:
             scene.all_up()
             scene.rig.reactor.iterate(0.002)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,5 @@
 """The watch on discovery in scripted time: how long nothing may be heard, whatever becomes of its calls."""
+
 from __future__ import annotations
 
 import json
@@ -18,7 +19,7 @@
 from worksmux.node.discovery import Discovery
 from worksmux.node.listing import READ_HOSTS
 
-TOLD = 6000.0            # a change counts as told that long after discovery had it and could be reached
+TOLD = 6000.0  # a change counts as told that long after discovery had it and could be reached
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 FATES = ["refused", "never up", "up and silent", "ended", "503", "nonsense", "endless"]
 
@@ -52,8 +53,12 @@
         self.reactor = MemoryReactorClock()  # type: ignore[no-untyped-call]
         monkeypatch.setattr(clock, "now", lambda: self.reactor.seconds() * 1000)
         self.lists: list[Any] = []
-        core: Any = SimpleNamespace(forget_gone=list, moved=lambda *_: None, listed=self.lists.append,
-                                    door=SimpleNamespace(engine=i.Engine))
+        core: Any = SimpleNamespace(
+            forget_gone=list,
+            moved=lambda *_: None,
+            listed=self.lists.append,
+            door=SimpleNamespace(engine=i.Engine),
+        )
         self.discovery = Discovery(("127.0.0.1", 1), core, self.reactor, ["prefill"], ["a"])
         self.wires: list[Wire] = []
         self.at: list[float] = []
@@ -102,7 +107,7 @@
         calls = Calls(patch)
         calls.discovery.start()
         calls.run(25)
-        calls.up(0).dataReceived(HEAD + chunk(b"\n"))        # and no word from then on
+        calls.up(0).dataReceived(HEAD + chunk(b"\n"))  # and no word from then on
         turn = iter(fates * 100)
         calls.run(4 * TOLD, lambda: next(turn))
         gaps = [b - a for a, b in zip(calls.at, calls.at[1:], strict=False)]
@@ -110,7 +115,7 @@
         assert max(gaps[1:]) <= 1.25 * watch.ANSWER + 2 * watch.LOOK
         # Two calls after the silence may meet the worst, and a third is made in time.
         assert gaps[0] + 2 * max(gaps[1:]) < 0.85 * TOLD
-        assert sum(not wire.aborted for wire in calls.wires) < 8     # descriptors: the oldest are given up
+        assert sum(not wire.aborted for wire in calls.wires) < 8  # descriptors: the oldest are given up
 
 
 def test_many_nodes_do_not_call_discovery_in_step(monkeypatch: Any) -> None:
@@ -145,7 +150,7 @@
     calls.discovery.start()
     calls.run(25)
     calls.up(0).dataReceived(HEAD + chunk(b"\x00\xff}\n"))
-    assert not words                                 # a node does not begin to serve by that
+    assert not words  # a node does not begin to serve by that
     calls.run(100)
     calls.up(1).dataReceived(HEAD + chunk(b"\n"))
     calls.discovery.move(("127.0.0.1", 2))
@@ -165,7 +170,7 @@
     for index in (3, 4):
         text = json.dumps({"index": index, "snapshot": index == 3, "endpoints": [entry]}, indent=indent)
         for at in range(0, len(text) + 1, 7):
-            connection.dataReceived(chunk((text + "\n")[at:at + 7].encode()))
+            connection.dataReceived(chunk((text + "\n")[at : at + 7].encode()))
         connection.dataReceived(chunk(b"\n"))
         assert calls.discovery.index == index and calls.discovery.watching is not None
     assert [event.entries[0].state for event in calls.lists] == ["ready", "ready"]
@@ -184,6 +189,7 @@
 
 # Silence, lists and moves, each forced at its moment: what is told must be heard 6 s later at the latest.
 
+
 def entry(name: str, status: str = "SERVING") -> dict[str, Any]:
     return {"name": name, "address": "127.0.0.1:9", "zone": "a", "type": "prefill", "status": status}
 
@@ -239,8 +245,17 @@
 DRAINING = line(2, entry("e2", "DRAINING"))
 
 
-@pytest.mark.parametrize("moment", ["at start", "after 13 s", "after an empty line", "in mid-object",
-                                    "in mid-line", "while another one opens"])
+@pytest.mark.parametrize(
+    "moment",
+    [
+        "at start",
+        "after 13 s",
+        "after an empty line",
+        "in mid-object",
+        "in mid-line",
+        "while another one opens",
+    ],
+)
 def test_drain_that_a_silent_watch_misses_is_heard_in_time(monkeypatch: Any, moment: str) -> None:
     agent = Agent(monkeypatch)
     connection = agent.accept()
@@ -258,7 +273,7 @@
         case "while another one opens":
             connection.dataReceived(chunk(b"\n"))
             agent.calls.run(watch.SILENCE + 2 * watch.LOOK)
-            agent.accept()                           # and says nothing either
+            agent.accept()  # and says nothing either
     assert agent.heard_after(DRAINING) <= 0.9 * TOLD
     assert agent.states() == {"e1": "ready", "e2": "draining"}
 
@@ -302,14 +317,15 @@
     assert agent.calls.discovery.watching is not None
 
 
-def test_new_address_that_says_nothing_is_called_again_and_the_old_watch_counts_meanwhile(monkeypatch: Any
-                                                                                          ) -> None:
+def test_new_address_that_says_nothing_is_called_again_and_the_old_watch_counts_meanwhile(
+    monkeypatch: Any,
+) -> None:
     agent = Agent(monkeypatch)
     connection = agent.accept()
     beats(agent, connection, 1)
     agent.calls.discovery.move(("127.0.0.1", 2))
     agent.accept()
-    connection.dataReceived(chunk(DRAINING))         # the old one still speaks
+    connection.dataReceived(chunk(DRAINING))  # the old one still speaks
     assert agent.states()["e2"] == "draining"
     connection.dataReceived(chunk(line(3, entry("e2"))))
     assert agent.heard_after(line(4, entry("e2", "DELETED")), 4000.0) <= 2 * 1.25 * watch.ANSWER
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -1,4 +1,5 @@
 """Experiments: what is planned, kept once, taken up again, and what the figures say."""
+
 from __future__ import annotations
 
 from pathlib import Path
@@ -26,18 +27,28 @@
 
 
 def small(tmp_path: Path, seeds: int = 2) -> Experiment:
-    return load_experiment(written(tmp_path, f'''experiment "e" day="DAY" seeds={seeds}
+    return load_experiment(
+        written(
+            tmp_path,
+            f"""experiment "e" day="DAY" seeds={seeds}
 axis "length" 2
 axis "policy" "worksmux" "random"
-'''))
+""",
+        )
+    )
 
 
 def test_axes_cross_but_for_those_that_go_in_step(tmp_path: Path) -> None:
-    one = load_experiment(written(tmp_path, '''experiment "e" day="DAY" seeds=2
+    one = load_experiment(
+        written(
+            tmp_path,
+            """experiment "e" day="DAY" seeds=2
 axis "cells" 1 3
 axis "fronts" 2 6 with="cells"
 axis "policy" "worksmux" "random" "round-robin"
-'''))
+""",
+        )
+    )
     points = list(one.points())
     assert len(points) == 6 and (("cells", 3), ("fronts", 6), ("policy", "random")) in points
     runs = list(one.runs())
@@ -51,11 +62,16 @@
 
 def test_faults_of_the_file_are_named_with_their_line(tmp_path: Path) -> None:
     with pytest.raises(SettingsError) as told:
-        load_experiment(written(tmp_path, '''experiment "e" day="nowhere.kdl"
+        load_experiment(
+            written(
+                tmp_path,
+                """experiment "e" day="nowhere.kdl"
 axis "fronts" 0
 axis "wheels" 4
 axis "cells" 1 2 with="load"
-'''))
+""",
+            )
+        )
     text = str(told.value)
     assert "whole numbers from 1" in text and "expected one of fronts" in text and "cannot be read" in text
     assert "must name an axis above it" in text and ":2:" in text
@@ -89,8 +105,10 @@
 
 
 def test_columns_hold_what_the_runs_gave(tmp_path: Path) -> None:
-    to_parquet([{"seed": 1, "policy": "a", "credit": 0.5}, {"seed": 2, "policy": "b", "late": 1.0}],
-               tmp_path / "r.parquet")
+    to_parquet(
+        [{"seed": 1, "policy": "a", "credit": 0.5}, {"seed": 2, "policy": "b", "late": 1.0}],
+        tmp_path / "r.parquet",
+    )
     table = pq.read_table(tmp_path / "r.parquet").to_pydict()
     assert table == {"seed": [1, 2], "policy": ["a", "b"], "credit": [0.5, None], "late": [None, 1.0]}
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -1,4 +1,5 @@
 """From reports to a plan, and what the module makes of it."""
+
 from __future__ import annotations
 
 import msgspec
@@ -20,15 +21,26 @@
 FRONTS = 10
 
 
-def zone(lost: int = 0, grey: int = 0, ready: float = 4.0, wait: float = 0.1, cold: float = 0.0,
-         spoke: int = FRONTS, had: float = 4.0) -> ZoneTally:
-    return ZoneTally(spoke, lost, grey, FRONTS, ready * FRONTS, had * FRONTS, cold * FRONTS, 20.0, 20.0,
-                     20.0 * wait, 0.0)
+def zone(
+    lost: int = 0,
+    grey: int = 0,
+    ready: float = 4.0,
+    wait: float = 0.1,
+    cold: float = 0.0,
+    spoke: int = FRONTS,
+    had: float = 4.0,
+) -> ZoneTally:
+    return ZoneTally(
+        spoke, lost, grey, FRONTS, ready * FRONTS, had * FRONTS, cold * FRONTS, 20.0, 20.0, 20.0 * wait, 0.0
+    )
 
 
 def tally(**zones: ZoneTally) -> Tally:
-    return Tally(FRONTS, {name: zones.get(name, zone()) for name in REGIONS},
-                 {"hint": 40.0, "explain": 24.0, "mark": 16.0})
+    return Tally(
+        FRONTS,
+        {name: zones.get(name, zone()) for name in REGIONS},
+        {"hint": 40.0, "explain": 24.0, "mark": 16.0},
+    )
 
 
 def made(carries: dict[str, float] | None = None, plan: Plan | None = None, every: float = 250.0) -> Planner:
@@ -44,6 +56,7 @@
 
 # How zones are.
 
+
 def test_calm_makes_no_plan() -> None:
     assert not looks(made(), 50)
 
@@ -112,7 +125,7 @@
 def test_flapping_zone_is_given_jobs_ever_more_seldom(monkeypatch: pytest.MonkeyPatch) -> None:
     patient = returns(made())
     monkeypatch.setattr("worksmux.failover.zones.MOST_HOLD", 2.0)
-    assert patient < 8 < 30 < returns(made())         # without the growing hold it is given them each time
+    assert patient < 8 < 30 < returns(made())  # without the growing hold it is given them each time
 
 
 def test_grey_zone_keeps_a_part_that_shows_its_mending() -> None:
@@ -142,25 +155,26 @@
     plan = looks(first, 5, a=LOST)[-1]
     second = made(plan=plan)
     assert all(one.rows == plan.rows and one.event == plan.event for one in looks(second, 5, a=LOST))
-    fresh = made()                                   # or where no plan was made yet
+    fresh = made()  # or where no plan was made yet
     assert looks(fresh, 2, a=LOST)[0].rows == {"a": {"b": 1.0}}
 
 
 # What is deferred.
 
+
 def test_light_load_is_let_in_at_once_and_heavy_load_by_degrees_highest_credit_first() -> None:
     light, heavy = (made(dict.fromkeys(REGIONS, carry)) for carry in (400.0, 30.0))
     for planner in (light, heavy):
         looks(planner, 3)
-    assert not light.look(tally(a=LOST)).shed        # type: ignore[union-attr]
-    shed = heavy.look(tally(a=LOST)).shed["a"]       # type: ignore[union-attr]
+    assert not light.look(tally(a=LOST)).shed  # type: ignore[union-attr]
+    shed = heavy.look(tally(a=LOST)).shed["a"]  # type: ignore[union-attr]
     assert shed["hint"] > shed["explain"] > shed.get("mark", 0.0) == 0.0
     later = looks(heavy, 100, a=LOST)[-1].shed
     assert later.get("a", {}).get("hint", 0.0) < shed["hint"]
 
 
 def test_what_fits_nowhere_is_deferred_lowest_credit_first_wherever_it_belongs() -> None:
-    planner = made(dict.fromkeys(REGIONS, 20.0))     # 60 carried of 80 asked
+    planner = made(dict.fromkeys(REGIONS, 20.0))  # 60 carried of 80 asked
     looks(planner, 3)
     shed = looks(planner, 200, a=LOST)[-1].shed
     assert {name: one.get("hint") for name, one in shed.items()} == dict.fromkeys(REGIONS, 0.5)
@@ -172,8 +186,14 @@
     assert not looks(made(dict.fromkeys(REGIONS, 1.0)), 100, **full)
 
 
-ZONE = st.builds(zone, st.integers(0, FRONTS), st.integers(0, FRONTS), st.floats(0.0, 4.0),
-                 st.floats(0.0, 3.0), st.floats(0.0, 4.0))
+ZONE = st.builds(
+    zone,
+    st.integers(0, FRONTS),
+    st.integers(0, FRONTS),
+    st.floats(0.0, 4.0),
+    st.floats(0.0, 3.0),
+    st.floats(0.0, 4.0),
+)
 
 
 def unsound(planner: Planner, zones: dict[str, ZoneTally]) -> str:
@@ -186,8 +206,11 @@
         if any(planner.zones.views[other].phase is Phase.LOST for other in row):
             return "jobs go to a lost zone"
         near = [other for other in row if REGIONS[other] == REGIONS[name]]
-        if not near and any(view.phase is Phase.WELL and REGIONS[other] == REGIONS[name]
-                            for other, view in planner.zones.views.items() if other != name):
+        if not near and any(
+            view.phase is Phase.WELL and REGIONS[other] == REGIONS[name]
+            for other, view in planner.zones.views.items()
+            if other != name
+        ):
             return "all leaves a region that has a zone that is well"
     for one in plan.shed.values():
         if one.get("hint", 0.0) + 1e-9 < one.get("mark", 0.0):
@@ -196,10 +219,13 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(st.lists(st.fixed_dictionaries({name: ZONE for name in REGIONS}), min_size=1, max_size=25),
-       st.sampled_from([{}, dict.fromkeys(REGIONS, 25.0)]))
-def test_whatever_is_reported_the_plan_is_sound(told_zones: list[dict[str, ZoneTally]],
-                                                carries: dict[str, float]) -> None:
+@given(
+    st.lists(st.fixed_dictionaries({name: ZONE for name in REGIONS}), min_size=1, max_size=25),
+    st.sampled_from([{}, dict.fromkeys(REGIONS, 25.0)]),
+)
+def test_whatever_is_reported_the_plan_is_sound(
+    told_zones: list[dict[str, ZoneTally]], carries: dict[str, float]
+) -> None:
     planner = made(carries)
     looks(planner, 2)
     for zones in told_zones:
@@ -219,18 +245,26 @@
 
 # Reports.
 
+
 def test_report_whose_figures_make_no_sense_is_not_sound() -> None:
     assert added([tally(), tally()]).sound()
-    for odd in (Tally(1, {"a": ZoneTally(lost=2)}), Tally(1, {"a": ZoneTally(begun=float("nan"))}),
-                Tally(1, {}, {"hint": 1e9}), Tally(-1), Tally(1, {"a": ZoneTally(ready=-1.0)})):
+    for odd in (
+        Tally(1, {"a": ZoneTally(lost=2)}),
+        Tally(1, {"a": ZoneTally(begun=float("nan"))}),
+        Tally(1, {}, {"hint": 1e9}),
+        Tally(-1),
+        Tally(1, {"a": ZoneTally(ready=-1.0)}),
+    ):
         assert not odd.sound()
 
 
 def watched() -> tuple[Watcher, list[i.Engine]]:
     front, engines = fleet((0, 0, 0), (1, 0, 0), (0, 1, 1), (1, 1, 1))
     watcher = Watcher(["north", "south"], ["hint", "mark", "note"], front.settings)
-    watcher.saw(NOW, i.Listed("full", [i.Entry(one, "ready", 0.0, one.zone, one.cell, one.kind, 1.0)
-                                      for one in engines]))
+    watcher.saw(
+        NOW,
+        i.Listed("full", [i.Entry(one, "ready", 0.0, one.zone, one.cell, one.kind, 1.0) for one in engines]),
+    )
     return watcher, engines
 
 
@@ -290,6 +324,7 @@
 
 # What a front and its module make of it.
 
+
 def test_plan_survives_its_form_and_nonsense_is_refused() -> None:
     plan = Plan(3, {"a": {"b": 1.0}}, {"a": {"hint": 0.5}}, 500.0, "a lost", {"a": 0.0}, {"a": 1.0}, 1)
     assert decode(encode(plan)) == plan
@@ -371,8 +406,9 @@
     front, _ = fleet(*PLACES)
     other, _ = fleet(*PLACES)
     other.decide(NOW, [i.Planned({}, {}, 0.0)])
-    assert [one.trips[0].engine.id for one in placed(front)] == [one.trips[0].engine.id
-                                                                for one in placed(other)]
+    assert [one.trips[0].engine.id for one in placed(front)] == [
+        one.trips[0].engine.id for one in placed(other)
+    ]
 
 
 def test_looks_are_reckoned_in_time_whatever_their_pace() -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Several processes of the program, with faults between them.  Judged from what engines, clients and relays
 wrote down; a front's own word is only waited for."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -18,7 +19,7 @@
 
 LEASE = 1600.0
 ALONE = "alone: what was decided in common is too old to act on"
-SERVED = 0.4             # of all jobs, at the least: how many more is a matter of the machine's speed
+SERVED = 0.4  # of all jobs, at the least: how many more is a matter of the machine's speed
 # The rules' times are judged with what a starved machine adds: nothing here is asserted of speed.
 FIGURES = replace(SMALL, slack=1500.0)
 
@@ -99,8 +100,14 @@
 
 def test_minority_that_is_cut_off_is_alone_and_serves_and_the_majority_goes_on(rig: FleetRig) -> None:
     leader = rig.leader()
-    some = [leader, next(name for name in rig.fronts if name != leader and not any(
-        voter.startswith(f"{name}#") for voter in rig.voters()))]
+    some = [
+        leader,
+        next(
+            name
+            for name in rig.fronts
+            if name != leader and not any(voter.startswith(f"{name}#") for voter in rig.voters())
+        ),
+    ]
     others = [name for name in rig.fronts if name not in some]
     said_before = {name: len(rig.fronts[name].seen(ALONE)) for name in others}
     rig.ask(length=8000.0, rate=40.0)
@@ -114,7 +121,7 @@
     records = judged(rig)
     assert delivered(records) > SERVED
     acted_alone = {trip.front for trip in records.trips if "alone" in trip.plan}
-    for name in acted_alone & set(others):           # its lease ended before it heard of the new leader
+    for name in acted_alone & set(others):  # its lease ended before it heard of the new leader
         assert len(rig.fronts[name].seen(ALONE)) > said_before[name]
 
 
@@ -166,8 +173,9 @@
     rig.start(*seats[:2])
     rig.until(lambda: all(len(rig.status(name)["fronts"]) == 5 for name in rig.fronts), "all are back")
     rig.run(2000.0)
-    assert not any(front.seen("the council is founded") for front in rig.fronts.values()
-                   if front.name != "front-1")
+    assert not any(
+        front.seen("the council is founded") for front in rig.fronts.values() if front.name != "front-1"
+    )
     assert len(rig.fronts["front-1"].seen("the council is founded")) == 1
     assert all(rig.status(name)["alone"] for name in rig.fronts) and term
     assert delivered(judged(rig)) > SERVED
@@ -224,8 +232,18 @@
         lock.close()
     else:
         rig.fill_disk(leader, full=False)
-    rig.until(lambda: len({rig.status(name)["council"]["agreed"] for name in (
-        voter.rpartition("#")[0] for voter in rig.voters())}) == 1, "all seats hold the same")
+    rig.until(
+        lambda: (
+            len(
+                {
+                    rig.status(name)["council"]["agreed"]
+                    for name in (voter.rpartition("#")[0] for voter in rig.voters())
+                }
+            )
+            == 1
+        ),
+        "all seats hold the same",
+    )
     judged(rig)
 
 
@@ -234,7 +252,7 @@
     assert old is not None
     rig.fronts["front-5"].folder = rig.folder / "disk-again"
     rig.fronts["front-5"].listens = 0
-    rig.run(1100.0)                                  # lives on fresh disks count seconds
+    rig.run(1100.0)  # lives on fresh disks count seconds
     rig.start("front-5")
     rig.until(lambda: not old.alive, "the older ends")
     assert rig.fronts["front-5"].alive
@@ -243,6 +261,7 @@
 
 # Accounts.
 
+
 def told(rig: FleetRig, name: str, query: str = "") -> dict[str, Any]:
     status, body = rig.get(name, f"/fleet/audit{query}", within=4000.0)
     assert status == 200
@@ -255,7 +274,7 @@
     rig.lose_engines("south")
     rig.until(lambda: all(number(rig, name) > 0 for name in rig.fronts), "a plan")
     rig.until(lambda: rig.answered, "all jobs end")
-    rig.run(1500.0)                                  # copies follow within a second
+    rig.run(1500.0)  # copies follow within a second
     before = told(rig, "front-4")
     assert not before["findings"] and before["fronts"] == list(rig.fronts)
     rig.kill("front-4", lose_disk=True)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,5 +1,6 @@
 """The running front on loopback: the five rules, each with the fault that tempts it, and the audit's own
 proof."""
+
 from __future__ import annotations
 
 import json
@@ -85,7 +86,8 @@
 
 @pytest.mark.parametrize(("state", "asked"), [("ready", 30), ("gone", 4)])
 def test_release_goes_on_slowly_until_heard_or_its_engine_is_gone(
-        tmp_path: Path, state: str, asked: int) -> None:
+    tmp_path: Path, state: str, asked: int
+) -> None:
     """Guards against state pinned at an engine that is cut off for longer than the quick tries last."""
     core: Any = Rig(tmp_path, PAIR).front().core
     core.reactor, engine, tries = task.Clock(), i.Engine(b"far", 1, state="ready"), []
@@ -102,13 +104,15 @@
 
 
 def test_state_held_when_its_client_leaves_is_let_go(tmp_path: Path) -> None:
-    rig = Rig(tmp_path, PAIR, read_speed=300.0)      # reads last longer than the clients stay
+    rig = Rig(tmp_path, PAIR, read_speed=300.0)  # reads last longer than the clients stay
     front = rig.front()
     heard: list[Any] = []
 
     def leave() -> None:
-        bodies = [json.dumps({"model": "hint", "messages": [{"role": "user", "content": f"{at} " * 400}]})
-                  for at in range(6)]
+        bodies = [
+            json.dumps({"model": "hint", "messages": [{"role": "user", "content": f"{at} " * 400}]})
+            for at in range(6)
+        ]
         calls = [rig.ask(body.encode(), lambda *end: heard.append(end)) for body in bodies]
         for at, call in enumerate(calls):
             rig.reactor.callLater(0.1 + 0.04 * at, call.abandon)
@@ -143,6 +147,7 @@
 
 # The audit is proven by modules and fronts that are wrong on purpose.
 
+
 class Repeats(Front):
     """Sends again whatever happened, and promises that it was harmless."""
 
@@ -226,14 +231,14 @@
             case.answered, kept = "", case.answered
             self.reactor.callLater(0.2, send, self, action)
             case.answered = kept
-            case.out[action.trip] = Mock()       # the module may call it off
+            case.out[action.trip] = Mock()  # the module may call it off
             case.answered = ""
         else:
             send(self, action)
 
     monkeypatch.setattr(Core, "_send", wrong)
-    monkeypatch.setattr(StreamSide, "gone", lambda self: False)      # it would notice that the job is over
-    rig = Rig(tmp_path, [("prefill", 0)], Late)      # no writer: every job is deferred
+    monkeypatch.setattr(StreamSide, "gone", lambda self: False)  # it would notice that the job is over
+    rig = Rig(tmp_path, [("prefill", 0)], Late)  # no writer: every job is deferred
     assert 1 in found(rig.day(length=600.0, patience=0.4))
 
 
@@ -246,6 +251,7 @@
 
 # What the front promises its module.
 
+
 class Scripted:
     """A module that does what a test tells it, and remembers what it was told."""
 
@@ -278,8 +284,11 @@
 
     def react(self, now: float, event: i.Event) -> list[i.Action]:
         if isinstance(event, i.Arrived):
-            return [self.send(event.job, b"e0", now, True), i.Hold(event.job, self.engines[b"e2"]),
-                    i.Probe(self.engines[b"e1"])]
+            return [
+                self.send(event.job, b"e0", now, True),
+                i.Hold(event.job, self.engines[b"e2"]),
+                i.Probe(self.engines[b"e1"]),
+            ]
         if isinstance(event, i.Ended) and event.outcome is i.Outcome.READ:
             event.trip.job.holder = event.trip.engine
             return [self.send(event.trip.job, b"e2", now, False)]
@@ -307,8 +316,13 @@
         match event:
             case i.Arrived(job):
                 self.job = job
-                return [i.Watch(True), i.Fetch(), i.Log("here"), self.send(job, b"e0", now, True),
-                        i.Alarm(40.0, 9)]
+                return [
+                    i.Watch(True),
+                    i.Fetch(),
+                    i.Log("here"),
+                    self.send(job, b"e0", now, True),
+                    i.Alarm(40.0, 9),
+                ]
             case i.Rang(9):
                 return [i.Cancel(self.job.trips[0]), i.Close(self.engines[b"e0"])]
             case i.Ended():
@@ -322,7 +336,7 @@
     module: Any = rig.fronts[0].core.door.module
     told = [event for event in module.told if isinstance(event, i.Ended)]
     assert status == 503 and [event.outcome for event in told] == [i.Outcome.CANCELLED]
-    assert sum(isinstance(event, i.Listed) for event in module.told) == 3      # at first, watched, fetched
+    assert sum(isinstance(event, i.Listed) for event in module.told) == 3  # at first, watched, fetched
     lines = [line for line in load(tmp_path).lines if line["who"] == "e0"]
     assert {"release"} <= {line["what"] for line in lines}
     assert next(line for line in lines if line["what"] == "end")["how"] == "cut"
@@ -436,7 +450,8 @@
     ],
 )
 def test_bad_jobs_are_refused_in_the_apis_form_and_the_front_goes_on(
-        tmp_path: Path, body: bytes, status: int, code: str | None) -> None:
+    tmp_path: Path, body: bytes, status: int, code: str | None
+) -> None:
     rig = Rig(tmp_path, PAIR)
     got, _, reply = answer_of(rig, body)
     assert got == status and json.loads(reply)["error"]["code"] == code
@@ -444,8 +459,12 @@
 
 
 def test_answer_whole_holds_text_and_usage(tmp_path: Path) -> None:
-    status, _, body = answer_of(Rig(tmp_path, PAIR), json.dumps({
-        "model": "hint", "max_tokens": 7, "messages": [{"role": "user", "content": "why?"}]}).encode())
+    status, _, body = answer_of(
+        Rig(tmp_path, PAIR),
+        json.dumps(
+            {"model": "hint", "max_tokens": 7, "messages": [{"role": "user", "content": "why?"}]}
+        ).encode(),
+    )
     told = json.loads(body)
     assert status == 200 and told["choices"][0]["message"]["content"].split() == [f"w{at}" for at in range(7)]
     assert told["usage"]["completion_tokens"] == 7 and told["choices"][0]["finish_reason"] == "stop"
@@ -482,12 +501,12 @@
 def test_reload_keeps_the_old_settings_when_the_new_are_wrong(tmp_path: Path) -> None:
     rig = Rig(tmp_path, PAIR)
     front = rig.front()
-    good = rig.text.replace("127.0.0.1:1\"", f"127.0.0.1:{rig.registry.port}\"")
+    good = rig.text.replace('127.0.0.1:1"', f'127.0.0.1:{rig.registry.port}"')
     path = tmp_path / "front.kdl"
     path.write_text(good.replace('keep-alive "5s"', 'keep-alive "7s"'))
     front.reload(str(path))
     assert front.settings.transport.keep_alive == 7000.0
-    for wrong in (good[:len(good) // 2], good.replace("trips 5", "trips 6"), ""):
+    for wrong in (good[: len(good) // 2], good.replace("trips 5", "trips 6"), ""):
         path.write_text(wrong)
         front.reload(str(path))
         assert front.settings.transport.keep_alive == 7000.0
@@ -500,6 +519,7 @@
     front = rig.front()
     heard: dict[str, tuple[int, bytes]] = {}
     from worksmux.net import client
+
     pool = client.Pool(rig.reactor, "127.0.0.1", front.watch_port, 500.0, 100.0, 4, 65_536)
 
     def look(path: str) -> None:
@@ -522,8 +542,9 @@
     rig = Rig(tmp_path, [("prefill", 0), ("decode", 0)], read_speed=200.0)
     rig.front()
     call: list[Any] = []
-    body = json.dumps({"model": "hint", "messages": [{"role": "user", "content": "word " * 400}],
-                       "stream": True}).encode()
+    body = json.dumps(
+        {"model": "hint", "messages": [{"role": "user", "content": "word " * 400}], "stream": True}
+    ).encode()
     rig.reactor.callLater(0.3, lambda: call.append(rig.ask(body, lambda *_: None)))
     rig.reactor.callLater(0.7, lambda: call[0].abandon())
     rig.reactor.callLater(1.5, rig.reactor.stop)
--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -1,4 +1,5 @@
 """What engines may hold for a request, and releases in scripted time: who is asked, how often, until when."""
+
 from __future__ import annotations
 
 from types import SimpleNamespace
@@ -28,18 +29,19 @@
 
 # Claims.
 
+
 def test_claims_end_by_what_proves_that_nothing_is_held() -> None:
     held = HeldState("a1")
     reader, unseen, other, _ = ENGINES
     held.read(reader, 100.0)
     held.ended_unseen(unseen, 200.0, 500.0)
     assert held.owed and held.since == 100.0
-    held.heard(other, 210.0, 212.0)                  # all that is held now is let go, wherever it lies
+    held.heard(other, 210.0, 212.0)  # all that is held now is let go, wherever it lies
     (claim,) = held.claims
     assert not held.owed and claim.engine is unseen and claim.presence is Presence.CLEARED
     assert held.since is None
-    held.heard(other, 2000.0, 2001.0)                # nobody else's answer tells that it has finished
-    held.heard(unseen, 2100.0, 2102.0)               # it may have begun only now
+    held.heard(other, 2000.0, 2001.0)  # nobody else's answer tells that it has finished
+    held.heard(unseen, 2100.0, 2102.0)  # it may have begun only now
     held.heard(unseen, 2600.0, 2601.0)
     assert held.claims
     held.heard(unseen, 2602.0, 2603.0)
@@ -76,7 +78,7 @@
     assert held.since == 100.0
     held.outcome(400.0, arrived=True)
     assert held.since == 400.0
-    held.heard_beside = 500.0                        # what the attempt did not take was let go meanwhile
+    held.heard_beside = 500.0  # what the attempt did not take was let go meanwhile
     held.outcome(900.0, arrived=False)
     assert held.since == 900.0
 
@@ -85,7 +87,7 @@
     held = HeldState("a1")
     engine = ENGINES[0]
     held.ended_unseen(engine, 100.0, 500.0)
-    held.refused(engine, 90.0, WITHIN)               # before the attempt's end: no proof
+    held.refused(engine, 90.0, WITHIN)  # before the attempt's end: no proof
     held.refused(engine, 110.0, WITHIN)
     held.refused(engine, 110.0 + WITHIN / 2, WITHIN)  # an engine that is full refuses too
     held.heard(engine, 600.0, 601.0)
@@ -101,7 +103,7 @@
     engine = ENGINES[0]
     held.ended_unseen(engine, 100.0, 500.0)
     held.refused(engine, 110.0, WITHIN)
-    held.connected(engine)                           # nobody answered, but its machine took the connection
+    held.connected(engine)  # nobody answered, but its machine took the connection
     held.refused(engine, 110.0 + WITHIN, WITHIN)
     assert held.claims
 
@@ -120,8 +122,9 @@
     assert not held.claims
 
 
-EVENTS = st.tuples(st.sampled_from(["read", "unseen", "taken", "heard"]),
-                   st.integers(0, 3), st.integers(0, 300))
+EVENTS = st.tuples(
+    st.sampled_from(["read", "unseen", "taken", "heard"]), st.integers(0, 3), st.integers(0, 300)
+)
 WORK = 400.0
 
 
@@ -129,8 +132,8 @@
 def test_no_claim_is_forgotten_without_its_proof(events: list[tuple[str, int, int]]) -> None:
     """Guards against a debt that is lost where several attempts hold for one request."""
     held, now = HeldState("a1"), 0.0
-    sure: list[int] = []                             # engines, one entry for each read
-    unsure: list[tuple[int, float, float]] = []      # engine, end, when its engine is known to run
+    sure: list[int] = []  # engines, one entry for each read
+    unsure: list[tuple[int, float, float]] = []  # engine, end, when its engine is known to run
     for name, at, ms in events:
         now += ms
         match name:
@@ -147,8 +150,11 @@
             case "heard":
                 held.heard(ENGINES[at], now, now)
                 sure.clear()
-                unsure = [(one, end, now if one == at and runs < 0 else runs) for one, end, runs in unsure
-                          if one != at or runs < 0 or now < runs + WORK]
+                unsure = [
+                    (one, end, now if one == at and runs < 0 else runs)
+                    for one, end, runs in unsure
+                    if one != at or runs < 0 or now < runs + WORK
+                ]
         wanted = sorted([ENGINES[one].key for one in sure] + [ENGINES[one].key for one, _, _ in unsure])
         assert sorted(claim.engine.key for claim in held.claims) == wanted
         assert not sure or held.owed
@@ -156,6 +162,7 @@
 
 # Releases.
 
+
 class Script:
     """Calls of releases as they are made; nobody answers unless the test says so."""
 
@@ -166,7 +173,7 @@
         self.asked: list[tuple[float, i.Engine, Any]] = []
         self.out: dict[i.Engine, Any] = {}
         self.silent: set[i.Engine] = set()
-        self.unconnected: set[i.Engine] = set()      # connections to these do not come up
+        self.unconnected: set[i.Engine] = set()  # connections to these do not come up
         self.most_out = 0
         self.releases = Releases(self.clock, self._call, self._other, WITHIN)  # type: ignore[arg-type]
         self.held = HeldState("a1")
@@ -191,8 +198,9 @@
             on_end(status, {}, b"", trouble)
 
     def _other(self, known: set[i.Engine]) -> i.Engine | None:
-        return next((engine for engine in self.engines
-                     if engine.state == "ready" and engine not in known), None)
+        return next(
+            (engine for engine in self.engines if engine.state == "ready" and engine not in known), None
+        )
 
     def start(self) -> Script:
         self.held.read(self.engines[0], clock.now())
@@ -278,7 +286,7 @@
     script = Script(monkeypatch, engines_of(20)).start()
     script.run(2.5 * STEP)
     script.releases.rest(script.held)
-    assert not script.out                            # nothing is let go from under an attempt
+    assert not script.out  # nothing is let go from under an attempt
     script.run(STEP)
     asked = len(script.asked)
     script.releases.start(script.held)
@@ -343,7 +351,7 @@
     asked = len(script.asked)
     assert asked and script.held.owed and script.held.heard_beside is not None
     script.run(1000, answering=script.engines)
-    assert len(script.asked) == asked                # once is enough
+    assert len(script.asked) == asked  # once is enough
     script.held.outcome(clock.now(), arrived=False)
     script.releases.start(script.held)
     script.run(STEP, answering=script.engines)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,4 +1,5 @@
 """The list of tests that are known to fail."""
+
 from __future__ import annotations
 
 from pathlib import Path
@@ -28,14 +29,17 @@
     assert found[0].cause == "clocks step" and found[0].issue == "35"
 
 
-@pytest.mark.parametrize(("text", "expected"), [
-    ("".join(LINE % at for at in range(4)), "at most 3"),
-    (LINE % 9, "KNOWN-RED.txt:1: a test of this tree"),
-    ("tests/test_b.py::test_0 | x | 1", "a test of this tree"),
-    ("tests/test_a.py | x | 1", "a test of this tree"),
-    ("tests/test_a.py::test_0 | no issue", "test | cause | issue"),
-    ("tests/test_a.py::test_0 | | 35", "test | cause | issue"),
-])
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("".join(LINE % at for at in range(4)), "at most 3"),
+        (LINE % 9, "KNOWN-RED.txt:1: a test of this tree"),
+        ("tests/test_b.py::test_0 | x | 1", "a test of this tree"),
+        ("tests/test_a.py | x | 1", "a test of this tree"),
+        ("tests/test_a.py::test_0 | no issue", "test | cause | issue"),
+        ("tests/test_a.py::test_0 | | 35", "test | cause | issue"),
+    ],
+)
 def test_line_that_is_wrong_stops_the_run(tmp_path: Path, text: str, expected: str) -> None:
     with pytest.raises(known_red.Wrong, match=expected.replace("|", r"\|")):
         known_red.read(tree(tmp_path, text))
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,4 +1,5 @@
 """The load generator's parts: timers, arrivals, traces."""
+
 from __future__ import annotations
 
 import random
@@ -23,8 +24,9 @@
 
 
 @given(st.integers(0, 10**6), st.lists(st.tuples(st.floats(0, 400_000), st.booleans()), max_size=80))
-def test_wheel_rings_each_timer_once_in_order_and_never_early(seed: int, timers: list[tuple[float, bool]]
-                                                              ) -> None:
+def test_wheel_rings_each_timer_once_in_order_and_never_early(
+    seed: int, timers: list[tuple[float, bool]]
+) -> None:
     chance, wheel, now = random.Random(seed), Wheel[int](), 0.0
     kept = {number: wheel.put(time, number) for number, (time, _) in enumerate(timers)}
     for number, (_, cancelled) in enumerate(timers):
@@ -54,8 +56,10 @@
 
 
 def test_arrivals_follow_the_rate_and_parts_make_the_whole() -> None:
-    ramp = [Phase(10_000.0, 100.0, 300.0),
-            Phase(5000.0, 100.0, 100.0, burst=5.0, every=1000.0, burst_for=200.0)]
+    ramp = [
+        Phase(10_000.0, 100.0, 300.0),
+        Phase(5000.0, 100.0, 100.0, burst=5.0, every=1000.0, burst_for=200.0),
+    ]
     times = list(arrivals(ramp, 1.0, 1))
     assert times == sorted(times) and times == list(arrivals(ramp, 1.0, 1))
     first, last = sum(time < 2000 for time in times), sum(8000 <= time < 10_000 for time in times)
@@ -177,7 +181,7 @@
     text = LOAD.replace('phase length="2s" rate=30', "")
     text = text.replace('most-lag "400ms"', 'closed 4\n    length "2s"')
     hidden = driven(other, settings_for(other, text), stall=1.0)
-    assert hidden["first_ms"]["p90"] < found["first_ms"]["p90"]      # by how much is the machine's matter
+    assert hidden["first_ms"]["p90"] < found["first_ms"]["p90"]  # by how much is the machine's matter
 
 
 def test_generator_that_falls_behind_says_so(tmp_path: Path) -> None:
@@ -185,7 +189,7 @@
     rig.front()
     found = driven(rig, settings_for(rig, LOAD.replace('"400ms"', '"0.1ms"')))
     assert not found["valid"] and "ms behind" in found["why"] and "INVALID" in page(found)
-    assert found["sent"] > 40                        # and it did not lower the rate
+    assert found["sent"] > 40  # and it did not lower the rate
 
 
 def test_process_that_dies_is_told(tmp_path: Path) -> None:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,4 +1,5 @@
 """A front without discovery: it serves from what it remembers, by age, and gives way to the registry."""
+
 from __future__ import annotations
 
 from pathlib import Path
@@ -20,7 +21,9 @@
 
 
 def text_with(path: Path, more: str = "") -> str:
-    return SETTINGS + f"""
+    return (
+        SETTINGS
+        + f"""
 memory {{
     file "{path}"
     believed-for "1h"
@@ -29,6 +32,7 @@
 {more}
 }}
 """
+    )
 
 
 def remember(rig: Rig, path: Path, age: float, turnover: Turnover | None = None, **changed: Any) -> None:
@@ -119,7 +123,7 @@
         rig.registry.serial = 3
         rig.registry.listed = dict(list(rig.registry.listed.items())[:1])
 
-    rig.reactor.callLater(0, age_registry)           # after the lines that the rig itself publishes
+    rig.reactor.callLater(0, age_registry)  # after the lines that the rig itself publishes
     monkeypatch.setattr("worksmux.standins.registry.clock.wall", lambda: 5000.0)
     records = rig.day(length=500.0, rate=15.0)
     assert {job["how"] for job in records.jobs} == {"delivered"}
@@ -164,6 +168,7 @@
     import json
     import subprocess
     import sys
+
     rig = Rig(tmp_path, FLEET[:2])
     path = tmp_path / "memory"
     remember(rig, path, HOUR)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -1,4 +1,5 @@
 """The model of the fleet: the same day twice is the same, and the audit finds what a bad module breaks."""
+
 from __future__ import annotations
 
 from dataclasses import replace
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,5 +1,6 @@
 """A front node's protocol, clients, trips, releases, discovery and limits, against peers that send the very
 bytes."""
+
 from __future__ import annotations
 
 import json
@@ -38,19 +39,23 @@
 
 # Configuration and lists.
 
+
 def told(**values: Any) -> bytes:
     return json.dumps(values).encode()
 
 
-@pytest.mark.parametrize(("data", "expected"), [
-    (b"", "0 bytes: whole JSON was expected"),
-    (b'{"settings": {"limits"', "22 bytes: whole JSON was expected"),
-    (b'{"name": "n"}', "`settings`"),
-    (told(settings={**SETTINGS, "limits": 3}), "$.settings.limits: an object was expected"),
-    (told(settings={**SETTINGS, "services": [{}]}), "$.settings.services[0].aim: a number"),
-    (told(settings=SETTINGS, name="n", listen="x"), "$.listen: an address host:port"),
-    (told(settings=SETTINGS, name=7), "$.name"),
-])
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (b"", "0 bytes: whole JSON was expected"),
+        (b'{"settings": {"limits"', "22 bytes: whole JSON was expected"),
+        (b'{"name": "n"}', "`settings`"),
+        (told(settings={**SETTINGS, "limits": 3}), "$.settings.limits: an object was expected"),
+        (told(settings={**SETTINGS, "services": [{}]}), "$.settings.services[0].aim: a number"),
+        (told(settings=SETTINGS, name="n", listen="x"), "$.listen: an address host:port"),
+        (told(settings=SETTINGS, name=7), "$.name"),
+    ],
+)
 def test_wrong_configuration_names_file_place_and_what_was_expected(data: bytes, expected: str) -> None:
     with pytest.raises(config.BadConfig) as error:
         config.read(data, "c.json", {})
@@ -59,15 +64,19 @@
 
 
 def config_of(settings: dict[str, Any]) -> config.Config:
-    return config.read(told(settings=settings, name="n", listen="127.0.0.1:1", discovery="127.0.0.1:2"),
-                       "c.json", {})
+    return config.read(
+        told(settings=settings, name="n", listen="127.0.0.1:1", discovery="127.0.0.1:2"), "c.json", {}
+    )
 
 
 def paths(told: Any, at: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
     """Places of all values in a JSON object."""
     inner = told.items() if isinstance(told, dict) else enumerate(told) if isinstance(told, list) else ()
-    return [at, *(place for key, value in inner for place in paths(value, (*at, key)))] if at else [
-        place for key, value in inner for place in paths(value, (key,))]
+    return (
+        [at, *(place for key, value in inner for place in paths(value, (*at, key)))]
+        if at
+        else [place for key, value in inner for place in paths(value, (key,))]
+    )
 
 
 MISSING = object()
@@ -92,13 +101,18 @@
             continue
         door = Door(told_to.settings, 1)
         engines = [door.engine(name, at + 1) for at, name in enumerate((b"r", b"w"))]
-        entries = [i.Entry(engine, "ready", 0.0, 0, 0, kind, 1.0) for kind, engine in enumerate(engines)
-                   if kind < len(told_to.kinds)]
+        entries = [
+            i.Entry(engine, "ready", 0.0, 0, 0, kind, 1.0)
+            for kind, engine in enumerate(engines)
+            if kind < len(told_to.kinds)
+        ]
         job = i.Job(1, 0, 1, 0, 500.0, 0.0, 80.0, 1000.0, 4000.0)
         door.decide(1000.0, [i.Listed("full", entries), door.arrived(job)])
         for at in range(1, 8):
-            ends = [i.Ended(trip, i.Outcome.READ if trip.reading else i.Outcome.RESET, 5.0, False)
-                    for trip in job.out]
+            ends = [
+                i.Ended(trip, i.Outcome.READ if trip.reading else i.Outcome.RESET, 5.0, False)
+                for trip in job.out
+            ]
             door.decide(1000.0 + 600 * at, [*ends, i.Rang(0)])
 
 
@@ -115,21 +129,30 @@
             assert [(entry.state, entry.zone) for entry in event.entries] == [("ready", 0)]
 
 
-
 def test_missing_configuration_is_told_and_variables_fill_in(tmp_path: Any) -> None:
     with pytest.raises(config.BadConfig, match="LB_CONFIG"):
         config.load({})
     with pytest.raises(config.BadConfig, match="none.json"):
         config.load({"LB_CONFIG": str(tmp_path / "none.json")})
     (tmp_path / "c.json").write_text(json.dumps({"settings": SETTINGS}))
-    found = config.load({"LB_CONFIG": str(tmp_path / "c.json"), "LB_NAME": "n3",
-                         "LB_LISTEN": "127.0.0.1:3000", "LB_DISCOVERY": "127.0.0.1:8500"})
+    found = config.load(
+        {
+            "LB_CONFIG": str(tmp_path / "c.json"),
+            "LB_NAME": "n3",
+            "LB_LISTEN": "127.0.0.1:3000",
+            "LB_DISCOVERY": "127.0.0.1:8500",
+        }
+    )
     assert (found.name, found.listen, found.offerings) == ("n3", ("127.0.0.1", 3000), ["chat", "mark"])
 
 
 def test_entries_that_make_no_sense_are_left_out_and_told() -> None:
-    hosts = [Endpoint("a", "127.0.0.1:1"), Endpoint("b", "nowhere"), Endpoint("c", "h:1", status="?"),
-             Endpoint("d", status="DELETED")]
+    hosts = [
+        Endpoint("a", "127.0.0.1:1"),
+        Endpoint("b", "nowhere"),
+        Endpoint("c", "h:1", status="?"),
+        Endpoint("d", status="DELETED"),
+    ]
     made, notes = listing(HostList(5, False, hosts), 4, 1000.0)
     assert [(line.id, line.state) for line in made.engines] == [("a", "ready"), ("d", "gone")]
     assert len(notes) == 2
@@ -137,6 +160,7 @@
 
 # Streams.
 
+
 @given(st.lists(st.integers(0, len(b"".join(EVENTS))), max_size=6))
 def test_stream_is_passed_on_unchanged_wherever_it_is_cut(cuts: list[int]) -> None:
     whole, stream = b"".join(EVENTS), protocol.Stream(1000)
@@ -145,8 +169,9 @@
     assert given_on == whole and stream.done and not stream.cut
 
 
-@pytest.mark.parametrize("junk", [
-    b"data: {junk\n\n", b"\r\n3f\r\ndata: {}\n\n", b"\x00\xff\n\n", b"x" * 2000])
+@pytest.mark.parametrize(
+    "junk", [b"data: {junk\n\n", b"\r\n3f\r\ndata: {}\n\n", b"\x00\xff\n\n", b"x" * 2000]
+)
 def test_noise_among_events_spoils_a_stream_and_keeps_what_came_before(junk: bytes) -> None:
     stream = protocol.Stream(1000)
     with pytest.raises(protocol.Spoilt) as fault:
@@ -168,12 +193,13 @@
     stream = protocol.Stream(1000)
     for event in EVENTS:
         data = event.strip() + end
-        assert [stream.feed(data[at:at + 1]) for at in range(len(data))][-1] == data
+        assert [stream.feed(data[at : at + 1]) for at in range(len(data))][-1] == data
     assert stream.done and not stream.cut
 
 
 # Trips.
 
+
 def rig_of_two(writer: Any = None, sockets: int = 256) -> Rig:
     rig = Rig(sockets)
     rig.engine("prefill")
@@ -188,16 +214,25 @@
     for engine in rig.engines:
         assert engine.asked[0].startswith(b"POST /v1/chat/completions HTTP/1.1\r\n")
         assert b"X-Request-ID: a1\r\n" in engine.asked[0] and engine.asked[0].endswith(BODY)
-    assert b"".join(EVENTS) == b"".join(part.split(b"\r\n", 1)[1] for part in peer.got.split(
-        b"\r\n\r\n", 1)[1].split(LAST)[0].split(b"\n\n\r\n")[:-1] for part in [part + b"\n\n"])
+    assert b"".join(EVENTS) == b"".join(
+        part.split(b"\r\n", 1)[1]
+        for part in peer.got.split(b"\r\n\r\n", 1)[1].split(LAST)[0].split(b"\n\n\r\n")[:-1]
+        for part in [part + b"\n\n"]
+    )
     rig.idle()
     assert all(b"DELETE" not in engine.verbs() for engine in rig.engines)
 
 
 GOOD = STREAM + chunk(EVENTS[0])
-SPOILT = [b"\x00\xff noise\r\n\r\n", b"HTTP/1.1 200 OK\r\n" + b"X: " + b"y" * 20000,
-          b"HTTP/9 nonsense\r\n\r\n", STREAM + b"zz\r\n", STREAM + b"c0000000\r\nx",
-          STREAM + b"5\r\ndata: {", STREAM + LAST]
+SPOILT = [
+    b"\x00\xff noise\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\n" + b"X: " + b"y" * 20000,
+    b"HTTP/9 nonsense\r\n\r\n",
+    STREAM + b"zz\r\n",
+    STREAM + b"c0000000\r\nx",
+    STREAM + b"5\r\ndata: {",
+    STREAM + LAST,
+]
 
 
 @pytest.mark.parametrize("spoilt", SPOILT)
@@ -238,9 +273,11 @@
         rig.engine("prefill", lambda _: reads.pop(0))
     rig.engine("decode")
     rig.start()
-    more = ("idempotency-key: 9e8c\r\nX-Trace: a\r\nX-Trace: b\r\nContent-Type: application/json; v=2\r\n"
-            "X-Hop: 1\r\nConnection: keep-alive, X-Hop\r\nTE: trailers\r\n"
-            "Accept-Encoding: gzip\r\nX-Bell: a\x07b\r\n")
+    more = (
+        "idempotency-key: 9e8c\r\nX-Trace: a\r\nX-Trace: b\r\nContent-Type: application/json; v=2\r\n"
+        "X-Hop: 1\r\nConnection: keep-alive, X-Hop\r\nTE: trailers\r\n"
+        "Accept-Encoding: gzip\r\nX-Bell: a\x07b\r\n"
+    )
     assert rig.answered(rig.client(ask(more=more))) == b"200"
     calls = [call.lower() for engine in rig.engines for call in engine.asked if call.startswith(b"POST")]
     assert len(calls) == 3
@@ -268,7 +305,7 @@
     peer.transport.pauseProducing()  # type: ignore[union-attr]
     wire: Any = rig.engines[1].peers[0].transport
     for _ in range(400):
-        wire.write(chunk(EVENTS[0] * 800))           # 25 MB in all: more than the sockets of both sides hold
+        wire.write(chunk(EVENTS[0] * 800))  # 25 MB in all: more than the sockets of both sides hold
         rig.reactor.iterate(0)
     (case,) = rig.node.core.cases.values()
     rig.until(lambda: [carrier for carrier in case.out.values() if carrier.paused])
@@ -289,7 +326,7 @@
     told: Any = type("Listener", (), {"ended": lambda self, trip, outcome, *_: ends.append(outcome)})()
     trip = i.Trip(i.Job(1, 0, 0, 0, 1.0, 0.0, 1.0, 0.0, 1.0), i.Engine(b"e", 1), 0, 0.0, True)
     one = Reading(Slow(), None, trip, told, 100.0, 50.0, 300)  # type: ignore[arg-type]
-    later.pop()()                                    # its time is up, and a reply waits at the socket
+    later.pop()()  # its time is up, and a reply waits at the socket
     assert not ends
     one.head(202, {})
     one.done()
@@ -299,10 +336,11 @@
 
 # Releases.
 
+
 def test_no_release_overtakes_a_read_that_follows_a_broken_one() -> None:
     """Guards against a release that lets go, at whichever engine, of what the second read brings: it is heard
     before that read is written, and none comes until the answer is over."""
-    rig, reads, order = Rig(), [None, READ], []      # type: Rig, list[bytes | None], list[str]
+    rig, reads, order = Rig(), [None, READ], []  # type: Rig, list[bytes | None], list[str]
 
     def read(request: bytes) -> bytes | None:
         order.append("read")
@@ -329,17 +367,18 @@
     peer = rig.client(ask(left="600"))
     rig.answered(peer)
     rig.until(lambda: b"DELETE" in rig.engines[1].verbs())
-    rig.idle()                                       # one engine has heard: that is enough
+    rig.idle()  # one engine has heard: that is enough
 
 
 def test_release_turns_to_zones_that_were_not_asked_this_nodes_own_first() -> None:
     rig = rig_of_two()
     core = rig.node.core
-    first, *rest = [i.Engine(b"%d" % zone, at, zone=zone, state="ready")
-                    for at, zone in enumerate((1, 1, 2, 0))]
+    first, *rest = [
+        i.Engine(b"%d" % zone, at, zone=zone, state="ready") for at, zone in enumerate((1, 1, 2, 0))
+    ]
     for heard, engine in enumerate((first, rest[2], rest[1], rest[0])):
         core.pools[engine] = core._pool("127.0.0.1", 1)
-        core.pools[engine].heard = 1000.0 + heard    # the one in its own zone longest ago
+        core.pools[engine].heard = 1000.0 + heard  # the one in its own zone longest ago
     for engine in list(core.pools):
         if engine not in (first, *rest):
             del core.pools[engine]
@@ -385,29 +424,50 @@
     for at in range(50):
         entry = {**rig.engines[1].entry(), "name": f"x{at}"}
         gone = {**entry, "name": f"x{at - 1}", "status": "DELETED"}
-        discovery.watching.piece(json.dumps(
-            {"index": 2 + at, "snapshot": False, "endpoints": [entry, gone]}).encode() + b"\n")
+        discovery.watching.piece(
+            json.dumps({"index": 2 + at, "snapshot": False, "endpoints": [entry, gone]}).encode() + b"\n"
+        )
         door.module.now += 60_000.0
         for engine in door.module.engines:
-            engine.left -= 60_000.0                  # a minute goes by
+            engine.left -= 60_000.0  # a minute goes by
         rig.until(lambda at=at: f"x{at}".encode() in [engine.id for engine in door.module.engines])
-    assert max(len(door.engines), len(door.module.engines), len(rig.node.core.pools),
-               len(discovery.keeper.known)) < 8
+    assert (
+        max(
+            len(door.engines), len(door.module.engines), len(rig.node.core.pools), len(discovery.keeper.known)
+        )
+        < 8
+    )
 
 
 # Clients.
 
 LINE, HEADER = b"POST /v1/chat/completions HTTP/1.1\r\n", b"X-Request-ID: b\r\nX-Priority-Class: chat\r\n"
 BAD = [
-    b"\x16\x03\x01 noise\r\n\r\n", b"GET\r\n\r\n", LINE + b"X: " + b"y" * 40000, (LINE + b"A: b\r\n" * 9000),
-    LINE + b"Content-Length: -5\r\n\r\n", LINE + b"Content-Length: 99999999999999999999\r\n\r\n",
-    LINE + b"Content-Length: 60000000\r\n\r\n" + b"x" * 1000, LINE + b"Content-Length: x\r\n\r\n",
-    ask().replace(b"chat\r\nX-R", b"none\r\nX-R"), ask(left="soon"), ask(left="-1"), ask(left="9" * 30),
-    ask().replace(b"X-Request-ID: a1\r\n", b""), ask("a/../b"), ask("a" * 500), ask(body=b"{junk"),
-    ask(body=b"[]"), ask(body=b'{"messages":[]}'), ask().replace(b"prompt_len=500", b"prompt_len=-1"),
+    b"\x16\x03\x01 noise\r\n\r\n",
+    b"GET\r\n\r\n",
+    LINE + b"X: " + b"y" * 40000,
+    (LINE + b"A: b\r\n" * 9000),
+    LINE + b"Content-Length: -5\r\n\r\n",
+    LINE + b"Content-Length: 99999999999999999999\r\n\r\n",
+    LINE + b"Content-Length: 60000000\r\n\r\n" + b"x" * 1000,
+    LINE + b"Content-Length: x\r\n\r\n",
+    ask().replace(b"chat\r\nX-R", b"none\r\nX-R"),
+    ask(left="soon"),
+    ask(left="-1"),
+    ask(left="9" * 30),
+    ask().replace(b"X-Request-ID: a1\r\n", b""),
+    ask("a/../b"),
+    ask("a" * 500),
+    ask(body=b"{junk"),
+    ask(body=b"[]"),
+    ask(body=b'{"messages":[]}'),
+    ask().replace(b"prompt_len=500", b"prompt_len=-1"),
     ask(more="X-Request-ID: c\r\n"),
-    ask(more="Transfer-Encoding: chunked\r\n"), ask(more="Transfer-Encoding: identity\r\n"),
-    ask(more="Content-Length: 5\r\n"), ask(more="A b: c\r\n"), b"PUT /v1/chat/completions HTTP/1.1\r\n\r\n",
+    ask(more="Transfer-Encoding: chunked\r\n"),
+    ask(more="Transfer-Encoding: identity\r\n"),
+    ask(more="Content-Length: 5\r\n"),
+    ask(more="A b: c\r\n"),
+    b"PUT /v1/chat/completions HTTP/1.1\r\n\r\n",
     b"GET /elsewhere HTTP/1.1\r\n\r\n",
 ]
 
@@ -447,13 +507,14 @@
     late = [rig.client(ask(f"b{at}")) for at in range(3)]
     rig.until(lambda: rig.node.core.number == 4)
     assert not asking.ended and not any(peer.ended for peer in late) and any(peer.ended for peer in silent)
-    for at in range(rig.node.server.most):           # nobody is silent any more: the idle go, not the new
+    for at in range(rig.node.server.most):  # nobody is silent any more: the idle go, not the new
         assert rig.answered(rig.client(b"GET /up HTTP/1.1\r\n\r\n")) == b"200", at
     assert len(rig.node.server.channels) <= rig.node.server.most
 
 
 # Start, end, discovery.
 
+
 def test_engine_that_started_lately_is_cold_by_an_old_list_too() -> None:
     rig = Rig()
     old, young = rig.engine("prefill"), rig.engine("prefill")
@@ -475,7 +536,7 @@
     rig.node.stop()
     rig.until(lambda: idle.ended)
     rig.engines[1].script = lambda _: ANSWER
-    late = rig.client(ask("a2"))                     # a connection may still come for a while
+    late = rig.client(ask("a2"))  # a connection may still come for a while
     assert rig.answered(late) == b"200" and not ends
     rig.engines[1].peers[0].transport.write(ANSWER)  # type: ignore[union-attr]
     assert rig.answered(out) == b"200"
--- a/tests/test_node_ends.py
+++ b/tests/test_node_ends.py
@@ -1,5 +1,6 @@
 """How connections of clients end, whoever ends them: no trip begins for one who has left, nothing that was
 answered is lost, and descriptors come back."""
+
 from __future__ import annotations
 
 import socket
@@ -45,7 +46,7 @@
     """Guards against a trip that is written for nobody: connections may take a quarter of a second."""
     rig = rig_of_two()
     waiting = hold_connections(rig, rig.engines[0])
-    rig.node.core.module_settings["may_cancel"] = False      # nothing that the module may call off
+    rig.node.core.module_settings["may_cancel"] = False  # nothing that the module may call off
     client = raw(rig, ask())
     rig.until(lambda: waiting)
     (case,) = rig.node.core.cases.values()
@@ -139,7 +140,7 @@
     client.close()
     rig.until(lambda: reader.verbs().count(b"DELETE") == 1)
     first = monotonic()
-    rig.until(lambda: ended)                         # once the engine can't come to hold anything any more
+    rig.until(lambda: ended)  # once the engine can't come to hold anything any more
     ((releases, at),) = ended
     assert releases >= 2 and at - first >= 0.5
 
@@ -170,7 +171,7 @@
     rig.until(lambda: waiting[0] or waiting[1])
     first, other = (0, 1) if waiting[0] else (1, 0)
     readers[other].script = lambda _: READ
-    waiting[first].pop()()                           # read, and reset: a release's connections wait
+    waiting[first].pop()()  # read, and reset: a release's connections wait
     rig.until(lambda: waiting[other] or len(waiting[first]) > 1)
     again = other if waiting[other] else first
     readers[again].script = lambda _: READ
@@ -178,7 +179,7 @@
     rig.until(lambda: readers[again].verbs().count(b"POST") == 1 + (again == first))
     rig.until(lambda: any(b"HTTP/1.1" in request for request in readers[again].asked))
     for queue in waiting[:2]:
-        while queue:                                 # what was on its way comes up now: it is given up
+        while queue:  # what was on its way comes up now: it is given up
             queue.pop()()
     some_time(rig)
     assert not any(b"DELETE" in engine.verbs() for engine in rig.engines)
@@ -231,10 +232,10 @@
     client = raw(rig, ask())
     rig.until(lambda: waiting[0] or waiting[1])
     first, again = (0, 1) if waiting[0] else (1, 0)
-    waiting[first].pop()()                           # read, and reset
+    waiting[first].pop()()  # read, and reset
     rig.until(lambda: waiting[again])
     readers[again].script = lambda request: ALIVE if request.startswith(b"GET") else b""
-    rig.until(lambda: waiting[first])                # the second read does not come up: a release begins
+    rig.until(lambda: waiting[first])  # the second read does not come up: a release begins
     waiting[first].pop()()
     rig.until(lambda: b"DELETE" in readers[first].verbs())
     waiting[again].pop(0)()
@@ -254,7 +255,7 @@
     rig.until(lambda: all_come_up() or monotonic() > end)
     assert releases_heard(rig) == released and rig.node.core.releases.owed
     client.close()
-    rig.until(lambda: all_come_up() or releases_heard(rig) > released)      # and goes on once that is over
+    rig.until(lambda: all_come_up() or releases_heard(rig) > released)  # and goes on once that is over
 
 
 def test_node_whose_module_fails_refuses_and_still_ends_in_order(monkeypatch: Any) -> None:
@@ -321,7 +322,7 @@
     rig = rig_of_two()
     client = raw(rig, b"GET /up HTTP/1.1\r\n\r\n")
     rig.until(lambda: any(one.asked for one in rig.node.server.channels))
-    client.sendall(ask("a2"))                        # not read yet
+    client.sendall(ask("a2"))  # not read yet
     if why == "SIGTERM":
         rig.node.server.close_idle()
     else:
@@ -338,7 +339,7 @@
         except BlockingIOError:
             continue
     assert got.endswith(b"serving\n") and rig.node.core.number == 0
-    assert rig.node.server.channels                  # it is not closed over what may still come
+    assert rig.node.server.channels  # it is not closed over what may still come
     client.close()
     rig.until(lambda: not rig.node.server.channels)
 
@@ -347,8 +348,8 @@
     rig = rig_of_two(lambda _: b"")
     peer = rig.client(ask())
     rig.until(lambda: rig.engines[1].asked)
-    rig.node.server.close_idle()                     # its answer is the last on this connection
-    for at in range(150):                            # much more than is read ahead of an answer
+    rig.node.server.close_idle()  # its answer is the last on this connection
+    for at in range(150):  # much more than is read ahead of an answer
         peer.transport.write(ask(f"b{at}"))  # type: ignore[union-attr]
     some_time(rig)
     rig.engines[1].peers[0].transport.write(ANSWER)  # type: ignore[union-attr]
@@ -367,7 +368,7 @@
 def test_answer_is_not_cut_off_for_a_client_that_reads_slowly(monkeypatch: Any) -> None:
     """Guards against the bound on a client's end running while its answer still waits to be sent."""
     monkeypatch.setattr(server, "LINGER", 5.0)
-    rig, body = Rig(), b"x" * 12_000_000             # more than the sockets of both sides hold
+    rig, body = Rig(), b"x" * 12_000_000  # more than the sockets of both sides hold
 
     def answer(exchange: Any) -> None:
         exchange.last()
@@ -378,7 +379,7 @@
     client = socket.create_connection(("127.0.0.1", port))
     client.sendall(b"GET / HTTP/1.1\r\n\r\n")
     rig.until(lambda: any(channel.closing for channel in one_server.channels))
-    some_time(rig, 60)                               # the client's time is over several times
+    some_time(rig, 60)  # the client's time is over several times
     client.setblocking(False)
     got = 0
     for _ in range(20_000):
@@ -429,6 +430,7 @@
 def test_peers_of_these_tests_tell_a_reset_from_an_end() -> None:
     from twisted.internet.error import ConnectionLost
     from twisted.python.failure import Failure
+
     ended, reset = Peer(), Peer()
     ended.connectionLost(Failure(ConnectionDone()))
     reset.connectionLost(Failure(ConnectionLost()))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,5 @@
 """Membership among fronts: all agree in the end, whatever is lost, cut, frozen or started twice."""
+
 from __future__ import annotations
 
 from typing import Any
@@ -31,9 +32,19 @@
 
 # What is believed.
 
-RUMOURS = st.lists(st.builds(
-    Rumour, st.sampled_from(["a", "b"]), st.integers(1, 3), st.integers(0, 3), st.sampled_from(list(State)),
-    st.just("h:1"), st.just("z"), st.just("r")), max_size=8)
+RUMOURS = st.lists(
+    st.builds(
+        Rumour,
+        st.sampled_from(["a", "b"]),
+        st.integers(1, 3),
+        st.integers(0, 3),
+        st.sampled_from(list(State)),
+        st.just("h:1"),
+        st.just("z"),
+        st.just("r"),
+    ),
+    max_size=8,
+)
 
 
 def order_matters(make: type[Members], rumours: list[Rumour], other: list[Rumour]) -> bool:
@@ -81,17 +92,24 @@
     assert len(members.known) <= 64 and "f999" in members.known
 
 
-@pytest.mark.parametrize("odd", [
-    Rumour("", 1, 0, 0, "h:1", "z", "r"), Rumour("a", 0, 0, 0, "h:1", "z", "r"),
-    Rumour("a", 1, -1, 0, "h:1", "z", "r"), Rumour("a", 1, 0, 9, "h:1", "z", "r"),
-    Rumour("a" * 999, 1, 0, 0, "h:1", "z", "r"),
-    Rumour("a", 1, 0, 0, "h:1", "z", "r", {str(at): "" for at in range(99)})])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        Rumour("", 1, 0, 0, "h:1", "z", "r"),
+        Rumour("a", 0, 0, 0, "h:1", "z", "r"),
+        Rumour("a", 1, -1, 0, "h:1", "z", "r"),
+        Rumour("a", 1, 0, 9, "h:1", "z", "r"),
+        Rumour("a" * 999, 1, 0, 0, "h:1", "z", "r"),
+        Rumour("a", 1, 0, 0, "h:1", "z", "r", {str(at): "" for at in range(99)}),
+    ],
+)
 def test_rumours_that_make_no_sense_are_not_sound(odd: Rumour) -> None:
     assert not odd.sound()
 
 
 # Deaths.
 
+
 @pytest.mark.parametrize("loss", [0.0, 0.05, 0.2])
 def test_front_that_dies_is_taken_for_dead_by_all_and_no_other_is(loss: float) -> None:
     found = world(9, loss=loss)
@@ -116,11 +134,12 @@
     found.run(60 * PERIOD)
     assert {name for _, name in deaths(found)} == {"f3"}
     sleeper.go_on()
-    assert sleeper.swim.health.level > 0             # it doubts itself first
+    assert sleeper.swim.health.level > 0  # it doubts itself first
     found.agree(30 * PERIOD)
     assert not [pair for pair in deaths(found) if pair[0] == "f3"]
-    assert all(peer.swim.members.known["f3"].rumour.life == 1
-               for name, peer in found.peers.items() if name != "f3")
+    assert all(
+        peer.swim.members.known["f3"].rumour.life == 1 for name, peer in found.peers.items() if name != "f3"
+    )
 
 
 def test_starved_front_suspects_itself_before_others() -> None:
@@ -145,6 +164,7 @@
 
 # Lives.
 
+
 def test_front_that_comes_back_is_believed_by_its_new_life() -> None:
     found = world(6)
     found.peers["f1"].stop()
@@ -179,6 +199,7 @@
 
 # Cuts.
 
+
 @pytest.mark.parametrize("how", ["both", "out", "in"])
 def test_halves_of_a_cut_fleet_meet_again(how: str) -> None:
     found = world(8)
@@ -233,8 +254,11 @@
             found.sim.after(20 * PERIOD * chance.share(), peer.go_on)
         elif draw < 0.8:
             some = chance.some(names, 1 + int(3 * chance.share()))
-            found.wire.cut(some, [one for one in names if one not in some],
-                           ("both", "out", "in")[int(3 * chance.share())])
+            found.wire.cut(
+                some,
+                [one for one in names if one not in some],
+                ("both", "out", "in")[int(3 * chance.share())],
+            )
             found.sim.after(20 * PERIOD * chance.share(), found.wire.heal)
     found.run(25 * PERIOD)
     found.wire.heal()
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -1,6 +1,7 @@
 """Who is refused, with the module between simulated engines: long prompts against the rest of their class,
 and sessions against chance, over drawn classes and sizes.  Engines read one prompt after the other and answer
 at once; all times are milliseconds."""
+
 from __future__ import annotations
 
 import heapq
@@ -18,14 +19,15 @@
 from worksmux.rules import Front
 
 READERS, WRITERS = 3, 4
-PER_TOKEN = 0.06                     # of reading
-FIRST, REST = 20.0, 300.0            # of an answer's first token, and of the others
-REQUESTS = 1500                      # 75 in the tenth of each of two classes: fewer would be chance
+PER_TOKEN = 0.06  # of reading
+FIRST, REST = 20.0, 300.0  # of an answer's first token, and of the others
+REQUESTS = 1500  # 75 in the tenth of each of two classes: fewer would be chance
 
 
 @dataclass
 class Traffic:
     """One class of requests: its latency target, how much it grows with the prompt, and its prompts."""
+
     target: float
     per_k: float
     prompt: float
@@ -36,6 +38,7 @@
 @dataclass
 class Day:
     """Requests between a module and engines; `answered` and `all` by request."""
+
     classes: list[Traffic]
     load: float
     seed: int
@@ -50,15 +53,34 @@
 
     def play(self) -> Day:
         rng = random.Random(self.seed)
-        offerings = [{"promised_time": one.target, "outer_limit": 4 * one.target, "credit": 1.0,
-                      "late_credit": 0.1, "effect": "redoable" if one.idempotent else "irreversible",
-                      "group": "all", "remembered": 5000.0, "promised_per_k": one.per_k, "token_time": 50.0}
-                     for one in self.classes]
+        offerings = [
+            {
+                "promised_time": one.target,
+                "outer_limit": 4 * one.target,
+                "credit": 1.0,
+                "late_credit": 0.1,
+                "effect": "redoable" if one.idempotent else "irreversible",
+                "group": "all",
+                "remembered": 5000.0,
+                "promised_per_k": one.per_k,
+                "token_time": 50.0,
+            }
+            for one in self.classes
+        ]
         front = Front(plain(fronts=1, offerings=offerings), self.seed)
         engines = [i.Engine(bytes([at]), at + 1) for at in range(READERS + WRITERS)]
-        front.decide(0.0, [i.Listed("full", [
-            i.Entry(engine, "ready", 0.0, 0, at % 2, int(at >= READERS), 1.0)
-            for at, engine in enumerate(engines)])])
+        front.decide(
+            0.0,
+            [
+                i.Listed(
+                    "full",
+                    [
+                        i.Entry(engine, "ready", 0.0, 0, at % 2, int(at >= READERS), 1.0)
+                        for at, engine in enumerate(engines)
+                    ],
+                )
+            ],
+        )
         self.free = dict.fromkeys(engines, 0.0)
         mean = sum(one.prompt for one in self.classes) / len(self.classes)
         gap, now = mean * PER_TOKEN / READERS / self.load, 1000.0
@@ -67,9 +89,18 @@
             at = rng.randrange(len(self.classes))
             one = self.classes[at]
             # The mean is the class's; a few are several times as long.
-            prompt = min(4 * one.prompt, one.prompt * rng.lognormvariate(-one.spread**2 / 2, one.spread))
-            request = i.Job(number, at, rng.randrange(1, REQUESTS // 3), 0, max(1.0, prompt), 0.0, 300.0, now,
-                            now + 4 * one.target + 2 * one.per_k * prompt / 1000)
+            prompt = min(4 * one.prompt, one.prompt * rng.lognormvariate(-(one.spread**2) / 2, one.spread))
+            request = i.Job(
+                number,
+                at,
+                rng.randrange(1, REQUESTS // 3),
+                0,
+                max(1.0, prompt),
+                0.0,
+                300.0,
+                now,
+                now + 4 * one.target + 2 * one.per_k * prompt / 1000,
+            )
             self.requests.append(request)
             self.at(now, i.Arrived(request))
         while self.events:
@@ -100,9 +131,11 @@
     def shares(self, at: int) -> tuple[float, float]:
         """Of a class: the share answered of the tenth with the longest prompts, and of all."""
         of_class = sorted((one for one in self.requests if one.offering == at), key=lambda one: one.prompt)
-        longest = of_class[-(len(of_class) // 10):]
-        return (sum(one in self.answered for one in longest) / len(longest),
-                sum(one in self.answered for one in of_class) / len(of_class))
+        longest = of_class[-(len(of_class) // 10) :]
+        return (
+            sum(one in self.answered for one in longest) / len(longest),
+            sum(one in self.answered for one in of_class) / len(of_class),
+        )
 
 
 def traffic() -> st.SearchStrategy[Traffic]:
@@ -127,8 +160,9 @@
 @pytest.mark.parametrize("load", [0.95, 1.3, 2.0])
 @given(CLASSES, st.integers(0, 1000))
 @settings(deadline=None, max_examples=5, derandomize=True)
-def test_longest_prompts_keep_half_of_the_share_on_a_crowded_day(load: float, classes: list[Traffic],
-                                                                 seed: int) -> None:
+def test_longest_prompts_keep_half_of_the_share_on_a_crowded_day(
+    load: float, classes: list[Traffic], seed: int
+) -> None:
     day = Day(classes, load, seed).play()
     for at in range(len(classes)):
         longest, whole = day.shares(at)
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -1,4 +1,5 @@
 """Lists that are empty, halved, late, or that flap; and what was learned, kept over a restart."""
+
 from __future__ import annotations
 
 from hypothesis import settings
@@ -18,8 +19,9 @@
 
 def roster() -> Roster:
     engines: dict[str, Engine] = {}
-    return Roster(["k"], ["z"], lambda name: engines.setdefault(name, Engine(name.encode(), 1)), DOUBT,
-                  HALF_LIFE)
+    return Roster(
+        ["k"], ["z"], lambda name: engines.setdefault(name, Engine(name.encode(), 1)), DOUBT, HALF_LIFE
+    )
 
 
 def line(name: str, state: str = "ready") -> Line:
@@ -51,7 +53,7 @@
     one.take(0.0, full(1, "a", "b"))
     one.take(10.0, full(2))
     assert one.take(20.0, full(3, "a", "b")).event is not None
-    assert one.take(30.0 + DOUBT, full(4)).event is None     # the doubt begins anew
+    assert one.take(30.0 + DOUBT, full(4)).event is None  # the doubt begins anew
 
 
 def test_halved_list_is_obeyed_and_asked_for_again_once() -> None:
@@ -123,7 +125,7 @@
         self.now, self.serial = 0.0, 1
         self.truth = {f"e{at}": "ready" for at in range(6)}
         self.roster, self.view = roster(), {}  # type: Roster, dict[str, str]
-        self.listed: dict[str, str] = {}             # as the list in force has it
+        self.listed: dict[str, str] = {}  # as the list in force has it
         self.send_full(dict(self.truth))
 
     def send_full(self, states: dict[str, str]) -> None:
@@ -181,6 +183,7 @@
 
 # What was learned.
 
+
 def trip_at(engine: Engine, offering: int = 0, work: float = 100.0) -> Trip:
     return Trip(Job(1, offering, 1, 0, work, 0.0, 10.0, 0.0, 9e9), engine, 0, 0.0, work=work)
 
@@ -209,11 +212,27 @@
     assert isinstance(pace, Pace) and isinstance(marks, Marks)
     again = Engine(b"e", 1)
     event = recall(Kept(pace, {"e": marks}), ["a", "b"], [(again, started)], 1e9 + age, Turnover(), 3.6e6)
-    one = {"promised_time": 1000.0, "promised_per_k": 0.0, "effect": "redoable", "group": "all",
-           "remembered": 0.0}
-    front = Front({"offerings": [one, one], "tick": 1.0, "release_within": 100.0, "ask_for_list": False,
-                   "far_price": 0.0, "warm_up": 1000.0, "roles": ["both"], "cold_share": 0.3,
-                   "fall_multiple": 3.0}, 1)
+    one = {
+        "promised_time": 1000.0,
+        "promised_per_k": 0.0,
+        "effect": "redoable",
+        "group": "all",
+        "remembered": 0.0,
+    }
+    front = Front(
+        {
+            "offerings": [one, one],
+            "tick": 1.0,
+            "release_within": 100.0,
+            "ask_for_list": False,
+            "far_price": 0.0,
+            "warm_up": 1000.0,
+            "roles": ["both"],
+            "cold_share": 0.3,
+            "fall_multiple": 3.0,
+        },
+        1,
+    )
     front.decide(50.0, [event])
     return front, again
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,5 @@
 """The five rules and the mechanism, each on a state built by hand."""
+
 from helpers import NOW, ended, fleet, job, kinds, settings
 
 from worksmux import interface as i
@@ -52,7 +53,7 @@
     read(front, one)
     actions = ended(front, one.trips[1], i.Outcome.FULL, note=1)
     assert writer.skip_until == 0.0 and one.trips[2].engine is reader
-    assert kinds(actions) == ["Release", "Send"]     # what a place held ahead took is let go too
+    assert kinds(actions) == ["Release", "Send"]  # what a place held ahead took is let go too
 
 
 def test_mixed_engine_takes_a_whole_job():
@@ -163,7 +164,7 @@
     first = one.trips[1].engine
     for engine in engines:
         if engine.role == "read" and engine.zone == first.zone:
-            engine.skip_until = NOW + 190.0          # readers elsewhere have room, these do not
+            engine.skip_until = NOW + 190.0  # readers elsewhere have room, these do not
     ended(front, one.trips[1], i.Outcome.RESET)
     assert kinds(ended(front, one.trips[2], i.Outcome.FULL, note=1)) == ["Release"] and one in front.waiting
     assert kinds(front.decide(NOW + 200, [i.Rang(0)])) == ["Send"]
@@ -209,8 +210,9 @@
 def cold_readers(seed=1):
     """A front with one warm reader and four cold ones."""
     front, engines = fleet((1, 0, 0), *[(0, 0, 0)] * 5, seed=seed)
-    front.decide(NOW, [i.Listed("delta", [i.Entry(engine, "ready", NOW - 1, 0, 0, 0, 1.0)
-                                          for engine in engines[2:]])])
+    front.decide(
+        NOW, [i.Listed("delta", [i.Entry(engine, "ready", NOW - 1, 0, 0, 0, 1.0) for engine in engines[2:]])]
+    )
     return front, engines
 
 
@@ -228,7 +230,7 @@
         front.decide(one.arrived + 60, [i.Began(one.trips[1], 10.0)])
         ended(front, one.trips[1], i.Outcome.DELIVERED, closed=True)
     to_cold = sum(engine is not warm for engine in sent)
-    assert 12 <= to_cold <= 40 * 0.3 * 3.0 * 0.5 * 1.25 * 0.8 + 1      # the budget of four in five
+    assert 12 <= to_cold <= 40 * 0.3 * 3.0 * 0.5 * 1.25 * 0.8 + 1  # the budget of four in five
     assert len({engine for engine in sent if engine is not warm}) == len(cold)
 
 
@@ -279,7 +281,7 @@
     trip = i.Trip(job(), writers[0], 0, NOW)
     front._judge(i.Ended(trip, i.Outcome.RESET, 5.0, False))
     assert front._well(writers[0], 0)
-    for _ in range(2):                               # now it stands out
+    for _ in range(2):  # now it stands out
         front._judge(i.Ended(trip, i.Outcome.RESET, 5.0, False))
     assert not front._well(writers[0], 0)
 
@@ -307,7 +309,7 @@
     front.lines.add(NOW, 400.0)
     one = job()
     front.decide(NOW, [i.Arrived(one)])
-    reader.suspected = True                          # only then is a probe's answer a judgement
+    reader.suspected = True  # only then is a probe's answer a judgement
     assert kinds(front.decide(NOW + 700, [i.Probed(reader, i.Outcome.DELIVERED, 2.0)])) == []
     reader.suspected = True
     assert kinds(front.decide(NOW + 2200, [i.Probed(reader, i.Outcome.DELIVERED, 2.0)])) == ["Cancel"]
@@ -331,7 +333,7 @@
         trip = i.Trip(job(number), reader, 0, NOW, True, work=1000.0)
         front._judge(i.Ended(trip, i.Outcome.READ, time, False, kept))
     front.decide(NOW, [])
-    assert front.shortest == 0.1                     # 80 ms for 800 tokens; few tokens tell nothing of pace
+    assert front.shortest == 0.1  # 80 ms for 800 tokens; few tokens tell nothing of pace
     assert front._reads(i.Trip(job(4), reader, 0, NOW, True, work=1000.0)) == 4.0 * 100.0
 
 
@@ -359,7 +361,7 @@
         one.promised_at = NOW + 1600.0
         front.now, front.shortest, front.asks = NOW, front.anew.least(NOW), fronts == 200
         assert front._late(one) is refused
-        one.asked[front.readers[0]] = NOW - 400.0    # it was asked, and nobody answered: there are lines
+        one.asked[front.readers[0]] = NOW - 400.0  # it was asked, and nobody answered: there are lines
         assert front._late(one)
 
 
@@ -381,8 +383,14 @@
     """Guards against jobs sent after others into a jam of replaced readers, where nothing has ended yet."""
     for started, answer in ((NOW - 1000.0, ["Defer"]), (0.0, ["Send"])):
         front, engines = fleet(*[(0, 0, 0)] * 3, *[(1, 0, 0)] * 3)
-        front.decide(NOW, [i.Listed("full", [i.Entry(engine, "ready", started, 0, 0, engine.kind, 1.0)
-                                             for engine in engines])])
+        front.decide(
+            NOW,
+            [
+                i.Listed(
+                    "full", [i.Entry(engine, "ready", started, 0, 0, engine.kind, 1.0) for engine in engines]
+                )
+            ],
+        )
         front.read_credit = 1.0
         for engine in engines:
             engine.credit = 1.0
@@ -500,7 +508,7 @@
     front, (reader, _) = fleet(*PAIR)
     one = job()
     front.decide(NOW, [i.Arrived(one)])
-    front.reading -= 1e-9                            # what sums of fractions come to
+    front.reading -= 1e-9  # what sums of fractions come to
     ended(front, one.trips[0], i.Outcome.READ)
     assert front._has_room(reader, job(2))
 
@@ -512,7 +520,7 @@
     reader = one.trips[0].engine
     gone = i.Entry(reader, "gone", 0.0, reader.zone, reader.cell, reader.kind, 1.0)
     front.decide(NOW + 10, [i.Listed("delta", [gone])])
-    one.writer.suspected = True                      # another writer is sought, from the reader's cell on
+    one.writer.suspected = True  # another writer is sought, from the reader's cell on
     ended(front, one.trips[0], i.Outcome.READ)
     assert [trip.engine.role for trip in one.trips] == ["read", "write"]
 
@@ -590,5 +598,5 @@
     one.luck = 0.9
     front.first.add(NOW, 40.0)
     assert front._has_window(writer, one)
-    front.first.add(NOW, 4000.0)                     # states wait for memory somewhere
+    front.first.add(NOW, 4000.0)  # states wait for memory somewhere
     assert not front._has_window(writer, one)
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -1,4 +1,5 @@
 """The search for worst days: stays in its ranges, finds what is planted, makes it small, writes it down."""
+
 from __future__ import annotations
 
 import random
@@ -17,8 +18,14 @@
 
 def planted(days: list[Found]) -> list[tuple[float, float]]:
     """Regret by hangs alone, as much as they last and strike."""
-    return [(sum(trouble.length * trouble.part for trouble in day.troubles if trouble.kind == "hang")
-             / BASE.length, 0.5) for day in days]
+    return [
+        (
+            sum(trouble.length * trouble.part for trouble in day.troubles if trouble.kind == "hang")
+            / BASE.length,
+            0.5,
+        )
+        for day in days
+    ]
 
 
 def test_every_day_stays_in_its_ranges() -> None:
@@ -55,7 +62,8 @@
     day = read_scenario(parse(written(FILE.read_text(), BASE, found)))
     wanted = found.day(BASE)
     assert [(t.kind, t.at, t.length, t.part, t.role, t.zone) for t in day.troubles] == [
-        (t.kind, t.at, t.length, t.part, t.role, t.zone) for t in wanted.troubles]
+        (t.kind, t.at, t.length, t.part, t.role, t.zone) for t in wanted.troubles
+    ]
     assert one(day) == one(wanted)
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,4 +1,5 @@
 """Settings: every fault is named with its line, all at once."""
+
 from __future__ import annotations
 
 import subprocess
@@ -21,11 +22,12 @@
 
 
 def line_of(part: str, text: str = SETTINGS) -> int:
-    return text[:text.index(part)].count("\n") + 1
+    return text[: text.index(part)].count("\n") + 1
 
 
 def test_module_gets_the_names_that_the_bench_uses() -> None:
     from helpers import settings
+
     module = read_front(parse(SETTINGS)).module
     assert settings().keys() <= module.keys()
     assert module["offerings"][1]["effect"] == "irreversible" and module["roles"] == ["read", "write", "both"]
@@ -47,17 +49,20 @@
     assert told == sorted(told, key=lambda one: int(one.split(":")[1]))
 
 
-@pytest.mark.parametrize(("old", "new", "words"), [
-    ('zone "north"', 'zone "east"', "not among the zones"),
-    ("fronts 1", "fronts 1\n    number 1", "must be below fronts"),
-    ('listen "127.0.0.1:0"', 'listen "here"', "expected an address"),
-    ('remembered "2s"', "", "remembered is missing"),
-    ('cold-share 0.3', 'cold-share 1.3', "from 0 to 1"),
-    ('most-pause "200ms"', 'most-pause "2ms"', "swap them"),
-    ("hold true", "hold 1", "expected true or false"),
-    ('offering "mark"', 'offering "hint"', "is given twice"),
-    ('kind "prefill" role="read" memory=100000', "", "no job could be carried")
-])
+@pytest.mark.parametrize(
+    ("old", "new", "words"),
+    [
+        ('zone "north"', 'zone "east"', "not among the zones"),
+        ("fronts 1", "fronts 1\n    number 1", "must be below fronts"),
+        ('listen "127.0.0.1:0"', 'listen "here"', "expected an address"),
+        ('remembered "2s"', "", "remembered is missing"),
+        ("cold-share 0.3", "cold-share 1.3", "from 0 to 1"),
+        ('most-pause "200ms"', 'most-pause "2ms"', "swap them"),
+        ("hold true", "hold 1", "expected true or false"),
+        ('offering "mark"', 'offering "hint"', "is given twice"),
+        ('kind "prefill" role="read" memory=100000', "", "no job could be carried"),
+    ],
+)
 def test_contradictory_and_missing_figures_are_refused(old: str, new: str, words: str) -> None:
     text = SETTINGS.replace(old, new)
     if "could be carried" in words:
@@ -120,15 +125,19 @@
     assert told.fleet.reach == {"b": "127.0.0.1:9002"} and told.regions == {"north": "west", "south": "west"}
 
 
-@pytest.mark.parametrize("old, new, wanted", [
-    ('carries "north" 65', 'carries "nowhere" 65', 'zone "nowhere" is not among the zones'),
-    ('carries "north" 65', 'carries "north" 0', "expected jobs a second above 0"),
-    ('reach "b" "127.0.0.1:9002"', 'reach "b" "nonsense"', "reach: "),
-    ('founders "a" "b" "c"', 'founders "a" "b" "c"\n    seats 2', "expected 1, 3 or 5"),
-    ('founders "a" "b" "c"', 'founders "a"\n    lease "500ms"', "lease is under twice patience"),
-    ('founders "a" "b" "c"', 'founders "a"\n    patience "100ms"', "patience is under three beats"),
-    ('zones "north" "south"\n}', 'zones "north"\n}', "no region has the zones south"),
-    ("disk", "disc", "did you mean disk?")])
+@pytest.mark.parametrize(
+    "old, new, wanted",
+    [
+        ('carries "north" 65', 'carries "nowhere" 65', 'zone "nowhere" is not among the zones'),
+        ('carries "north" 65', 'carries "north" 0', "expected jobs a second above 0"),
+        ('reach "b" "127.0.0.1:9002"', 'reach "b" "nonsense"', "reach: "),
+        ('founders "a" "b" "c"', 'founders "a" "b" "c"\n    seats 2', "expected 1, 3 or 5"),
+        ('founders "a" "b" "c"', 'founders "a"\n    lease "500ms"', "lease is under twice patience"),
+        ('founders "a" "b" "c"', 'founders "a"\n    patience "100ms"', "patience is under three beats"),
+        ('zones "north" "south"\n}', 'zones "north"\n}', "no region has the zones south"),
+        ("disk", "disc", "did you mean disk?"),
+    ],
+)
 def test_faults_of_the_fleet_are_named_with_what_was_expected(old: str, new: str, wanted: str) -> None:
     assert old in FLEET
     assert any(wanted in text for text in faults(SETTINGS + FLEET.replace(old, new)))
@@ -137,8 +146,10 @@
 @pytest.mark.parametrize("module", ["worksmux.node.serve", "worksmux.drill.__main__"])
 def test_node_and_adapter_load_nothing_of_the_fleet_of_fronts(module: str) -> None:
     """There it is refused: no code, and so no socket, thread or file of it."""
-    code = (f"import sys, {module}\n"
-            "print([name for name in sys.modules if name.startswith(('worksmux.peers', 'worksmux.council', "
-            "'worksmux.failover', 'worksmux.versions', 'worksmux.store', 'worksmux.front.peering'))])")
+    code = (
+        f"import sys, {module}\n"
+        "print([name for name in sys.modules if name.startswith(('worksmux.peers', 'worksmux.council', "
+        "'worksmux.failover', 'worksmux.versions', 'worksmux.store', 'worksmux.front.peering'))])"
+    )
     told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert told.stdout.strip() == "[]"
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -1,4 +1,5 @@
 """Nothing in the program is fitted to a deployment: no name of a site's classes, kinds, zones or tenants."""
+
 from __future__ import annotations
 
 import re
@@ -16,8 +17,13 @@
 def names(site: dict[str, Any]) -> set[str]:
     """Every name that a site file gives to something of its deployment."""
     tiers = site["tier"]
-    named = [site, *tiers, *site["class"], *site.get("tenant", []),
-             *(kind for tier in tiers for kind in tier["kind"])]
+    named = [
+        site,
+        *tiers,
+        *site["class"],
+        *site.get("tenant", []),
+        *(kind for tier in tiers for kind in tier["kind"]),
+    ]
     return {one["name"] for one in named} | set(site["net"]["zones"])
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,4 +1,5 @@
 """The store: whatever happens to its file, what is read back was written."""
+
 from __future__ import annotations
 
 import os
@@ -18,7 +19,7 @@
 from worksmux.store.database import Unusable, open_store
 from worksmux.store.records import check, checksum, seal
 
-LONG = bool(os.environ.get("WORKSMUX_LONG"))         # every prefix, every byte, 200 kills: some minutes
+LONG = bool(os.environ.get("WORKSMUX_LONG"))  # every prefix, every byte, 200 kills: some minutes
 GOOD = {f"engine-{at}": f"line {at} ".encode() * 3 for at in range(20)}
 
 
@@ -71,7 +72,7 @@
         for old in tmp_path.glob("flip*"):
             old.unlink()
         path = tmp_path / "flip"
-        path.write_bytes(data[:at] + bytes([data[at] ^ 1 << chance.randrange(8)]) + data[at + 1:])
+        path.write_bytes(data[:at] + bytes([data[at] ^ 1 << chance.randrange(8)]) + data[at + 1 :])
         values, whole = read(path)
         assert values.items() <= GOOD.items(), f"byte {at}"
         assert not whole or values == GOOD, f"byte {at}"
@@ -115,16 +116,18 @@
 def test_front_killed_at_random_points_of_writing(tmp_path: Path) -> None:
     """A process writes generations, each line of one naming it; after each kill all lines agree."""
     path = tmp_path / "s"
-    code = ("import sys, itertools\nfrom worksmux.store.database import open_store\n"
-            "store = open_store(sys.argv[1])\nold = store.read('lines').values\n"
-            "start = int(next(iter(old.values()), b'0'))\nprint('ready', flush=True)\n"
-            "for n in itertools.count(start + 1):\n"
-            "    store.write({'lines': {f'e{k}': str(n).encode() for k in range(30)}}, float(n))\n")
+    code = (
+        "import sys, itertools\nfrom worksmux.store.database import open_store\n"
+        "store = open_store(sys.argv[1])\nold = store.read('lines').values\n"
+        "start = int(next(iter(old.values()), b'0'))\nprint('ready', flush=True)\n"
+        "for n in itertools.count(start + 1):\n"
+        "    store.write({'lines': {f'e{k}': str(n).encode() for k in range(30)}}, float(n))\n"
+    )
     chance, last = random.Random(5), 0
     for _ in range(200 if LONG else 12):
         child = subprocess.Popen([sys.executable, "-c", code, str(path)], stdout=subprocess.PIPE)
         assert child.stdout and child.stdout.readline()
-        time.sleep(chance.uniform(0.0, 0.02))        # the point of writing at which it is killed
+        time.sleep(chance.uniform(0.0, 0.02))  # the point of writing at which it is killed
         os.kill(child.pid, signal.SIGKILL)
         child.wait()
         store = open_store(path)
@@ -144,6 +147,7 @@
     import msgspec
 
     from worksmux.store.records import WORD, Manifest
+
     rows = [(key, value, checksum("t", key, value) & (WORD >> 1)) for key, value in entries.items()]
     total = sum(checksum("t", key, value) for key, value in entries.items()) & WORD
     manifest = seal(msgspec.msgpack.encode(Manifest(len(rows), total, 5.0)))
@@ -151,8 +155,8 @@
     if rows:
         at = data.draw(st.integers(0, len(rows) - 1))
         key, value, stored = rows[at]
-        assert not check("t", rows[:at] + rows[at + 1:], manifest).whole
-        assert check("t", [*rows[:at], (key, value + b"x", stored), *rows[at + 1:]], manifest).bad == 1
+        assert not check("t", rows[:at] + rows[at + 1 :], manifest).whole
+        assert check("t", [*rows[:at], (key, value + b"x", stored), *rows[at + 1 :]], manifest).bad == 1
     assert not check("t", rows, manifest[:-1]).whole and not check("t", rows, None).whole
 
 
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -1,4 +1,5 @@
 """Counting: equal to the reference on every text and cut, kept within its bound, decided in time."""
+
 from __future__ import annotations
 
 import json
@@ -77,7 +78,7 @@
 ) -> None:
     turn = data.draw(st.integers(1, len(messages) - 1))
     before = [one.key for one in cut(messages[:turn], Cuts.LINES, 40)][:-1]
-    assert [one.key for one in cut(messages, Cuts.LINES, 40)][:len(before)] == before
+    assert [one.key for one in cut(messages, Cuts.LINES, 40)][: len(before)] == before
 
 
 @settings(max_examples=100, deadline=None)
@@ -91,8 +92,11 @@
 
 def test_file_that_is_no_whole_tokenizer_is_refused_with_a_reason(tmp_path: Path) -> None:
     text = Path("examples/tokenizers/lab-1.json").read_text()
-    for name, content, words in (("half", text[:len(text) // 2], "no whole"), ("empty", "", "no whole"),
-                                 ("bare", text.replace("<|im_end|>", "<|other|>"), "has no token")):
+    for name, content, words in (
+        ("half", text[: len(text) // 2], "no whole"),
+        ("empty", "", "no whole"),
+        ("bare", text.replace("<|im_end|>", "<|other|>"), "has no token"),
+    ):
         path = tmp_path / f"{name}.json"
         path.write_text(content)
         with pytest.raises(BadTokenizer, match=words):
@@ -103,7 +107,7 @@
 
 def test_tokenizer_that_merges_across_lines_is_cut_at_markers_only(tmp_path: Path) -> None:
     form = json.loads(Path("examples/tokenizers/lab-1.json").read_text())
-    form["pre_tokenizer"] = None                     # nothing splits the text before merging
+    form["pre_tokenizer"] = None  # nothing splits the text before merging
     path = tmp_path / "merging.json"
     path.write_text(json.dumps(form))
     assert load(path).cuts is Cuts.MARKERS
@@ -115,11 +119,12 @@
 
 # Beginnings.
 
+
 @given(st.lists(st.integers(0, 5), max_size=40), st.lists(st.integers(0, 5), max_size=40), st.integers(1, 5))
 def test_equal_blocks_mean_equal_beginnings(one: list[int], other: list[int], block: int) -> None:
     a, b = (chain(array("I", ids).tobytes(), block, 3) for ids in (one, other))
     for at, (x, y) in enumerate(zip(a, b, strict=False)):
-        assert (x == y) == (one[:(at + 1) * block] == other[:(at + 1) * block])
+        assert (x == y) == (one[: (at + 1) * block] == other[: (at + 1) * block])
 
 
 def test_beginning_is_shared_once_two_sessions_have_shown_it() -> None:
@@ -133,6 +138,7 @@
 
 # The cache.
 
+
 @given(st.lists(st.tuples(st.integers(0, 30), st.integers(0, 400)), max_size=200), st.integers(2_000, 20_000))
 def test_bytes_kept_never_pass_the_bound(steps: list[tuple[int, int]], bound: int) -> None:
     for cache in (Recent(bound), Frequent(bound, 256)):
@@ -166,6 +172,7 @@
 
 def test_scan_of_prompts_that_come_once_leaves_the_shared_ones_in_place() -> None:
     import random
+
     chance, trace = random.Random(3), []
     for at in range(20_000):
         trace.append(chance.randrange(60) if chance.random() < 0.4 else 1000 + at)
@@ -185,6 +192,7 @@
 
 # The desk.
 
+
 def ask(missing: int, known: int = 0, limit: int = 10**9, now: float = 0.0, promised: float = 1000.0) -> Ask:
     return Ask(known, missing, limit, 8, promised, now)
 
@@ -238,7 +246,7 @@
     one.arrive(slow)
     one.next(False)
     one.begin(slow, 0.0)
-    one.done(slow, 1000.0)                           # ten milliseconds a byte
+    one.done(slow, 1000.0)  # ten milliseconds a byte
     assert one.arrive(ask(100, now=1000.0)) is Verdict.BOUND
     assert one.arrive(ask(100, limit=90, now=1000.0)) is Verdict.DEFER
 
@@ -308,7 +316,7 @@
 
 # The service with real workers.
 
-LONG = 600_000.0         # a promised time that no machine is too busy for
+LONG = 600_000.0  # a promised time that no machine is too busy for
 
 
 class Bench:
@@ -319,8 +327,9 @@
         self.service = TokenService(self.reactor, bounds, [VOCABULARIES[0]] * offerings)
         self.told: list[Result] = []
 
-    def ask(self, text: str, limit: int = 10**9, promised: float = 20_000.0, offering: int = 0,
-            session: int = 0) -> Any:
+    def ask(
+        self, text: str, limit: int = 10**9, promised: float = 20_000.0, offering: int = 0, session: int = 0
+    ) -> Any:
         return self.service.count([("user", text)], offering, limit, promised, session, self.told.append)
 
     def run(self, until: Any, within: float = 20.0) -> None:
@@ -376,7 +385,7 @@
             os.kill(worker.process.pid, signal.SIGSTOP if at else signal.SIGKILL)
         for text in SAMPLES.values():
             bench.ask(text, promised=LONG)
-        bench.ask("line of a log\n" * 3000, promised=LONG)      # its lane's worker is the one that hangs
+        bench.ask("line of a log\n" * 3000, promised=LONG)  # its lane's worker is the one that hangs
 
     bench.reactor.callLater(0, strike)
     bench.run(lambda: len(bench.told) >= len(SAMPLES) + 1 and bench.service.workers.replaced >= 2, 60.0)
@@ -404,8 +413,10 @@
     bench.run(lambda: len(told_under) == len(texts), 60.0)
     versions = {one.version: at for at, one in enumerate(VOCABULARIES)}
     assert all(now == result.version for now, result, _ in told_under) and bench.service.recounted > 0
-    assert all(result.exact and result.prompt == exact(text, versions[result.version])
-               for _, result, text in told_under)
+    assert all(
+        result.exact and result.prompt == exact(text, versions[result.version])
+        for _, result, text in told_under
+    )
 
 
 def test_two_versions_side_by_side_do_not_share_counts() -> None:
@@ -459,7 +470,7 @@
     worker.outReceived(frame(Counted(0, VOCABULARIES[0].version)))
     assert pool.take(False) is worker
     clock.pump([0.1] * 200)
-    assert not process.ends                          # nothing is due from it
+    assert not process.ends  # nothing is due from it
 
 
 def test_worker_that_never_starts_is_replaced() -> None:
@@ -478,7 +489,7 @@
     assert not process.ends
     worker.outReceived(frame(Counted(0, VOCABULARIES[1].version)))
     clock.pump([0.1] * 4)
-    assert process.ends == 1 and not told            # now it hangs
+    assert process.ends == 1 and not told  # now it hangs
 
 
 class FakeWorkers:
@@ -501,11 +512,12 @@
 
     def end(self, at: int, lost: bool) -> None:
         from worksmux.tokens.worker import Counted
+
         long, version, texts, most, _, on_counted = self.busy.pop(at % len(self.busy))
         which = [one.version for one in VOCABULARIES].index(version)
         ids = [tokens(OPENED[which], text) for text in texts]
         more = [max(0, len(one) // 4 - most) for one in ids]
-        told = Counted(0, version, [one[:most * 4] for one in ids], more)
+        told = Counted(0, version, [one[: most * 4] for one in ids], more)
         on_counted(None if lost else told)
         self.idle[long] += 1
         self.feed(long)
@@ -538,8 +550,9 @@
                 assert what.prompt == exact(text, which)
                 assert (what.verdict is Verdict.TOO_LONG) == (what.prompt > limit)
             else:
-                assert what.least <= exact(text, which) and (what.verdict is not Verdict.BOUND or (
-                    exact(text, which) <= what.prompt <= limit))
+                assert what.least <= exact(text, which) and (
+                    what.verdict is not Verdict.BOUND or (exact(text, which) <= what.prompt <= limit)
+                )
 
         self.service.count([("user", text)], 0, limit, 1e9, 0, result)
 
@@ -566,8 +579,11 @@
 
 # The front with a tokenizer.
 
-TOKENS = SETTINGS.replace('effect "redoable"', 'effect "redoable"\n    most-prompt 400').replace(
-    "    most-answer 60\n", '    most-answer 60\n    tokenizer "lab"\n') + """
+TOKENS = (
+    SETTINGS.replace('effect "redoable"', 'effect "redoable"\n    most-prompt 400').replace(
+        "    most-answer 60\n", '    most-answer 60\n    tokenizer "lab"\n'
+    )
+    + """
 tokenizer "lab" file="examples/tokenizers/lab-1.json"
 counting {
     cache "1MiB"
@@ -582,6 +598,7 @@
     time-limit "2s"
 }
 """
+)
 
 
 @settings(suppress_health_check=[HealthCheck.function_scoped_fixture])
@@ -589,6 +606,7 @@
 def test_settings_of_counting_are_checked(_: int) -> None:
     from worksmux.settings.document import SettingsError, parse
     from worksmux.settings.front import read_front
+
     assert read_front(parse(TOKENS)).counting
     for old, new, words in (
         ('tokenizer "lab"\n', 'tokenizer "labb"\n', "is not given"),
@@ -633,8 +651,9 @@
 
 
 def test_front_counts_refuses_too_long_and_tells_engines_the_count(tmp_path: Path) -> None:
-    rig = Rig(tmp_path, [("prefill", 0), ("decode", 0)], text=TOKENS,
-              tokenizer="examples/tokenizers/lab-1.json")
+    rig = Rig(
+        tmp_path, [("prefill", 0), ("decode", 0)], text=TOKENS, tokenizer="examples/tokenizers/lab-1.json"
+    )
     rig.front()
     heard: list[tuple[int, bytes]] = []
 
@@ -647,12 +666,13 @@
             rig.reactor.callLater(0.1, rig.reactor.stop)
 
     rig.at(300, rig.ask, body(SAMPLES["finnish"]), end)
-    rig.at(300, rig.ask, body("why so cold? " * 2000), end)      # surely too long
-    rig.at(300, rig.ask, body("kylmä " * 300), end)              # known to be too long once it is counted
+    rig.at(300, rig.ask, body("why so cold? " * 2000), end)  # surely too long
+    rig.at(300, rig.ask, body("kylmä " * 300), end)  # known to be too long once it is counted
     rig.run()
     assert sorted(status for status, _ in heard) == [200, 400, 400]
     codes = {json.loads(reply)["error"]["code"] for status, reply in heard if status == 400}
     assert codes == {"context_length_exceeded"}
     from worksmux.audit.records import load as records
+
     found = records(tmp_path)
     assert len(found.trips) == 2 and found.counts and all(front == own for _, front, own in found.counts)
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -1,4 +1,5 @@
 """A scripted day as a person starts it: processes, sockets, an exit code."""
+
 from __future__ import annotations
 
 import json
@@ -30,11 +31,14 @@
     lines = [line for line in text.splitlines() if not line.startswith("trouble")]
     short = "\n".join(lines).replace('length="24s"', 'length="4s"')
     file = tmp_path / "day.kdl"
-    file.write_text(short + """
+    file.write_text(
+        short
+        + """
 trouble "flood" at="1s" for="2s" offering="vectors" factor=8
 trouble "drain" at="1500ms" for="1s" every="500ms" names="n1-embedder-1"
 trouble "fast-errors" at="1s" for="2s" names="n1-reranker-1" share=0.5
-""")
+"""
+    )
     done = command("trial", str(file), "--json")
     assert done.returncode == 0, done.stderr[-2000:]
     told = json.loads(done.stdout)
@@ -44,9 +48,13 @@
 
 def test_exit_codes_tell_a_wrong_file_from_a_broken_day(tmp_path: Path) -> None:
     wrong = tmp_path / "wrong.kdl"
-    wrong.write_text("front \"a\" {\n    listn \"127.0.0.1:0\"\n}\n")
-    for args in (("check", str(wrong)), ("serve", str(wrong)), ("trial", str(wrong)),
-                 ("audit", str(tmp_path), "examples/short-day.kdl")):
+    wrong.write_text('front "a" {\n    listn "127.0.0.1:0"\n}\n')
+    for args in (
+        ("check", str(wrong)),
+        ("serve", str(wrong)),
+        ("trial", str(wrong)),
+        ("audit", str(tmp_path), "examples/short-day.kdl"),
+    ):
         done = command(*args)
         assert done.returncode == 2 and "Traceback" not in done.stderr
     assert "did you mean listen?" in command("check", str(wrong)).stderr
@@ -55,6 +63,7 @@
 
 def test_trouble_strikes_whom_it_names_and_its_part() -> None:
     import random
+
     day = load_scenario("examples/bad-day.kdl")
     named = next(trouble for trouble in day.troubles if trouble.kind == "drain")
     part = next(trouble for trouble in day.troubles if trouble.kind == "hang")
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -1,4 +1,5 @@
 """A remembered list: trust by age and turnover, no flood, no loop, drains kept."""
+
 from __future__ import annotations
 
 from hypothesis import settings
@@ -107,7 +108,7 @@
         for times in asked.values():
             times.sort()
             most = max(sum(start <= time < start + 1000 for time in times) for start in times)
-            assert len(times) == 300 and most <= 50 + 5 * 50 ** 0.5
+            assert len(times) == 300 and most <= 50 + 5 * 50**0.5
 
 
 def test_job_that_waits_has_one_of_each_kind_asked_now() -> None:
@@ -145,8 +146,10 @@
         for one in self.beliefs.tick(self.now).ask:
             self.asks[one.id] = self.asks.get(one.id, 0) + 1
 
-    @rule(name=st.sampled_from(["e0", "e1", "e2", "e3"]), how=st.sampled_from(
-        ["same", "cold", "other", "drains", "refused", "silent", "served"]))
+    @rule(
+        name=st.sampled_from(["e0", "e1", "e2", "e3"]),
+        how=st.sampled_from(["same", "cold", "other", "drains", "refused", "silent", "served"]),
+    )
     def hear(self, name: str, how: str) -> None:
         self.heard[name] = self.heard.get(name, 0) + 1
         started = {"cold": self.now + 1}.get(how, 0.0)
@@ -158,8 +161,9 @@
             case "served":
                 step = self.beliefs.served(name)
             case _:
-                step = self.beliefs.answered(name, Answer(
-                    "x" if how == "other" else name, "k", started, how == "drains"))
+                step = self.beliefs.answered(
+                    name, Answer("x" if how == "other" else name, "k", started, how == "drains")
+                )
         for belief in step.changed:
             if belief.stand is Stand.DROPPED:
                 self.dropped.add(belief.line.id)
--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -1,4 +1,5 @@
 """Embeddings and rerank on loopback: batches over engines, failures in their midst, floods beside chat."""
+
 from __future__ import annotations
 
 import json
@@ -19,7 +20,9 @@
 from worksmux.settings.front import read_front
 from worksmux.standins.vectors import score, vector
 
-TEXT = SETTINGS + """
+TEXT = (
+    SETTINGS
+    + """
 kind "embedder" role="both" memory=1000000 call="embeddings"
 kind "reranker" role="both" memory=1000000 call="rerank"
 offering "vectors" {
@@ -47,6 +50,7 @@
     loop-lag "10s"
 }
 """
+)
 # Where only what comes back matters: an engine that a starved machine makes answer full is set aside for
 # about a second, which is all that TEXT promises.
 PATIENT = SETTINGS + TEXT.removeprefix(SETTINGS).replace('"1s"', '"10s"').replace('"2s"', '"12s"')
@@ -104,8 +108,9 @@
         asker.embed("packed", ["a"], encoding_format="base64")
 
     play(rig, ask)
-    found = {name: [one["embedding"] for one in reply["data"]]
-             for name, (_, _, reply) in asker.replies.items()}
+    found = {
+        name: [one["embedding"] for one in reply["data"]] for name, (_, _, reply) in asker.replies.items()
+    }
     assert found["one"] == [vector("vectors", "hello")] and found["ids"] == [vector("vectors", [1, 2, 3])]
     assert found["many"] == [vector("vectors", one) for one in words(100)]
     assert found["lists"] == [vector("vectors", [1, 2], 2), vector("vectors", [3], 2)]
@@ -154,7 +159,7 @@
         asker.rank("later", "q", words(30))
 
     def ask() -> None:
-        asker.open += 1                              # the later call ends the run
+        asker.open += 1  # the later call ends the run
         asker.rank("r", "q", words(120))
         rig.reactor.callLater(0.05, rig.list, rig.engines[4], "draining")
         rig.reactor.callLater(0.4, later)
@@ -190,8 +195,9 @@
         asker.embed("busy", words(20))
         for at in range(4):
             asker.embed(at, f"small {at}")
-        goes = rig.ask(json.dumps({"model": "vectors", "input": "goes"}).encode(), lambda *_: None,
-                       path=embeddings.PATH)
+        goes = rig.ask(
+            json.dumps({"model": "vectors", "input": "goes"}).encode(), lambda *_: None, path=embeddings.PATH
+        )
         rig.reactor.callLater(0.02, goes.abandon)
 
     play(rig, ask)
@@ -209,11 +215,11 @@
         for at in range(4):
             asker.embed((number, at), [f"{number} {at} {one}"[:40] for one in words(40)], user=f"u{at % 4}")
 
-    for tick in range(40):                           # 160 calls of 400 tokens: eight times what can be read
+    for tick in range(40):  # 160 calls of 400 tokens: eight times what can be read
         rig.at(300 + 25 * tick, flood, tick)
-    asker.open += 1                                  # the day ends the run
+    asker.open += 1  # the day ends the run
     records = rig.day(length=2800.0, rate=15.0)
-    done = [job["how"] for job in records.jobs]      # on a busy machine the whole process may be late
+    done = [job["how"] for job in records.jobs]  # on a busy machine the whole process may be late
     assert done.count("delivered") >= 0.9 * len(done)
     assert all(verdict.kept for verdict in check(records, FIGURES))
     ends = [reply[0] for reply in asker.replies.values()]
@@ -224,27 +230,49 @@
     assert chat == {"e0", "e1"}
 
 
-@pytest.mark.parametrize(("body", "wanted"), [
-    (b"{", "not an embeddings call"), (b'{"model":"v","input":[]}', "must not be empty"),
-    (b'{"model":"v","input":["a",[1]]}', "mixes forms"), (b'{"model":"v","input":[""]}', "empty text"),
-    (b'{"model":"v","input":"a","dimensions":0}', "at least 1"),
-    (b'{"model":"v","input":"a","encoding_format":"int8"}', "not an embeddings call"),
-    (b'{"model":"v","input":[true]}', "mixes forms")])
+@pytest.mark.parametrize(
+    ("body", "wanted"),
+    [
+        (b"{", "not an embeddings call"),
+        (b'{"model":"v","input":[]}', "must not be empty"),
+        (b'{"model":"v","input":["a",[1]]}', "mixes forms"),
+        (b'{"model":"v","input":[""]}', "empty text"),
+        (b'{"model":"v","input":"a","dimensions":0}', "at least 1"),
+        (b'{"model":"v","input":"a","encoding_format":"int8"}', "not an embeddings call"),
+        (b'{"model":"v","input":[true]}', "mixes forms"),
+    ],
+)
 def test_bad_call_is_told_what_is_wrong(body: bytes, wanted: str) -> None:
     with pytest.raises(BadJob, match=wanted):
         embeddings.asked(body)
 
 
 def test_reply_that_lies_counts_only_where_it_makes_sense() -> None:
-    reply = json.dumps({"data": [
-        {"index": 0, "embedding": [1.0, 2.0]}, {"index": 1, "embedding": [1.0]},
-        {"index": 2, "embedding": [1.0, float("1e99")]}, {"index": 3, "embedding": [1.0, 3.0]},
-        {"index": 3, "embedding": [1.0, 4.0]}, {"index": 9, "embedding": [1.0, 4.0]},
-        {"index": 4, "embedding": "!!"}, {"index": 5, "embedding": [0.5, 0.5]}]}).encode()
+    reply = json.dumps(
+        {
+            "data": [
+                {"index": 0, "embedding": [1.0, 2.0]},
+                {"index": 1, "embedding": [1.0]},
+                {"index": 2, "embedding": [1.0, float("1e99")]},
+                {"index": 3, "embedding": [1.0, 3.0]},
+                {"index": 3, "embedding": [1.0, 4.0]},
+                {"index": 9, "embedding": [1.0, 4.0]},
+                {"index": 4, "embedding": "!!"},
+                {"index": 5, "embedding": [0.5, 0.5]},
+            ]
+        }
+    ).encode()
     assert set(embeddings.vectors(reply, 6)[0]) == {0, 5}
-    scores = json.dumps({"results": [
-        {"index": 1, "relevance_score": 0.5}, {"index": 0, "relevance_score": 0.1},
-        {"index": 0, "relevance_score": 0.2}, {"index": 7, "relevance_score": 1}]})
+    scores = json.dumps(
+        {
+            "results": [
+                {"index": 1, "relevance_score": 0.5},
+                {"index": 0, "relevance_score": 0.1},
+                {"index": 0, "relevance_score": 0.2},
+                {"index": 7, "relevance_score": 1},
+            ]
+        }
+    )
     assert rerank.scores(scores.encode(), 2)[0] == {1: 0.5}
     for bad in (b"{", b"[]", b'{"data":1}', b"\xff"):
         with pytest.raises(ValueError):
@@ -262,13 +290,19 @@
 
     play(rig, ask)
     assert {name: reply[0] for name, reply in asker.replies.items()} == {
-        "no model": 404, "too long": 400, "no time": 400, "fine": 200}
+        "no model": 404,
+        "too long": 400,
+        "no time": 400,
+        "fine": 200,
+    }
 
 
 def test_settings_of_one_stage_calls_are_checked() -> None:
-    broken = TEXT.replace('kind "reranker" role="both" memory=1000000 call="rerank"\n', "").replace(
-        "line-tokens 20000", "line-tokens 10").replace('role="both" memory=1000000 call="emb', 'role="read" '
-                                                       'memory=1000000 call="emb')
+    broken = (
+        TEXT.replace('kind "reranker" role="both" memory=1000000 call="rerank"\n', "")
+        .replace("line-tokens 20000", "line-tokens 10")
+        .replace('role="both" memory=1000000 call="emb', 'role="read" memory=1000000 call="emb')
+    )
     with pytest.raises(SettingsError) as told:
         read_front(parse(broken))
     text = str(told.value)
@@ -301,12 +335,15 @@
 
     def late() -> None:
         now = clock.now()
-        for step in range(40):                       # as if each look had come far too late
+        for step in range(40):  # as if each look had come far too late
             watchman.gate.pressed(now + 20_000.0 * step, Pressure(lag=3.0))
         for at in range(20):
             asker.embed(at, f"text {at}")
-        asker.ask("chat", "/v1/chat/completions",
-                  {"model": "hint", "messages": [{"role": "user", "content": "a"}], "max_tokens": 2})
+        asker.ask(
+            "chat",
+            "/v1/chat/completions",
+            {"model": "hint", "messages": [{"role": "user", "content": "a"}], "max_tokens": 2},
+        )
 
     play(rig, late)
     embedded = [asker.replies[at] for at in range(20)]
@@ -352,18 +389,22 @@
     rig = Rig(tmp_path, FLEET, text=text + counting, read_speed=20_000.0)
     rig.front()
     asker = Asker(rig)
-    inputs = [f"{at} " + "zq" * 60 for at in range(12)]          # many more tokens than their bytes suggest
+    inputs = [f"{at} " + "zq" * 60 for at in range(12)]  # many more tokens than their bytes suggest
 
     def ask() -> None:
         asker.embed("counted", inputs)
-        goes = rig.ask(json.dumps({"model": "vectors", "input": ["xy" * 3000]}).encode(), lambda *_: None,
-                       path=embeddings.PATH)
+        goes = rig.ask(
+            json.dumps({"model": "vectors", "input": ["xy" * 3000]}).encode(),
+            lambda *_: None,
+            path=embeddings.PATH,
+        )
         rig.reactor.callLater(0.0, goes.abandon)
 
     play(rig, ask, 30.0)
     status, _, reply = asker.replies["counted"]
     assert status == 200 and [one["embedding"] for one in reply["data"]] == [
-        vector("vectors", one) for one in inputs]
+        vector("vectors", one) for one in inputs
+    ]
     trips = [trip for trip in load(tmp_path).trips if trip.offering == embeddings.PATH and trip.how == "done"]
     guessed = sum(embeddings.tokens_of(one) for one in inputs)
-    assert guessed < 400 and len(trips) > 1          # by the guess it would have been one load
+    assert guessed < 400 and len(trips) > 1  # by the guess it would have been one load
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -1,4 +1,5 @@
 """Accounts of what fronts acted on: chains that show every hole, and what several of them add up to."""
+
 from __future__ import annotations
 
 import msgspec
@@ -56,7 +57,7 @@
 
 def test_whole_chain_has_no_fault() -> None:
     assert not faults(account(20))
-    assert not faults(account(20)[7:])               # nor one whose oldest part was let go
+    assert not faults(account(20)[7:])  # nor one whose oldest part was let go
 
 
 @given(st.integers(2, 12), st.data())
@@ -67,7 +68,7 @@
     one = records[at]
     match how:
         case "missing":
-            records = records[:at] + records[at + 1:]
+            records = records[:at] + records[at + 1 :]
         case "wall":
             records[at] = msgspec.structs.replace(one, wall=one.wall + 1)
         case "body":
@@ -89,8 +90,11 @@
 def test_wall_clock_that_stepped_is_named_and_a_restart_is_none() -> None:
     mine = Account()
     records = [mine.begins(0.0, 0.0, 1)]
-    records += [found for at, wall in ((1.0, 1000.0), (2.0, 95_000.0))
-                if (found := mine.acts_on(wall, at * 1000, {"plan": Version(int(at), "x")})) is not None]
+    records += [
+        found
+        for at, wall in ((1.0, 1000.0), (2.0, 95_000.0))
+        if (found := mine.acts_on(wall, at * 1000, {"plan": Version(int(at), "x")})) is not None
+    ]
     assert ["stepped" in fault.text for fault in faults(records)] == [True]
     records.append(mine.begins(99_000.0, 10.0, 2))
     assert len(faults(records)) == 1
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,5 @@
 """The codec and the door, without a bench."""
+
 import io
 import struct
 import subprocess
@@ -10,9 +11,13 @@
 
 
 def test_reply_is_laid_out_as_the_wire_page_shows():
-    frame = write_reply(12, [
-        Record("route", (3, 0x5D3A91C4, bytes.fromhex("0a124a072b23"), 80.0)),
-        Record("journal_line", (5, b"two servers unknown"))])
+    frame = write_reply(
+        12,
+        [
+            Record("route", (3, 0x5D3A91C4, bytes.fromhex("0a124a072b23"), 80.0)),
+            Record("journal_line", (5, b"two servers unknown")),
+        ],
+    )
     assert frame[:12] == struct.pack("<III", 12 + 48 + 19, 2, 12)
     assert frame[12:36] == bytes.fromhex("010300c4913a5d0a124a072b230000000000005440") + bytes(3)
     assert frame[60:] == b"two servers unknown"
--- a/tests/test_wire_forms.py
+++ b/tests/test_wire_forms.py
@@ -1,4 +1,5 @@
 """HTTP, events, messages and lists: what is malformed is told apart from what broke and what never left."""
+
 from __future__ import annotations
 
 import json
@@ -111,17 +112,24 @@
     assert (connection in connection.pool.idle) is not closes
 
 
-@pytest.mark.parametrize(("reply", "end"), [
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel", "Broken"), (CHUNKED[:-9], "Broken"), (b"", "Broken"),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", "Malformed"), (b"ICY 200\r\n\r\n", "Malformed"),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "Malformed"),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "Malformed"),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", "Malformed"),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", "Malformed"),
-    (b"HTTP/1.1 200 OK\r\n" + b"A: " + b"x" * 3000 + b"\r\n\r\n", "Malformed"),
-    (b"HTTP/1.1 200 OK\r\n" + b"A: xxxxxxxxxxxxxxxxxxxx\r\n" * 200, "Malformed"),
-    (b"HTTP/1.1 101 Switching\r\n\r\n", "Malformed"), (b"HTTP/1.1 200 OK\r\n: x\r\n\r\n", "Malformed"),
-])
+@pytest.mark.parametrize(
+    ("reply", "end"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel", "Broken"),
+        (CHUNKED[:-9], "Broken"),
+        (b"", "Broken"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", "Malformed"),
+        (b"ICY 200\r\n\r\n", "Malformed"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "Malformed"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "Malformed"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", "Malformed"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", "Malformed"),
+        (b"HTTP/1.1 200 OK\r\n" + b"A: " + b"x" * 3000 + b"\r\n\r\n", "Malformed"),
+        (b"HTTP/1.1 200 OK\r\n" + b"A: xxxxxxxxxxxxxxxxxxxx\r\n" * 200, "Malformed"),
+        (b"HTTP/1.1 101 Switching\r\n\r\n", "Malformed"),
+        (b"HTTP/1.1 200 OK\r\n: x\r\n\r\n", "Malformed"),
+    ],
+)
 def test_bad_reply_is_told_apart_from_a_broken_one(reply: bytes, end: str) -> None:
     heard, connection, _ = talk(reply, closes=end == "Broken")
     assert heard.end == end and connection not in connection.pool.idle
@@ -148,7 +156,7 @@
     assert heard.end == "Unsent"
     wire = Buffer()
     heard, connection = asked_by(wire)
-    wire.producer.resumeProducing()                  # the buffer is empty: the last byte has left
+    wire.producer.resumeProducing()  # the buffer is empty: the last byte has left
     connection.connectionLost()
     assert heard.end == "Broken"
 
@@ -181,6 +189,7 @@
 
 # Jobs.
 
+
 def asked(headers: dict[str, str] | None = None, **fields: Any) -> chat.Asked:
     body = {
         "model": "hint",
@@ -235,6 +244,7 @@
 
 # Trips.
 
+
 class Trips:
     """A listener that remembers, and a reactor that keeps time still."""
 
@@ -298,9 +308,14 @@
     )
 
 
-@pytest.mark.parametrize(("trouble", "outcome"), [
-    (client.Unsent(""), i.Outcome.UNREACHABLE), (client.Broken(""), i.Outcome.RESET),
-    (client.Malformed(""), i.Outcome.ERROR)])
+@pytest.mark.parametrize(
+    ("trouble", "outcome"),
+    [
+        (client.Unsent(""), i.Outcome.UNREACHABLE),
+        (client.Broken(""), i.Outcome.RESET),
+        (client.Malformed(""), i.Outcome.ERROR),
+    ],
+)
 def test_trouble_of_the_connection_is_an_outcome(trouble: client.Trouble, outcome: i.Outcome) -> None:
     one, listener = carrier(Reading)
     one.failed(trouble)
@@ -311,13 +326,16 @@
 def test_read_returns_the_handle_and_what_was_kept() -> None:
     one, listener = carrier(Reading)
     one.head(200, {})
-    one.piece(msgspec.json.encode(chat.ReadReply(chat.KvParams("e", "h", 1), chat.Usage(
-        9, 1, 10, {"cached_tokens": 4}))))
+    one.piece(
+        msgspec.json.encode(
+            chat.ReadReply(chat.KvParams("e", "h", 1), chat.Usage(9, 1, 10, {"cached_tokens": 4}))
+        )
+    )
     one.done()
     assert listener.heard == [(i.Outcome.READ, 4)]
     two, listener = carrier(Reading)
     two.head(200, {})
-    two.piece(b'{"choices": []}')                    # an answer without a handle is none
+    two.piece(b'{"choices": []}')  # an answer without a handle is none
     two.done()
     assert listener.heard == [(i.Outcome.ERROR, 0)]
 
@@ -333,6 +351,7 @@
 
 # Lists.
 
+
 def keeper() -> ListKeeper:
     engines: dict[str, i.Engine] = {}
     return ListKeeper(["k"], ["z"], lambda name: engines.setdefault(name, i.Engine(name.encode(), 1)))
@@ -370,7 +389,7 @@
     one.take(0.0, full(7, line("a")))
     one.connected()
     old = full(3, line("b"))
-    old.now = 900.0                                  # its clock is behind: an old copy of the registry
+    old.now = 900.0  # its clock is behind: an old copy of the registry
     assert one.take(0.0, old).event is None and one.serial == 7
 
 
@@ -397,8 +416,17 @@
     assert told.event and told.event.entries[0].state == "gone"
 
 
-@given(st.lists(st.tuples(st.booleans(), st.integers(1, 12), st.sampled_from("abc"),
-                          st.sampled_from(["ready", "draining", "gone"])), max_size=30))
+@given(
+    st.lists(
+        st.tuples(
+            st.booleans(),
+            st.integers(1, 12),
+            st.sampled_from("abc"),
+            st.sampled_from(["ready", "draining", "gone"]),
+        ),
+        max_size=30,
+    )
+)
 def test_what_the_module_is_told_always_agrees_with_what_is_known(
     steps: list[tuple[bool, int, str, str]],
 ) -> None:
--- a/worksmux/admission/brownout.py
+++ b/worksmux/admission/brownout.py
@@ -6,19 +6,21 @@
 by degrees, and the dearest never wholly.  Rising is as fast as the loop's lag can do harm, falling so slow
 that what was shed does not come back all at once.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-OVER = 1.0               # pressure above which the level rises
-UNDER = 0.7              # and below which it falls
-DEAREST = 0.5            # of the dearest class is shed at most
-STEEP = 4.0              # a pressure so far over counts no more
+OVER = 1.0  # pressure above which the level rises
+UNDER = 0.7  # and below which it falls
+DEAREST = 0.5  # of the dearest class is shed at most
+STEEP = 4.0  # a pressure so far over counts no more
 
 
 @dataclass(slots=True)
 class Pressure:
     """Each as a ratio to its bound."""
+
     lag: float = 0.0
     sockets: float = 0.0
     memory: float = 0.0
--- a/worksmux/admission/fair.py
+++ b/worksmux/admission/fair.py
@@ -8,6 +8,7 @@
 The bound on what waits is kept at the expense of whoever has most waiting, so that a flood pushes its own
 items out and nobody else's.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -22,9 +23,10 @@
 @dataclass(eq=False, slots=True)
 class Waiting(Generic[T]):
     """One thing that waits; `cost` in whatever the shares are counted in."""
+
     item: T
     cost: float
-    out: bool = False                # it was dropped: passed over when its turn comes
+    out: bool = False  # it was dropped: passed over when its turn comes
 
 
 @dataclass(eq=False, slots=True)
@@ -33,9 +35,9 @@
     weight: float = 1.0
     deficit: float = 0.0
     waits: deque[Waiting[T]] = field(default_factory=deque)
-    cost: float = 0.0                # of all that waits and is not out
+    cost: float = 0.0  # of all that waits and is not out
     count: int = 0
-    fresh: bool = True               # its turn has just come: it has not had its quantum
+    fresh: bool = True  # its turn has just come: it has not had its quantum
 
 
 class Lines(Generic[T]):
@@ -43,22 +45,26 @@
 
     def __init__(self, quantum: float, bound: float, most: int) -> None:
         self.quantum, self.bound, self.most = quantum, bound, most
-        self.flows: dict[Hashable, Flow[T]] = {}             # those with something waiting
+        self.flows: dict[Hashable, Flow[T]] = {}  # those with something waiting
         self.round: OrderedDict[Hashable, None] = OrderedDict()
-        self.longest: list[tuple[float, int, Hashable]] = []     # by cost, the most first; checked at use
+        self.longest: list[tuple[float, int, Hashable]] = []  # by cost, the most first; checked at use
         self.order = 0
         self.cost, self.count = 0.0, 0
 
-    def put(self, key: Hashable, item: T, cost: float, weight: float = 1.0
-            ) -> tuple[Waiting[T] | None, list[T]]:
+    def put(
+        self, key: Hashable, item: T, cost: float, weight: float = 1.0
+    ) -> tuple[Waiting[T] | None, list[T]]:
         """The item's place, or None where it is turned away, and the items pushed out for it."""
         pushed: list[T] = []
         own = self.flows.get(key)
         while self.cost + cost > self.bound or self.count >= self.most:
             worst = self._heaviest()
-            if worst is None or worst is own or worst.cost / worst.weight <= (
-                    (own.cost if own else 0.0) + cost) / weight:
-                return None, pushed                  # who has most waiting is the one who comes
+            if (
+                worst is None
+                or worst is own
+                or worst.cost / worst.weight <= ((own.cost if own else 0.0) + cost) / weight
+            ):
+                return None, pushed  # who has most waiting is the one who comes
             last = worst.waits[-1]
             while last.out:
                 worst.waits.pop()
@@ -85,12 +91,13 @@
         if not flow.count:
             self.flows.pop(flow.key, None)
             self.round.pop(flow.key, None)
-        if not self.count:                           # sums of fractions start anew
+        if not self.count:  # sums of fractions start anew
             self.cost = 0.0
 
     def _rebuild(self) -> None:
-        self.longest = [(-flow.cost / flow.weight, at, key)
-                        for at, (key, flow) in enumerate(self.flows.items())]
+        self.longest = [
+            (-flow.cost / flow.weight, at, key) for at, (key, flow) in enumerate(self.flows.items())
+        ]
         heapq.heapify(self.longest)
 
     def _heaviest(self) -> Flow[T] | None:
@@ -134,7 +141,7 @@
             head = flow.waits[0]
             if head.cost <= flow.deficit:
                 return head
-            flow.fresh = True                        # its turn is over; what it saved, it keeps
+            flow.fresh = True  # its turn is over; what it saved, it keeps
             self.round.move_to_end(key)
         return None
 
@@ -172,7 +179,7 @@
             line = self.lines[self.at]
             head = line.peek()
             if head is None:
-                self.deficits[self.at] = 0.0         # who asks for nothing saves nothing
+                self.deficits[self.at] = 0.0  # who asks for nothing saves nothing
             else:
                 if self.fresh:
                     self.deficits[self.at] += self.quantum * self.weights[self.at]
@@ -187,6 +194,9 @@
 
     def _most_rounds(self) -> int:
         """Rounds after which even the lightest line has saved up for its head."""
-        heads = [head.cost / weight for line, weight in zip(self.lines, self.weights, strict=True)
-                 if (head := line.peek()) is not None]
+        heads = [
+            head.cost / weight
+            for line, weight in zip(self.lines, self.weights, strict=True)
+            if (head := line.peek()) is not None
+        ]
         return 2 + int(max(heads, default=0.0) / self.quantum)
