--- a/worksmux/front/peering.py
+++ b/worksmux/front/peering.py
@@ -5,6 +5,7 @@
 module acts on is looked at before each of its turns, so that a front that slept finds its lease over before
 it decides anything.
 """
+
 from __future__ import annotations
 
 import secrets
@@ -42,10 +43,10 @@
 from .published import PublishedCore
 
 LOG = structlog.get_logger()
-COUNCIL = "council"                  # the chapter with the council's own mark
-SEAT, VOTES = "seat", "votes"        # what a front carries along: its seat, and whether it votes
-LONG = 1000                          # entries, from which the log is cut
-KEPT = 200                           # plans remembered for who asks
+COUNCIL = "council"  # the chapter with the council's own mark
+SEAT, VOTES = "seat", "votes"  # what a front carries along: its seat, and whether it votes
+LONG = 1000  # entries, from which the log is cut
+KEPT = 200  # plans remembered for who asks
 READ_TALLY = msgspec.msgpack.Decoder(Tally)
 
 
@@ -62,16 +63,21 @@
             LOG.warning("the council's disk", note=note)
         self.life, self.mark = self.disk.own.life, self.disk.own.mark
         self.seat = f"{settings.name}#{self.mark}"
-        self.raft = council.Raft(self.seat, self.disk.saved, steps.Figures(fleet.beat, fleet.patience),
-                                 mix(seed, 1), clock.now())
+        self.raft = council.Raft(
+            self.seat, self.disk.saved, steps.Figures(fleet.beat, fleet.patience), mix(seed, 1), clock.now()
+        )
         self.book = Book()
         self.book.take_whole(self.disk.saved.base)
         self.swim: peers.Swim | None = None
         self.follower = follow.Follower(settings.name, fleet.lease, mix(seed, 2), clock.now(), self._report)
         self.watcher = Watcher(settings.zones, [one.name for one in settings.offerings], settings.module)
-        self.map = Map({zone: settings.regions.get(zone, "") for zone in settings.zones},
-                       {one.name: one.credit for one in settings.offerings},
-                       settings.module["cold_share"], fleet.look, fleet.carries)
+        self.map = Map(
+            {zone: settings.regions.get(zone, "") for zone in settings.zones},
+            {one.name: one.credit for one in settings.offerings},
+            settings.module["cold_share"],
+            fleet.look,
+            fleet.carries,
+        )
         self.keeper = AccountKeeper(Path(fleet.disk), reactor, settings.name, self._send_account, self._names)
         self.holding = Holding(settings)
         self.planner: Planner | None = None
@@ -80,10 +86,10 @@
         self.told: i.Planned | None = None
         self.history: deque[dict[str, Any]] = deque(maxlen=KEPT)
         self.timers: dict[str, tuple[float, Any]] = {}
-        self.own = Tally(zones={}, asked={})         # this front's latest report
-        self.synced = 0                              # the last write of the council that is on disk
-        self.held: deque[tuple[int, list[tuple[str, Any]]]] = deque()    # messages that wait for one
-        self.marked = -1, 0                          # of the book: index and mark
+        self.own = Tally(zones={}, asked={})  # this front's latest report
+        self.synced = 0  # the last write of the council that is on disk
+        self.held: deque[tuple[int, list[tuple[str, Any]]]] = deque()  # messages that wait for one
+        self.marked = -1, 0  # of the book: index and mark
         self.led_since = self.proposed_at = -inf
         self.contradictions = 0
         self.ended = False
@@ -95,15 +101,28 @@
         self.link.start()
         self.link.life = self.life
         zone = self.settings.zones[self.settings.module["zone"]]
-        me = Rumour(self.settings.name, self.life, 0, State.ALIVE, self.link.address, zone,
-                    self.settings.regions.get(zone, ""), {SEAT: self.seat, COUNCIL: self._council()})
+        me = Rumour(
+            self.settings.name,
+            self.life,
+            0,
+            State.ALIVE,
+            self.link.address,
+            zone,
+            self.settings.regions.get(zone, ""),
+            {SEAT: self.seat, COUNCIL: self._council()},
+        )
         self.swim = peers.Swim(me, self.fleet.seeds, self.fleet.period, mix(self.seed, 3), clock.now())
         before = self.core.on_event
         self.core.on_event = self._both(before) if before else self.watcher.saw
         self.core.before_turn, self.core.acts_on = self.check, self.acts_on
         self.core.on_decision = self._decided
-        LOG.info("fleet", peers=self.link.address, seat=self.seat, life=self.life,
-                 seats=list(self.raft.seats.voters))
+        LOG.info(
+            "fleet",
+            peers=self.link.address,
+            seat=self.seat,
+            life=self.life,
+            seats=list(self.raft.seats.voters),
+        )
         self.keeper.start(self.life)
         self._swim(peers.Tick())
         self._raft(steps.Tick())
@@ -114,6 +133,7 @@
         def saw(now: float, event: i.Event) -> None:
             other(now, event)
             self.watcher.saw(now, event)
+
         return saw
 
     def leave(self) -> None:
@@ -161,24 +181,36 @@
             case peers.Changed(before, now):
                 state = State(now.state)
                 if before is None or before.state != now.state or before.life != now.life:
-                    LOG.info("front", name=now.name, state=state.name.lower(), life=now.life, by=now.by,
-                             before=State(before.state).name.lower() if before else None)
+                    LOG.info(
+                        "front",
+                        name=now.name,
+                        state=state.name.lower(),
+                        life=now.life,
+                        by=now.by,
+                        before=State(before.state).name.lower() if before else None,
+                    )
                 if state >= State.DEAD:
                     self.link.forget(now.address)
             case peers.Lives(life):
                 LOG.info("this front takes a higher life: an earlier start of it is known", life=life)
                 self.life = self.link.life = life
             case peers.Outlived(life, address):
-                LOG.error("another process with this name has started later; this one ends", life=life,
-                          address=address)
+                LOG.error(
+                    "another process with this name has started later; this one ends",
+                    life=life,
+                    address=address,
+                )
                 self.on_outlived()
 
     def able(self) -> dict[str, Able]:
         """Fronts that could hold a seat, this one included."""
         assert self.swim is not None
         rumours = [self.swim.me, *(member.rumour for member in self.swim.members.there.values())]
-        return {one.name: Able(one.name, one.facts[SEAT], one.zone, one.facts.get(COUNCIL, ""))
-                for one in rumours if one.facts.get(SEAT)}
+        return {
+            one.name: Able(one.name, one.facts[SEAT], one.zone, one.facts.get(COUNCIL, ""))
+            for one in rumours
+            if one.facts.get(SEAT)
+        }
 
     def _seat_fronts(self) -> frozenset[str]:
         """Those that vote, by what each carries along."""
@@ -207,8 +239,9 @@
             return
         known = self.swim.members.known.get(envelope.name)
         if known is not None and envelope.life < known.rumour.life and not isinstance(envelope.inner, ToPeer):
-            return self.link.refuse("life", envelope.name, f"life {envelope.life} is over; "
-                                    f"{known.rumour.life} is known")
+            return self.link.refuse(
+                "life", envelope.name, f"life {envelope.life} is over; {known.rumour.life} is known"
+            )
         match envelope.inner:
             case ToPeer(message):
                 self._swim(peers.Heard(envelope.name, envelope.address, message))
@@ -293,8 +326,11 @@
         if self.book.index != self.marked[0]:
             self.marked = self.book.index, self.book.mark()
         age = self.raft.quorum_age(clock.now()) if self._leads() else -1.0
-        self._follow(follow.Agreed(self.book.index, self.marked[1], self.book.chapters, age,
-                                   front_of(self.raft.leader)))
+        self._follow(
+            follow.Agreed(
+                self.book.index, self.marked[1], self.book.chapters, age, front_of(self.raft.leader)
+            )
+        )
 
     # What all follow.
 
@@ -310,8 +346,9 @@
                     if PLAN in chapters:
                         self._take_plan(self.follower.chapters[PLAN])
                 case follow.Contradicts(name, index):
-                    LOG.error("another front holds something else under the same number", name=name,
-                              index=index)
+                    LOG.error(
+                        "another front holds something else under the same number", name=name, index=index
+                    )
                     self.contradictions += 1
         self._rest("follow", self.follower.due, lambda: self._follow(follow.Tick()))
 
@@ -324,10 +361,18 @@
         if plan.number <= self.plan.number:
             return
         self.plan = plan
-        self.history.append({"at": clock.wall(), "number": plan.number, "event": plan.event, "why": plan.why,
-                             "rows": plan.rows, "shed": plan.shed})
+        self.history.append(
+            {
+                "at": clock.wall(),
+                "number": plan.number,
+                "event": plan.event,
+                "why": plan.why,
+                "rows": plan.rows,
+                "shed": plan.shed,
+            }
+        )
         LOG.info("plan", number=plan.number, of_event=plan.event, why=plan.why)
-        self.core.wake()                             # so that it is acted on now, not with the next job
+        self.core.wake()  # so that it is acted on now, not with the next job
 
     def _report(self, below: list[bytes]) -> bytes:
         return msgspec.msgpack.encode(self._tally(below))
@@ -363,15 +408,20 @@
 
     def _found(self) -> None:
         able = self.able()
-        if self.raft.seats.voters or not founds(self.settings.name, list(self.fleet.founders), able,
-                                                self._council()):
+        if self.raft.seats.voters or not founds(
+            self.settings.name, list(self.fleet.founders), able, self._council()
+        ):
             return
         base = Base(seats=Seats((self.seat,)))
         LOG.info("the council is founded", by=self.seat)
         self.disk.found(base)
-        self.raft = council.Raft(self.seat, self.disk.saved, steps.Figures(self.fleet.beat,
-                                                                         self.fleet.patience),
-                                 mix(self.seed, 4), clock.now())
+        self.raft = council.Raft(
+            self.seat,
+            self.disk.saved,
+            steps.Figures(self.fleet.beat, self.fleet.patience),
+            mix(self.seed, 4),
+            clock.now(),
+        )
         self.synced = 0
         self.held.clear()
         self._raft(steps.Tick())
@@ -398,8 +448,11 @@
         """One look of the planner; no other while what it proposed is not agreed."""
         now, held = clock.now(), self.book.chapters.get(PLAN)
         in_force = decode(held.value) if held else Plan()
-        if self.planner is not None and self.planner.plan.number > in_force.number \
-                and now < self.proposed_at + self.fleet.patience:
+        if (
+            self.planner is not None
+            and self.planner.plan.number > in_force.number
+            and now < self.proposed_at + self.fleet.patience
+        ):
             return
         if self.planner is None or self.planner.plan.number != in_force.number:
             self.planner = Planner(self.map, in_force)
@@ -418,10 +471,20 @@
         alone = not self.follower.holds(now)
         if alone != self.alone:
             self.alone = alone
-            LOG.warning("alone: what was decided in common is too old to act on" if alone
-                        else "with the others again", plan=self.plan.number)
-        event = acting.told(self.plan, self.settings.zones, [one.name for one in self.settings.offerings],
-                            alone, self.settings.zones[self.settings.module["zone"]], self.own)
+            LOG.warning(
+                "alone: what was decided in common is too old to act on"
+                if alone
+                else "with the others again",
+                plan=self.plan.number,
+            )
+        event = acting.told(
+            self.plan,
+            self.settings.zones,
+            [one.name for one in self.settings.offerings],
+            alone,
+            self.settings.zones[self.settings.module["zone"]],
+            self.own,
+        )
         if event != self.told:
             self.told = event
             self.core.tell(event or i.Planned({}, {}, 0.0))
@@ -445,21 +508,44 @@
         assert swim is not None
         members = [swim.me, *(member.rumour for member in swim.members.known.values())]
         return {
-            "front": self.settings.name, "fleet": self.fleet.name, "life": self.life, "seat": self.seat,
-            "alone": self.alone, "lease_ms": round(max(0.0, self.follower.until() - now)),
+            "front": self.settings.name,
+            "fleet": self.fleet.name,
+            "life": self.life,
+            "seat": self.seat,
+            "alone": self.alone,
+            "lease_ms": round(max(0.0, self.follower.until() - now)),
             "doubts_itself": swim.health.level,
-            "council": {"term": self.raft.term, "role": self.raft.role.value,
-                        "leader": self.follower.leader, "voters": list(self.raft.seats.voters),
-                        "learners": list(self.raft.seats.learners), "agreed": self.book.index,
-                        "known": self.follower.index},
-            "fronts": [{"name": one.name, "state": State(one.state).name.lower(), "life": one.life,
-                        "zone": one.zone, "region": one.region, "address": one.address,
-                        "seat": bool(one.facts.get(VOTES))} for one in sorted(members, key=lambda x: x.name)],
-            "plan": msgspec.to_builtins(self.plan), "history": list(self.history),
+            "council": {
+                "term": self.raft.term,
+                "role": self.raft.role.value,
+                "leader": self.follower.leader,
+                "voters": list(self.raft.seats.voters),
+                "learners": list(self.raft.seats.learners),
+                "agreed": self.book.index,
+                "known": self.follower.index,
+            },
+            "fronts": [
+                {
+                    "name": one.name,
+                    "state": State(one.state).name.lower(),
+                    "life": one.life,
+                    "zone": one.zone,
+                    "region": one.region,
+                    "address": one.address,
+                    "seat": bool(one.facts.get(VOTES)),
+                }
+                for one in sorted(members, key=lambda x: x.name)
+            ],
+            "plan": msgspec.to_builtins(self.plan),
+            "history": list(self.history),
             "zones": {name: msgspec.to_builtins(one) for name, one in self.own.zones.items()},
             "seen_by_leader": self._views(),
-            "messages": {"sent": self.link.sent, "bytes": self.link.sent_bytes, "dropped": self.link.dropped,
-                         "refused": dict(self.link.refused)},
+            "messages": {
+                "sent": self.link.sent,
+                "bytes": self.link.sent_bytes,
+                "dropped": self.link.dropped,
+                "refused": dict(self.link.refused),
+            },
             "contradictions": self.contradictions,
         }
 
@@ -467,7 +553,15 @@
         """How each zone is, where this front's seat leads and plans."""
         if self.planner is None or not self._leads():
             return {}
-        return {name: {"phase": view.phase.value, "keeps": round(view.keep, 3), "ready": round(view.ready, 1),
-                       "of": round(view.size, 1), "warm": round(view.warm, 2),
-                       "waits": round(self.planner.press.get(name, 0.0), 3), "relapses": view.relapses}
-                for name, view in self.planner.zones.views.items()}
+        return {
+            name: {
+                "phase": view.phase.value,
+                "keeps": round(view.keep, 3),
+                "ready": round(view.ready, 1),
+                "of": round(view.size, 1),
+                "warm": round(view.warm, 2),
+                "waits": round(self.planner.press.get(name, 0.0), 3),
+                "relapses": view.relapses,
+            }
+            for name, view in self.planner.zones.views.items()
+        }
--- a/worksmux/front/peers_link.py
+++ b/worksmux/front/peers_link.py
@@ -5,6 +5,7 @@
 nothing.  Calls are few to each address and end by time, so that a front that is there and says nothing costs
 little.
 """
+
 from __future__ import annotations
 
 from collections import Counter
@@ -23,17 +24,18 @@
 from ..versions import copies
 
 LOG = structlog.get_logger()
-FORM = 1                             # of messages; another one is refused by its number
+FORM = 1  # of messages; another one is refused by its number
 PATH = "/fleet/message"
 KIND = "application/msgpack"
 HEAD = 8192
-OUT = 16                             # calls to one address at once; more are dropped, as a network does
+OUT = 16  # calls to one address at once; more are dropped, as a network does
 IDLE = 2
-SAY_AGAIN = 10_000.0                 # milliseconds between two lines of the log about the same fault
+SAY_AGAIN = 10_000.0  # milliseconds between two lines of the log about the same fault
 
 
 class ToSeat(msgspec.Struct, tag="seat"):
     """Of the council: from one seat to another."""
+
     seat: str
     to: str
     message: council.Message
@@ -65,6 +67,7 @@
 
 class _Head(msgspec.Struct):
     """What must be readable of a message of any form."""
+
     form: int
     fleet: str = ""
     name: str = ""
@@ -113,14 +116,16 @@
             self.dropped += 1
             return
         body = msgspec.msgpack.encode(
-            Envelope(FORM, self.settings.name, self.name, self.life, self.address, inner))
+            Envelope(FORM, self.settings.name, self.name, self.life, self.address, inner)
+        )
         if address not in self.pools:
             host, _, port = address.rpartition(":")
             if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
                 return self.refuse("address", name, f"{address[:100]!r} is no address")
             patience = self.settings.period
-            self.pools[address] = client.Pool(self.reactor, host, int(port), patience, 10 * patience, IDLE,
-                                              HEAD)
+            self.pools[address] = client.Pool(
+                self.reactor, host, int(port), patience, 10 * patience, IDLE, HEAD
+            )
         self.out[address] += 1
         self.sent += 1
         self.sent_bytes += len(body)
@@ -135,8 +140,9 @@
             self.out[address] -= 1
 
         timer = self.reactor.callLater(self.settings.period / 1000, late)
-        call = self.pools[address].call("POST", PATH, client.Whole(HEAD, over), (("Content-Type", KIND),),
-                                        body)
+        call = self.pools[address].call(
+            "POST", PATH, client.Whole(HEAD, over), (("Content-Type", KIND),), body
+        )
 
     def forget(self, address: str) -> None:
         """A front has gone: its connections too."""
@@ -163,8 +169,10 @@
     def _refuse(self, body: bytes, why: str) -> None:
         try:
             head = HEAD_OF.decode(body)
-            sender, reason = head.name[:200], "form" if head.form != FORM else (
-                "fleet" if head.fleet != self.settings.name else "field")
+            sender, reason = (
+                head.name[:200],
+                "form" if head.form != FORM else ("fleet" if head.fleet != self.settings.name else "field"),
+            )
         except (msgspec.DecodeError, UnicodeDecodeError):
             sender, reason = "", "no message"
         self.refuse(reason, sender, why)
--- a/worksmux/front/published.py
+++ b/worksmux/front/published.py
@@ -1,5 +1,6 @@
 """Chat's jobs by the published form: prompts to engines as chat completions, handles of state between them,
 and the small calls beside them."""
+
 from __future__ import annotations
 
 from typing import Any
@@ -17,7 +18,7 @@
 from .metrics import Metrics
 
 
-PATIENT = 20             # times the tries that a release has: what lies cut off for longer ends by its lease
+PATIENT = 20  # times the tries that a release has: what lies cut off for longer ends by its lease
 
 
 class PublishedCore(Core):
@@ -28,18 +29,31 @@
     ) -> None:
         super().__init__(door, reactor, metrics)
         self.settings = settings
-        self.name = name                             # of this front and this start of it
-        self.lanes: list[Any] = []                   # of one-stage calls, set by who builds both
+        self.name = name  # of this front and this start of it
+        self.lanes: list[Any] = []  # of one-stage calls, set by who builds both
 
     def arrived(self, asked: chat.Asked, client_side: Client, arrived: float) -> Case:
         """A job that came at `arrived` is told to the module; from here on it is owed one answer."""
         offering = self.settings.offerings[asked.offering]
         limit = offering.outer_limit + 2 * offering.promised_per_k * asked.prompt / 1000
-        left = max(0.0, min(limit, asked.time_left if asked.time_left is not None else limit)
-                   - self.settings.transport.answer_margin)
+        left = max(
+            0.0,
+            min(limit, asked.time_left if asked.time_left is not None else limit)
+            - self.settings.transport.answer_margin,
+        )
         self.number += 1
-        job = i.Job(self.number, asked.offering, asked.session, asked.prefix, asked.prompt,
-                    asked.prefix_tokens, float(asked.most), arrived, arrived + left, repeat=asked.repeat)
+        job = i.Job(
+            self.number,
+            asked.offering,
+            asked.session,
+            asked.prefix,
+            asked.prompt,
+            asked.prefix_tokens,
+            float(asked.most),
+            arrived,
+            arrived + left,
+            repeat=asked.repeat,
+        )
         case = Case(job, asked, client_side, f"{self.name}.{job.id}", asked.name)
         asked.label = asked.label or case.key
         return self._take(case)
@@ -59,12 +73,17 @@
 
     def _carry(self, case: Case, trip: i.Trip, pool: client.Pool, time_out: float) -> carriers.Carrier:
         if case.place is not None and case.place is not trip.engine and not trip.reading:
-            self._let_go(case, case.place)           # a send to another writer gives the place up
+            self._let_go(case, case.place)  # a send to another writer gives the place up
         transport, asked = self.settings.transport, case.asked
         make = carriers.Reading if trip.reading else carriers.Writing
         carrier = make(self.reactor, pool, trip, self, time_out, transport.stream_silence, transport.reply)
-        headers = [("Content-Type", "application/json"), (chat.REQUEST_ID, f"{case.key}.{trip.number}"),
-                   (calls.JOB, case.key), (calls.FRONT, self.settings.name), (chat.LABEL, asked.label)]
+        headers = [
+            ("Content-Type", "application/json"),
+            (chat.REQUEST_ID, f"{case.key}.{trip.number}"),
+            (calls.JOB, case.key),
+            (calls.FRONT, self.settings.name),
+            (chat.LABEL, asked.label),
+        ]
         if self.acts_on is not None:
             headers.append((calls.PLAN, self.acts_on()))
         if asked.exact:
@@ -79,14 +98,18 @@
 
     def _small_bounds(self) -> tuple[float, int, client.Headers]:
         transport = self.settings.transport
-        return transport.call_time_out, transport.reply, [
-            ("Content-Type", "application/json"), (calls.FRONT, self.settings.name)]
+        return (
+            transport.call_time_out,
+            transport.reply,
+            [("Content-Type", "application/json"), (calls.FRONT, self.settings.name)],
+        )
 
     def _probe_path(self) -> str:
         return calls.PROBE
 
-    def _probed(self, status: int, headers: dict[str, str], reply: bytes
-                ) -> tuple[i.Outcome, dict[str, float] | None]:
+    def _probed(
+        self, status: int, headers: dict[str, str], reply: bytes
+    ) -> tuple[i.Outcome, dict[str, float] | None]:
         if status != 200:
             return carriers.refusal(status, reply)[0], None
         return i.Outcome.DELIVERED, calls.load_report(headers.get(calls.LOAD))
@@ -167,5 +190,12 @@
 
     def _pool(self, host: str, port: int) -> client.Pool:
         bounds = self.settings.transport
-        return client.Pool(self.reactor, host, port, bounds.connect_time_out, bounds.keep_alive,
-                           bounds.idle_connections, bounds.head)
+        return client.Pool(
+            self.reactor,
+            host,
+            port,
+            bounds.connect_time_out,
+            bounds.keep_alive,
+            bounds.idle_connections,
+            bounds.head,
+        )
--- a/worksmux/front/serve.py
+++ b/worksmux/front/serve.py
@@ -1,4 +1,5 @@
 """Builds a front from its settings and runs it: sockets, signals, an orderly end."""
+
 from __future__ import annotations
 
 import secrets
@@ -43,21 +44,41 @@
     if settings.counting is None:
         return []
     read = {name: load_vocabulary(path) for name, path in settings.tokenizers.items()}
-    plain = next(iter(read.values()))                # of one-stage offerings without a tokenizer; never asked
-    return [read.get(one.tokenizer, plain) for one in (
-        *settings.offerings, *(one for lane in settings.lanes for one in lane.offerings))]
+    plain = next(iter(read.values()))  # of one-stage offerings without a tokenizer; never asked
+    return [
+        read.get(one.tokenizer, plain)
+        for one in (*settings.offerings, *(one for lane in settings.lanes for one in lane.offerings))
+    ]
 
 
 def gate_settings(settings: FrontSettings, bounds: Admission) -> GateSettings:
     """The gate's shares: those of chat come first, for the front's own shortage alone."""
-    shares = [Share(one.name, one.credit, one.share, float(bounds.load_tokens), 0.0, 0, one.promised_time,
-                    "chat")
-              for one in settings.offerings]
-    shares += [Share(one.name, one.credit, one.share, float(bounds.load_tokens), float(bounds.line_tokens),
-                     bounds.line_calls, one.promised_time, lane.call)
-               for lane in settings.lanes for one in lane.offerings]
-    return GateSettings(shares, bounds.repeat_ratio, bounds.repeat_burst, *bounds.stay_away,
-                        2 * bounds.loop_lag, 20 * bounds.loop_lag)
+    shares = [
+        Share(one.name, one.credit, one.share, float(bounds.load_tokens), 0.0, 0, one.promised_time, "chat")
+        for one in settings.offerings
+    ]
+    shares += [
+        Share(
+            one.name,
+            one.credit,
+            one.share,
+            float(bounds.load_tokens),
+            float(bounds.line_tokens),
+            bounds.line_calls,
+            one.promised_time,
+            lane.call,
+        )
+        for lane in settings.lanes
+        for one in lane.offerings
+    ]
+    return GateSettings(
+        shares,
+        bounds.repeat_ratio,
+        bounds.repeat_burst,
+        *bounds.stay_away,
+        2 * bounds.loop_lag,
+        20 * bounds.loop_lag,
+    )
 
 
 class FrontProcess:
@@ -68,8 +89,9 @@
         self.metrics = Metrics()
         seed = settings.seed if settings.seed is not None else secrets.randbits(48)
         door = Door(settings.module, seed, make or POLICIES[settings.policy])
-        self.core = PublishedCore(settings, door, reactor, self.metrics,
-                                  f"{settings.name}-{secrets.token_hex(4)}")
+        self.core = PublishedCore(
+            settings, door, reactor, self.metrics, f"{settings.name}-{secrets.token_hex(4)}"
+        )
         self.engine_list = EngineList(settings.source, self.core, reactor)
         self.core.engine_list = self.engine_list
         self.memory: Memory | None = None
@@ -84,7 +106,8 @@
         self.clients = ClientSide(self.core, self.tokens)
         self.peering: Peering | None = None
         if settings.fleet:
-            from .peering import Peering             # not loaded by a front that is alone by its settings
+            from .peering import Peering  # not loaded by a front that is alone by its settings
+
             self.peering = Peering(settings, self.core, reactor, seed)
             self.peering.on_outlived = self.stop
         self.watchman: Watchman | None = None
@@ -105,14 +128,18 @@
     def _one_stage(self, bounds: Admission, seed: int, make: Maker | None) -> None:
         """Embeddings and rerank: a lane for each, one gate before them."""
         settings = self.settings
-        lanes = {one.call: Lane(one, self.core, seed + at + 1, make or POLICIES[settings.policy])
-                 for at, one in enumerate(settings.lanes)}
+        lanes = {
+            one.call: Lane(one, self.core, seed + at + 1, make or POLICIES[settings.policy])
+            for at, one in enumerate(settings.lanes)
+        }
         self.core.lanes = list(lanes.values())
         gate = Gate(gate_settings(settings, bounds), seed)
         self.clients.vectors = VectorSide(
-            self.core, lanes, gate, bounds, len(settings.offerings), self.tokens)
+            self.core, lanes, gate, bounds, len(settings.offerings), self.tokens
+        )
         self.clients.models = chat.models(
-            [*(one.name for one in settings.offerings), *self.clients.vectors.names()])
+            [*(one.name for one in settings.offerings), *self.clients.vectors.names()]
+        )
         self.watchman = Watchman(self.reactor, gate, bounds, self.metrics, self._sockets)
 
     def _sockets(self) -> int:
@@ -151,9 +178,11 @@
             ready = self.engine_list.keeper.ready
             state = "stopping" if self.stopping else "serving" if ready else "no engine is listed as ready"
             common = f"; {self.peering.stands()}" if self.peering else ""
-            exchange.answer(200 if ready and not self.stopping else 503,
-                            f"{state}; engines ready: {ready}; open jobs: {len(self.core.cases)}{common}\n"
-                            .encode(), "text/plain")
+            exchange.answer(
+                200 if ready and not self.stopping else 503,
+                f"{state}; engines ready: {ready}; open jobs: {len(self.core.cases)}{common}\n".encode(),
+                "text/plain",
+            )
         elif path == "/fleet/audit" and self.peering:
             self._audit(exchange, self.peering.keeper)
         elif path == "/fleet" and self.peering:
@@ -201,7 +230,7 @@
                 open=len(self.core.cases),
             )
         for channel in list(self.client_server.channels):
-            channel.transport.loseConnection()       # once what was written is out
+            channel.transport.loseConnection()  # once what was written is out
         let_out(self.reactor, lambda: self.client_server.channels, self._over)
 
     def _over(self) -> None:
@@ -268,8 +297,9 @@
             except BadTokenizer as error:
                 LOG.error("the settings were not reloaded: the tokenizers at work stay", why=str(error))
                 return
-            changed = sum(new.version != one.version
-                          for new, one in zip(told, self.tokens.vocabularies, strict=True))
+            changed = sum(
+                new.version != one.version for new, one in zip(told, self.tokens.vocabularies, strict=True)
+            )
             self.tokens.use(told)
             LOG.info("tokenizers read again", offerings_changed=changed)
         self.settings = self.core.settings = fresh
@@ -303,7 +333,7 @@
     def fault() -> None:
         nonlocal status
         status = 1
-        reactor.callLater(0.2, reactor.stop)         # a moment for the last answers to leave
+        reactor.callLater(0.2, reactor.stop)  # a moment for the last answers to leave
 
     front.on_end = reactor.stop
     front.core.on_fault = fault
--- a/worksmux/front/vectors.py
+++ b/worksmux/front/vectors.py
@@ -4,6 +4,7 @@
 Statuses: 200 delivered; 400 and 404 for what cannot be taken; 429 where the gate turned the call away and 503
 where it was deferred, both harmless to repeat and with `Retry-After`; 504 where its time ran out.
 """
+
 from __future__ import annotations
 
 from math import ceil
@@ -59,10 +60,11 @@
         self._count(usage.total_tokens)
         if len(self.results) == len(self.asked):
             return True
-        LOG.warning("an engine's reply lacks results", call=self.path(), wanted=len(self.asked),
-                    got=len(self.results))
+        LOG.warning(
+            "an engine's reply lacks results", call=self.path(), wanted=len(self.asked), got=len(self.results)
+        )
         self.side.planner.partial(self.load, self.asked, self.results)
-        return not self.load.needs()                 # who is missing may have left meanwhile
+        return not self.load.needs()  # who is missing may have left meanwhile
 
     def _count(self, tokens: int) -> None:
         """Shares out the engine's count among the calls, in proportion to their own parts."""
@@ -83,18 +85,19 @@
 
 class One:
     """One client's call, from its exchange to its final answer."""
+
     path = ""
 
     def __init__(self, exchange: Exchange, offering: Offering, at: int) -> None:
         self.exchange, self.offering, self.at = exchange, offering, at
         self.arrived = clock.now()
-        self.sent = self.arrived                     # past the gate
+        self.sent = self.arrived  # past the gate
         self.request_id = exchange.header(chat.REQUEST_ID) or ""
         self.tokens = 0.0
         self.gate: Asked | None = None
         self.call: Call | None = None
         self.guard: Any = None
-        self.prompt: Prompt | None = None            # while its length is counted
+        self.prompt: Prompt | None = None  # while its length is counted
         self.planned = False
         self.how = ""
 
@@ -149,8 +152,9 @@
         return [f"{self.asked.query} {text}" for text in self.asked.inputs]
 
     def engine_body(self, asked: list[tuple[Any, int]]) -> bytes:
-        return rerank.to_engine(self.asked.model, self.asked.query,
-                                [self.asked.inputs[at] for _, at in asked])
+        return rerank.to_engine(
+            self.asked.model, self.asked.query, [self.asked.inputs[at] for _, at in asked]
+        )
 
     def read(self, body: bytes, wanted: int) -> tuple[dict[int, Any], embeddings.Usage]:
         found, usage = rerank.scores(body, wanted)
@@ -161,8 +165,15 @@
 
 
 class VectorSide:
-    def __init__(self, core: PublishedCore, lanes: dict[str, Lane], gate: Gate, bounds: Admission, first: int,
-                 tokens: TokenService | None = None) -> None:
+    def __init__(
+        self,
+        core: PublishedCore,
+        lanes: dict[str, Lane],
+        gate: Gate,
+        bounds: Admission,
+        first: int,
+        tokens: TokenService | None = None,
+    ) -> None:
         """`first` is the gate's number of the lanes' first offering; theirs follow those of chat."""
         self.core, self.lanes, self.gate, self.bounds = core, lanes, gate, bounds
         self.tokens = tokens
@@ -172,8 +183,10 @@
                 self.offerings[lane.settings.call, one.name] = first, at, one
                 first += 1
         self.planner = Planner(lambda call: gate.again(call.item.gate.offering))
-        self.loads = {"embeddings": Bounds(bounds.load_tokens, bounds.load_inputs),
-                      "rerank": Bounds(bounds.load_tokens, bounds.load_inputs, join=False)}
+        self.loads = {
+            "embeddings": Bounds(bounds.load_tokens, bounds.load_inputs),
+            "rerank": Bounds(bounds.load_tokens, bounds.load_inputs, join=False),
+        }
         self.open: dict[One, None] = {}
         self.trips: dict[Load, Trip] = {}
         self.timer: Any = None
@@ -194,8 +207,9 @@
             return self._busy(exchange, 503, "the front is stopping; try another", "deferred", 1000.0)
         if len(self.open) >= self.bounds.open_calls:
             metrics.turned_away("too many open")
-            return self._busy(exchange, 429, "the front holds as many calls as it may", "deferred",
-                              self.bounds.stay_away[0])
+            return self._busy(
+                exchange, 429, "the front holds as many calls as it may", "deferred", self.bounds.stay_away[0]
+            )
         try:
             one = self._read(exchange, call)
             left = self._time_left(exchange, one.offering)
@@ -210,25 +224,56 @@
         asked = embeddings.asked(body) if call == "embeddings" else rerank.asked(body)
         known = self.offerings.get((call, asked.model))
         if known is None:
-            raise errors.BadJob(f"the model {asked.model[:100]!r} does not exist for {call}; GET /v1/models "
-                                "lists those that do", "model", "model_not_found", 404)
+            raise errors.BadJob(
+                f"the model {asked.model[:100]!r} does not exist for {call}; GET /v1/models "
+                "lists those that do",
+                "model",
+                "model_not_found",
+                404,
+            )
         number, at, offering = known
         if max(asked.costs) > offering.most_prompt:
-            raise errors.BadJob(f"an input has about {max(asked.costs):.0f} tokens; {asked.model} takes "
-                                f"{offering.most_prompt} at most; shorten it", "input",
-                                "context_length_exceeded")
-        one: One = (Embedding(exchange, offering, at, asked) if isinstance(asked, embeddings.Asked)
-                    else Reranking(exchange, offering, at, asked))
+            raise errors.BadJob(
+                f"an input has about {max(asked.costs):.0f} tokens; {asked.model} takes "
+                f"{offering.most_prompt} at most; shorten it",
+                "input",
+                "context_length_exceeded",
+            )
+        one: One = (
+            Embedding(exchange, offering, at, asked)
+            if isinstance(asked, embeddings.Asked)
+            else Reranking(exchange, offering, at, asked)
+        )
         caller = asked.user or exchange.header("authorization") or exchange.getClientAddress().host
         cost, now = sum(asked.costs), one.arrived
         promised = now + offering.promised_time + offering.promised_per_k * cost / 1000
         who = xxhash.xxh3_64_intdigest(f"{call}\0{caller}\0".encode("utf-8", "surrogatepass") + body)
         repeats = exchange.header(chat.REPEAT) or ""
-        one.gate = Asked(number, caller, cost, now, promised, promised, item=one, body=who,
-                         repeat=repeats.isdigit() and int(repeats) > 0)
-        one.call = Call(asked.costs, (call, asked.model, getattr(asked, "dimensions", None),
-                                      None if call == "embeddings" else id(one)),
-                        self.loads[call], now, promised, promised, one)
+        one.gate = Asked(
+            number,
+            caller,
+            cost,
+            now,
+            promised,
+            promised,
+            item=one,
+            body=who,
+            repeat=repeats.isdigit() and int(repeats) > 0,
+        )
+        one.call = Call(
+            asked.costs,
+            (
+                call,
+                asked.model,
+                getattr(asked, "dimensions", None),
+                None if call == "embeddings" else id(one),
+            ),
+            self.loads[call],
+            now,
+            promised,
+            promised,
+            one,
+        )
         return one
 
     def _time_left(self, exchange: Exchange, offering: Offering) -> float:
@@ -276,13 +321,18 @@
         if self.tokens is None or not one.offering.tokenizer or not texts:
             return self._plan(self.planner.add(clock.now(), one.call))
         one.prompt = self.tokens.count(
-            [("user", text) for text in texts], one.gate.offering, 10**9,
-            max(1.0, one.call.promised_at - clock.now()), 0, lambda told: self._counted(one, told))
+            [("user", text) for text in texts],
+            one.gate.offering,
+            10**9,
+            max(1.0, one.call.promised_at - clock.now()),
+            0,
+            lambda told: self._counted(one, told),
+        )
 
     def _counted(self, one: One, told: Result) -> None:
         call = one.call
         assert call is not None
-        if one.how or one.planned:                   # it has ended, or has gone by the guess
+        if one.how or one.planned:  # it has ended, or has gone by the guess
             return
         one.planned = True
         if told.exact:
@@ -321,7 +371,7 @@
         times = [at for at in (self.gate.next_time(), self.planner.next_time()) if at is not None]
         at = min(times, default=None)
         if self.timer is not None and self.timer.active():
-            if at == self.timer_at:                  # asked several times a call: most change nothing
+            if at == self.timer_at:  # asked several times a call: most change nothing
                 return
             self.timer.cancel()
         if at is not None:
@@ -338,38 +388,63 @@
     def _done(self, done: Done) -> None:
         one: One = done.call.item
         if done.bad:
-            one.exchange.answer(400, errors.error(done.bad, "invalid_request_error", "input"),
-                                headers=one.tags)
+            one.exchange.answer(
+                400, errors.error(done.bad, "invalid_request_error", "input"), headers=one.tags
+            )
             self._final(one, "bad input")
         elif done.how is None:
             one.exchange.answer(200, one.answer(done.call.results), headers=one.tags)
             self._final(one, "delivered")
         elif done.how is How.DEFERRED:
-            self._busy(one.exchange, 503, "the call was deferred: it has had no effect, and trying again is "
-                       "harmless", "deferred", self.bounds.stay_away[0], one.tags)
+            self._busy(
+                one.exchange,
+                503,
+                "the call was deferred: it has had no effect, and trying again is harmless",
+                "deferred",
+                self.bounds.stay_away[0],
+                one.tags,
+            )
             self._final(one, "deferred")
         else:
             self._broken_off(one)
 
     def _broken_off(self, one: One) -> None:
-        one.exchange.answer(504, errors.error(OUT_OF_TIME, "server_error", code="broken_off"),
-                            headers=((ANSWER, "broken-off"), *one.tags))
+        one.exchange.answer(
+            504,
+            errors.error(OUT_OF_TIME, "server_error", code="broken_off"),
+            headers=((ANSWER, "broken-off"), *one.tags),
+        )
         self._final(one, "broken off")
 
     def _refused(self, refused: Refused) -> None:
         one: One = refused.asked.item
         if not one.how:
             self.core.metrics.turned_away(refused.why.value)
-            self._busy(one.exchange, 429, f"turned away: {refused.why.value}; come back later", "deferred",
-                       refused.stay_away, one.tags)
+            self._busy(
+                one.exchange,
+                429,
+                f"turned away: {refused.why.value}; come back later",
+                "deferred",
+                refused.stay_away,
+                one.tags,
+            )
             self._final(one, "deferred")
 
     @staticmethod
-    def _busy(exchange: Exchange, status: int, message: str, code: str, wait: float,
-              tags: tuple[tuple[str, str], ...] = ()) -> None:
+    def _busy(
+        exchange: Exchange,
+        status: int,
+        message: str,
+        code: str,
+        wait: float,
+        tags: tuple[tuple[str, str], ...] = (),
+    ) -> None:
         kind = "rate_limit_error" if status == 429 else "server_error"
-        headers = (("Retry-After", str(ceil(wait / 1000))), ("retry-after-ms", str(round(wait))),
-                   (ANSWER, "deferred"))
+        headers = (
+            ("Retry-After", str(ceil(wait / 1000))),
+            ("retry-after-ms", str(round(wait))),
+            (ANSWER, "deferred"),
+        )
         exchange.answer(status, errors.error(message, kind, code=code), headers=(*headers, *tags))
 
     def _final(self, one: One, how: str) -> None:
@@ -392,8 +467,13 @@
             self.gate.left(one.gate)
         else:
             self._gate(self.gate.ended(now, one.gate, now - one.sent, good))
-        LOG.info("call", offering=one.offering.name, answer=how, ms=round(now - one.arrived, 1),
-                 inputs=len(one.call.costs), tokens=round(one.gate.cost))
+        LOG.info(
+            "call",
+            offering=one.offering.name,
+            answer=how,
+            ms=round(now - one.arrived, 1),
+            inputs=len(one.call.costs),
+            tokens=round(one.gate.cost),
+        )
         if self.core.on_empty:
             self.core.on_empty()
-
--- a/worksmux/front/watchman.py
+++ b/worksmux/front/watchman.py
@@ -1,4 +1,5 @@
 """Watches the front itself: how late its loop is, its sockets and its memory, told to the gate regularly."""
+
 from __future__ import annotations
 
 import os
@@ -14,7 +15,7 @@
 from .metrics import Metrics
 
 LOG = structlog.get_logger()
-EVERY = 100.0                        # milliseconds
+EVERY = 100.0  # milliseconds
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -30,10 +31,16 @@
 class Watchman:
     """`sockets` counts what is open."""
 
-    def __init__(self, reactor: Reactor, gate: Gate, bounds: Admission, metrics: Metrics,
-                 sockets: Callable[[], int]) -> None:
+    def __init__(
+        self, reactor: Reactor, gate: Gate, bounds: Admission, metrics: Metrics, sockets: Callable[[], int]
+    ) -> None:
         self.reactor, self.gate, self.bounds, self.metrics, self.sockets = (
-            reactor, gate, bounds, metrics, sockets)
+            reactor,
+            gate,
+            bounds,
+            metrics,
+            sockets,
+        )
         self.due = 0.0
         self.lag = 0.0
         self.shedding = False
@@ -51,15 +58,22 @@
             return
         now = clock.now()
         self.lag = max(0.0, now - self.due)
-        pressure = Pressure(self.lag / self.bounds.loop_lag, self.sockets() / self.bounds.sockets,
-                            resident() / self.bounds.memory)
+        pressure = Pressure(
+            self.lag / self.bounds.loop_lag,
+            self.sockets() / self.bounds.sockets,
+            resident() / self.bounds.memory,
+        )
         self.gate.pressed(now, pressure)
         level = self.gate.brownout.level
         self.metrics.brownout(level, self.lag)
         if (level > 0) != self.shedding:
             self.shedding = level > 0
-            LOG.warning("the front is short and sheds the cheapest calls" if self.shedding
-                        else "the front is no longer short", lag_ms=round(self.lag),
-                        **{name: round(getattr(pressure, name), 2) for name in ("lag", "sockets", "memory")})
+            LOG.warning(
+                "the front is short and sheds the cheapest calls"
+                if self.shedding
+                else "the front is no longer short",
+                lag_ms=round(self.lag),
+                **{name: round(getattr(pressure, name), 2) for name in ("lag", "sockets", "memory")},
+            )
         self.due = now + EVERY
         self.reactor.callLater(EVERY / 1000, self._look)
--- a/worksmux/load/arrivals.py
+++ b/worksmux/load/arrivals.py
@@ -4,6 +4,7 @@
 the part that the rate has at that moment.  Processes that each take an even part of the rate are together the
 whole process.
 """
+
 from __future__ import annotations
 
 import random
@@ -19,6 +20,7 @@
     The rate goes from `rate` to `to` in a line, times a wave of height `wave` (0 to 1) and period `every`,
     times `burst` in the first `burst_for` of each `every`.
     """
+
     length: float
     rate: float
     to: float
--- a/worksmux/load/generator.py
+++ b/worksmux/load/generator.py
@@ -1,4 +1,5 @@
 """Runs a load: a process for each part, their figures merged, valid only if they kept to their times."""
+
 from __future__ import annotations
 
 import subprocess
@@ -18,7 +19,7 @@
 from .trace import merge
 from .worker import Second, Told, Work, histogram
 
-HEAD_START = 1500.0                  # milliseconds for the processes to come up
+HEAD_START = 1500.0  # milliseconds for the processes to come up
 PERCENTS = (50.0, 90.0, 99.0, 99.9)
 
 
@@ -64,8 +65,12 @@
 
     def __init__(self, work: Work, say: Callable[[str], None]) -> None:
         self.say, self.part = say, work.part
-        self.process = subprocess.Popen([sys.executable, "-m", "worksmux.load.worker"], stdin=subprocess.PIPE,
-                                        stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "worksmux.load.worker"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
         assert self.process.stdin is not None
         self.process.stdin.write(msgspec.json.encode(work))
         self.process.stdin.close()
@@ -84,8 +89,10 @@
                 self.final = told
             else:
                 behind = f"; BEHIND by {told.lag:.0f} ms at the worst" if told.lag > 10 else ""
-                self.say(f"{told.at / 1000:6.1f} s, process {told.part}: {sum(told.ends.values())} ended, "
-                         f"{told.open} open{behind}")
+                self.say(
+                    f"{told.at / 1000:6.1f} s, process {told.part}: {sum(told.ends.values())} ended, "
+                    f"{told.open} open{behind}"
+                )
 
     def _listen(self) -> None:
         assert self.process.stderr is not None
@@ -96,8 +103,10 @@
         self.reader.join()
         self.errors.join()
         if self.final is None:
-            raise LoadError(f"process {self.part} ended with {self.process.returncode}: "
-                            f"{self.words.decode(errors='replace')[-400:]}")
+            raise LoadError(
+                f"process {self.part} ended with {self.process.returncode}: "
+                f"{self.words.decode(errors='replace')[-400:]}"
+            )
         return self.final
 
 
@@ -132,13 +141,19 @@
     unsent = ends.get("not sent: too many open", 0)
     why = []
     if late:
-        why.append(f"the generator was up to {worst:.0f} ms behind, over {settings.most_lag:g} ms in "
-                   f"{len(late)} of {len(seconds)} seconds, first in second {late[0]}")
+        why.append(
+            f"the generator was up to {worst:.0f} ms behind, over {settings.most_lag:g} ms in "
+            f"{len(late)} of {len(seconds)} seconds, first in second {late[0]}"
+        )
     if unsent:
         why.append(f"{unsent} jobs were not sent: {settings.most_open} were open in a process")
     return {
-        "name": settings.name, "valid": not why, "why": "; ".join(why), "processes": settings.processes,
-        "sent": sum(second.sent for second in seconds), "ends": dict(sorted(ends.items())),
+        "name": settings.name,
+        "valid": not why,
+        "why": "; ".join(why),
+        "processes": settings.processes,
+        "sent": sum(second.sent for second in seconds),
+        "ends": dict(sorted(ends.items())),
         "first_ms": quantiles(merged([told.first for told in finals])),
         "whole_ms": quantiles(merged([told.whole for told in finals])),
         "first_from_send_ms": quantiles(merged([told.from_send for told in finals])),
--- a/worksmux/load/settings.py
+++ b/worksmux/load/settings.py
@@ -15,6 +15,7 @@
 In place of phases: `trace "recorded.parquet" speed=2`, or `closed 20` for as many clients that each wait for
 their answer, the baseline that hides stalls.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -32,9 +33,9 @@
     processes: int
     seed: int
     targets: list[tuple[str, int]]
-    most_lag: float                  # beyond it the run counts for nothing
+    most_lag: float  # beyond it the run counts for nothing
     time_out: float
-    most_open: int                   # of each process
+    most_open: int  # of each process
     phases: list[Phase]
     offerings: list[OfferingLoad]
     trace: str
@@ -63,9 +64,17 @@
     phases = []
     for one in root.all("phase"):
         rate = one.number("rate", least=0.0)
-        phases.append(Phase(one.time("length", least=1), rate, one.number("to", rate, least=0.0),
-                            one.number("wave", 0.0, most=1.0), one.time("every", 1000.0, least=1),
-                            one.number("burst", 1.0), one.time("burst-for", 0.0)))
+        phases.append(
+            Phase(
+                one.time("length", least=1),
+                rate,
+                one.number("to", rate, least=0.0),
+                one.number("wave", 0.0, most=1.0),
+                one.time("every", 1000.0, least=1),
+                one.number("burst", 1.0),
+                one.time("burst-for", 0.0),
+            )
+        )
         one.end()
     trace_node = root.maybe("trace")
     trace, speed = "", 1.0
@@ -77,23 +86,45 @@
     if (len(phases) > 0) + bool(trace) + bool(closed) != 1:
         root.complain("give phases, or a trace, or closed in load: one of the three")
     if closed and not length:
-        node.complain("closed needs a length, such as length=\"30s\"")
+        node.complain('closed needs a length, such as length="30s"')
     offerings = []
     for one in root.all("offering"):
-        offerings.append(OfferingLoad(
-            one.title(), one.number("share", 1.0), one.span("new-tokens", (50.0, 200.0)),
-            one.span("answer-tokens", (10.0, 50.0)), one.span("turns", (1.0, 1.0)),
-            one.times("think", (1000.0, 1000.0)), one.whole("beginnings", 0),
-            one.number("beginning-tokens", 0.0), one.whole("retries", 0),
-            one.times("wait", (100.0, 500.0)), one.time("patience", 10_000.0, least=1)))
+        offerings.append(
+            OfferingLoad(
+                one.title(),
+                one.number("share", 1.0),
+                one.span("new-tokens", (50.0, 200.0)),
+                one.span("answer-tokens", (10.0, 50.0)),
+                one.span("turns", (1.0, 1.0)),
+                one.times("think", (1000.0, 1000.0)),
+                one.whole("beginnings", 0),
+                one.number("beginning-tokens", 0.0),
+                one.whole("retries", 0),
+                one.times("wait", (100.0, 500.0)),
+                one.time("patience", 10_000.0, least=1),
+            )
+        )
         one.end()
     if not offerings:
         root.complain("no offering; add at least one section offering")
     root.end()
     if root.complaints:
         raise SettingsError(root.complaints)
-    return LoadSettings(name, processes, seed, targets, most_lag, time_out, most_open, phases, offerings,
-                        trace, speed, closed, length or sum(phase.length for phase in phases))
+    return LoadSettings(
+        name,
+        processes,
+        seed,
+        targets,
+        most_lag,
+        time_out,
+        most_open,
+        phases,
+        offerings,
+        trace,
+        speed,
+        closed,
+        length or sum(phase.length for phase in phases),
+    )
 
 
 def load_load(path: str | Path) -> LoadSettings:
--- a/worksmux/load/trace.py
+++ b/worksmux/load/trace.py
@@ -1,4 +1,5 @@
 """Recorded loads: one row a job, in columns (Parquet), written and read in pieces, never whole."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -9,9 +10,17 @@
 import pyarrow.parquet as pq
 
 PIECE = 4096
-COLUMNS = pa.schema([("at", pa.float64()), ("offering", pa.string()), ("session", pa.int64()),
-                     ("beginning", pa.string()), ("beginning_tokens", pa.float64()),
-                     ("prompt_tokens", pa.float64()), ("answer_tokens", pa.int64())])
+COLUMNS = pa.schema(
+    [
+        ("at", pa.float64()),
+        ("offering", pa.string()),
+        ("session", pa.int64()),
+        ("beginning", pa.string()),
+        ("beginning_tokens", pa.float64()),
+        ("prompt_tokens", pa.float64()),
+        ("answer_tokens", pa.int64()),
+    ]
+)
 
 
 class BadTrace(Exception):
@@ -20,6 +29,7 @@
 
 class Row(msgspec.Struct):
     """One job: milliseconds from the start, lengths in tokens; `beginning` names a text that jobs share."""
+
     at: float
     offering: str
     session: int
@@ -73,6 +83,7 @@
 def merge(paths: list[Path], out: Path) -> None:
     """Traces of several processes as one, by time; each is read in pieces."""
     import heapq
+
     recorder = Recorder(out)
     for row in heapq.merge(*(read(path) for path in paths), key=lambda row: row.at):
         recorder.add(row)
--- a/worksmux/load/wheel.py
+++ b/worksmux/load/wheel.py
@@ -4,6 +4,7 @@
 pays the logarithm of all that wait; taking one out is a mark.  A hierarchical wheel (Varghese and Lauck,
 1987) was tried first: its turns, in Python, cost more than the heap they save (`benchmarks/timers.py`).
 """
+
 from __future__ import annotations
 
 import heapq
@@ -28,8 +29,8 @@
     def __init__(self, tick: float = 1.0) -> None:
         self.tick = tick
         self.buckets: dict[int, list[Timer[T]]] = {}
-        self.ticks: list[int] = []                   # a heap of those in `buckets`, each once
-        self.count = 0                               # that wait
+        self.ticks: list[int] = []  # a heap of those in `buckets`, each once
+        self.count = 0  # that wait
 
     def put(self, time: float, item: T) -> Timer[T]:
         timer = Timer(time, item)
@@ -62,12 +63,12 @@
                     timer.waits = False
                     self.count -= 1
                     yield timer
-                    if len(bucket) != size - 1:      # one was put in here meanwhile
+                    if len(bucket) != size - 1:  # one was put in here meanwhile
                         bucket.sort(key=BY_TIME, reverse=True)
-                if self.ticks[0] != tick:            # or into an earlier tick, which comes first
+                if self.ticks[0] != tick:  # or into an earlier tick, which comes first
                     break
             else:
-                if bucket:                           # the rest of this tick is still to come
+                if bucket:  # the rest of this tick is still to come
                     return
                 heapq.heappop(self.ticks)
                 del self.buckets[tick]
--- a/worksmux/load/worker.py
+++ b/worksmux/load/worker.py
@@ -5,6 +5,7 @@
 process, stands in the figures of every job that it made late (the fault otherwise made is called coordinated
 omission); how late the sending itself was is told apart, second by second.
 """
+
 from __future__ import annotations
 
 import random
@@ -26,13 +27,14 @@
 from .trace import Recorder, Row, read
 from .wheel import Wheel
 
-LONGEST = 3_600_000                  # milliseconds that a histogram holds, in tenths
-AHEAD = 1000.0                       # milliseconds: arrivals are put on the wheel so long before they are due
+LONGEST = 3_600_000  # milliseconds that a histogram holds, in tenths
+AHEAD = 1000.0  # milliseconds: arrivals are put on the wheel so long before they are due
 TEXT = "the pump of bench seven was primed at noon and ran dry before the second reading, "
 
 
 class OfferingLoad(msgspec.Struct):
     """How one offering is asked; spans are (lowest, highest), times in milliseconds, lengths in tokens."""
+
     name: str
     share: float
     new_tokens: tuple[float, float]
@@ -43,22 +45,23 @@
     beginning_tokens: float
     retries: int
     wait: tuple[float, float]
-    patience: float                  # to a first token
+    patience: float  # to a first token
 
 
 class Work(msgspec.Struct):
     """What one process does."""
+
     targets: list[tuple[str, int]]
-    phases: list[tuple[float, float, float, float, float, float, float]]     # see arrivals.Phase
+    phases: list[tuple[float, float, float, float, float, float, float]]  # see arrivals.Phase
     offerings: list[OfferingLoad]
     part: int
     parts: int
     seed: int
-    start: float                     # on the machine's clock
+    start: float  # on the machine's clock
     length: float
     time_out: float
     most_open: int
-    closed: int = 0                  # as many clients that each wait for their answer: the baseline
+    closed: int = 0  # as many clients that each wait for their answer: the baseline
     trace: str = ""
     speed: float = 1.0
     record: str = ""
@@ -66,14 +69,16 @@
 
 class Second(msgspec.Struct):
     """One second of sending, as seen from the intended times."""
+
     sent: int = 0
     ended: int = 0
-    lag: float = 0.0                 # the worst
+    lag: float = 0.0  # the worst
     open: int = 0
 
 
 class Told(msgspec.Struct):
     """A line of output; `final` carries the histograms (HDR, in tenths of a millisecond)."""
+
     part: int
     at: float
     ends: dict[str, int]
@@ -97,10 +102,19 @@
 
 class Job:
     """One job of one session, from its intended time on."""
+
     __slots__ = ("offering", "session", "turns", "beginning", "prompt", "answer", "intended", "tries", "seen")
 
-    def __init__(self, offering: OfferingLoad, session: int, turns: int, beginning: str, prompt: float,
-                 answer: int, intended: float) -> None:
+    def __init__(
+        self,
+        offering: OfferingLoad,
+        session: int,
+        turns: int,
+        beginning: str,
+        prompt: float,
+        answer: int,
+        intended: float,
+    ) -> None:
         self.offering, self.session, self.turns, self.beginning = offering, session, turns, beginning
         self.prompt, self.answer, self.intended = prompt, answer, intended
         self.tries = 0
@@ -165,8 +179,9 @@
     def __init__(self, work: Work, reactor: Reactor, say: Any) -> None:
         self.work, self.reactor, self.say = work, reactor, say
         self.chance = random.Random(work.seed * 1009 + work.part)
-        self.pools = [client.Pool(reactor, host, port, 2000.0, 10_000.0, 256, 65_536)
-                      for host, port in work.targets]
+        self.pools = [
+            client.Pool(reactor, host, port, 2000.0, 10_000.0, 256, 65_536) for host, port in work.targets
+        ]
         self.wheel: Wheel[Job] = Wheel()
         self.first, self.whole, self.from_send, self.lags = (histogram() for _ in range(4))
         self.ends: Counter[str] = Counter()
@@ -206,7 +221,8 @@
                 yield Job(one, row.session, 1, row.beginning, row.prompt_tokens, row.answer_tokens, row.at)
             return
         turns = sum(one.share * sum(one.turns) / 2 for one in work.offerings) / sum(
-            one.share for one in work.offerings)
+            one.share for one in work.offerings
+        )
         phases = [Phase(*phase) for phase in work.phases]
         for time in arrivals(phases, 1 / work.parts / turns, work.seed * 1009 + work.part):
             yield self._new(time)
@@ -218,8 +234,15 @@
         beginning = f"lab {self.chance.randrange(one.beginnings)}" if one.beginnings else ""
         prompt = self.chance.uniform(*one.new_tokens) + (one.beginning_tokens if beginning else 0.0)
         session = self.sessions * self.work.parts + self.work.part
-        return Job(one, session, round(self.chance.uniform(*one.turns)), beginning, prompt,
-                   round(self.chance.uniform(*one.answer_tokens)), intended)
+        return Job(
+            one,
+            session,
+            round(self.chance.uniform(*one.turns)),
+            beginning,
+            prompt,
+            round(self.chance.uniform(*one.answer_tokens)),
+            intended,
+        )
 
     def _turn(self) -> None:
         """Puts what comes soon on the wheel, and sends what is due."""
@@ -259,23 +282,32 @@
             second.lag = max(second.lag, lag)
             self.worst = max(self.worst, lag)
             self._record(job)
-        if self.open >= self.work.most_open:         # told, never quietly left out
+        if self.open >= self.work.most_open:  # told, never quietly left out
             self.ends["not sent: too many open"] += 1
             return
         self.open += 1
         one = job.offering
         self.count += 1
-        text = (job.beginning + " " + TEXT * (1 + int(one.beginning_tokens * chat.BYTES_A_TOKEN / len(TEXT))))
-        shared = text[:int(one.beginning_tokens * chat.BYTES_A_TOKEN)] if job.beginning else ""
+        text = job.beginning + " " + TEXT * (1 + int(one.beginning_tokens * chat.BYTES_A_TOKEN / len(TEXT)))
+        shared = text[: int(one.beginning_tokens * chat.BYTES_A_TOKEN)] if job.beginning else ""
         own = f"{job.session} {self.count} " + TEXT * (1 + int(job.prompt * chat.BYTES_A_TOKEN / len(TEXT)))
         length = max(8, int(job.prompt * chat.BYTES_A_TOKEN) - len(shared))
         messages = [{"role": "system", "content": shared}] if shared else []
-        body = msgspec.json.encode({
-            "model": one.name, "stream": True, "max_tokens": max(1, job.answer),
-            "messages": [*messages, {"role": "user", "content": own[:length]}]})
+        body = msgspec.json.encode(
+            {
+                "model": one.name,
+                "stream": True,
+                "max_tokens": max(1, job.answer),
+                "messages": [*messages, {"role": "user", "content": own[:length]}],
+            }
+        )
         trial = Try(self, job, now)
-        headers = [("Content-Type", "application/json"), (chat.SESSION, f"s{job.session}"),
-                   (chat.TIME_LEFT, f"{one.patience:.0f}"), (chat.REPEAT, str(job.tries - 1))]
+        headers = [
+            ("Content-Type", "application/json"),
+            (chat.SESSION, f"s{job.session}"),
+            (chat.TIME_LEFT, f"{one.patience:.0f}"),
+            (chat.REPEAT, str(job.tries - 1)),
+        ]
         if job.beginning:
             headers += [(chat.PREFIX, job.beginning), (chat.PREFIX_TOKENS, str(one.beginning_tokens))]
         pool = self.pools[(job.session + job.tries) % len(self.pools)]
@@ -284,9 +316,17 @@
 
     def _record(self, job: Job) -> None:
         if self.recorder is not None:
-            self.recorder.add(Row(job.intended, job.offering.name, job.session, job.beginning,
-                                  job.offering.beginning_tokens if job.beginning else 0.0, job.prompt,
-                                  job.answer))
+            self.recorder.add(
+                Row(
+                    job.intended,
+                    job.offering.name,
+                    job.session,
+                    job.beginning,
+                    job.offering.beginning_tokens if job.beginning else 0.0,
+                    job.prompt,
+                    job.answer,
+                )
+            )
 
     def ended(self, one: Try, how: str) -> None:
         job, now = one.job, self._now()
@@ -306,9 +346,15 @@
         elif job.turns > 1 and how == "delivered" and now < self.work.length:
             new = self.chance.uniform(*job.offering.new_tokens)
             prompt = job.prompt + job.answer + new
-            again = Job(job.offering, job.session, job.turns - 1, job.beginning, prompt,
-                        round(self.chance.uniform(*job.offering.answer_tokens)),
-                        now + self.chance.uniform(*job.offering.think))
+            again = Job(
+                job.offering,
+                job.session,
+                job.turns - 1,
+                job.beginning,
+                prompt,
+                round(self.chance.uniform(*job.offering.answer_tokens)),
+                now + self.chance.uniform(*job.offering.think),
+            )
             self.wheel.put(again.intended, again)
         self._wake()
 
@@ -324,7 +370,8 @@
         told = Told(self.work.part, self._now(), dict(self.ends), self.worst, self.open, final)
         if final:
             told.first, told.whole, told.from_send, told.lags = (
-                one.encode().decode() for one in (self.first, self.whole, self.from_send, self.lags))
+                one.encode().decode() for one in (self.first, self.whole, self.from_send, self.lags)
+            )
             told.seconds = self.seconds
         return told
 
--- a/worksmux/membership/damping.py
+++ b/worksmux/membership/damping.py
@@ -6,15 +6,16 @@
 and what runs there goes on.  Never is more than a part of a kind held back, so that a registry that makes all
 lines flap cannot empty the fleet.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass
 from math import log2
 
-HOLD = 3.0               # leavings, less what has faded: above it an engine is held back
-REUSE = 1.5              # below it, it is let in again
-MOST = 6.0               # a penalty never grows beyond it: two halvings lead back
-PART = 0.25              # of a kind's listed engines may be held back
+HOLD = 3.0  # leavings, less what has faded: above it an engine is held back
+REUSE = 1.5  # below it, it is let in again
+MOST = 6.0  # a penalty never grows beyond it: two halvings lead back
+PART = 0.25  # of a kind's listed engines may be held back
 
 
 @dataclass(slots=True)
@@ -29,7 +30,7 @@
 
     def __init__(self, half_life: float) -> None:
         self.half_life = half_life
-        self.records: dict[str, Record] = {}         # of engines with a penalty worth counting
+        self.records: dict[str, Record] = {}  # of engines with a penalty worth counting
         self.held = 0
 
     def _faded(self, record: Record, now: float) -> float:
@@ -44,8 +45,11 @@
 
     def _forget(self, now: float) -> None:
         """Guards against growing with every engine that ever left."""
-        self.records = {name: record for name, record in self.records.items()
-                        if record.held or self._faded(record, now) > 0.1}
+        self.records = {
+            name: record
+            for name, record in self.records.items()
+            if record.held or self._faded(record, now) > 0.1
+        }
 
     def admit(self, name: str, now: float, listed: int, held_of_kind: int) -> bool:
         """Whether an engine that the list calls ready may be used; `listed` counts its kind's ready ones."""
@@ -55,7 +59,7 @@
         bound = REUSE if record.held else HOLD
         hold = self._faded(record, now) > bound
         if hold and not record.held and held_of_kind + 1 > PART * listed:
-            hold = False                             # better a flapping engine than too few
+            hold = False  # better a flapping engine than too few
         self.held += hold - record.held
         record.held = hold
         return not hold
@@ -75,4 +79,3 @@
         """When a held engine is let in, if it does not leave again."""
         record = self.records[name]
         return record.at + self.half_life * log2(max(1.0, record.penalty / REUSE)) + 1e-3
-
--- a/worksmux/membership/keys.py
+++ b/worksmux/membership/keys.py
@@ -1,4 +1,5 @@
 """By which number an engine, or anything else with a speaking name, is hashed."""
+
 from __future__ import annotations
 
 import xxhash
--- a/worksmux/membership/learned.py
+++ b/worksmux/membership/learned.py
@@ -8,6 +8,7 @@
 trips outweigh it.  How fast prompts are read is a property of the machines, so its shortest time is believed
 for as long as the lines of the list are.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -21,40 +22,44 @@
 from ..rules import ALL, BUCKETS, MEMORY, SLOWNESS
 from .trust import USEFUL, Turnover
 
-MOST = 0.5               # of a trip: what a remembered figure counts at most
+MOST = 0.5  # of a trip: what a remembered figure counts at most
 FAULTS = frozenset({Outcome.ERROR, Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMED_OUT})
-EVERY = 1 / 8            # of the module's memory, between two looks at what is worth keeping
-FLEET = ""               # the key of what holds for all engines
+EVERY = 1 / 8  # of the module's memory, between two looks at what is worth keeping
+FLEET = ""  # the key of what holds for all engines
 
 
 class Usual(msgspec.Struct, array_like=True):
     """A sum over so many trips or tokens."""
+
     total: float = 0.0
     count: float = 0.0
 
 
 class Pace(msgspec.Struct):
     """What holds for all engines; `at` in milliseconds since 1970, times in milliseconds."""
+
     at: float
-    first: Usual                     # waits for a first token
-    per_token: Usual                 # reading time of a token
-    shortest: float                  # the same, in the best stretch of the module's memory
-    shortest_at: float               # when that was seen
-    fates: dict[str, Usual]          # faults by offering
+    first: Usual  # waits for a first token
+    per_token: Usual  # reading time of a token
+    shortest: float  # the same, in the best stretch of the module's memory
+    shortest_at: float  # when that was seen
+    fates: dict[str, Usual]  # faults by offering
 
 
 class Marks(msgspec.Struct):
     """What was seen of one engine; times in milliseconds since 1970."""
+
     at: float
-    started: float                   # the start that the list gave: another one makes the marks void
-    unwell: dict[str, float]         # by offering, "" for all: set aside until then
-    good: dict[str, float]           # by offering: when it last served one
+    started: float  # the start that the list gave: another one makes the marks void
+    unwell: dict[str, float]  # by offering, "" for all: set aside until then
+    good: dict[str, float]  # by offering: when it last served one
     narrowed: float
 
 
 @dataclass(slots=True)
 class Kept:
     """What the store holds, read back."""
+
     pace: Pace | None
     marks: dict[str, Marks]
 
@@ -83,8 +88,11 @@
     def pace(self, now: float, wall: float) -> Pace | None:
         """None where nothing was seen of late."""
         first, per_token = self._usual(self.first, now), self._usual(self.per_token, now)
-        fates = {name: found for name, ring in zip(self.offerings, self.faults, strict=True)
-                 if (found := self._usual(ring, now)).count}
+        fates = {
+            name: found
+            for name, ring in zip(self.offerings, self.faults, strict=True)
+            if (found := self._usual(ring, now)).count
+        }
         if not (first.count or per_token.count or fates):
             return None
         shortest = self.per_token.least(now)
@@ -100,10 +108,16 @@
     def marks(self, engine: Engine, started: float, now: float, wall: float) -> Marks | None:
         """None where the engine is like any other.  When it served counts only while its offering has
         faults: the module asks for it then alone."""
-        unwell = {self._name(offering): wall + until - now for offering, until in engine.unwell.items()
-                  if until > now}
-        good = {self.offerings[offering]: wall + time - now for offering, time in engine.good.items()
-                if now - time < MEMORY and self.faults[offering].mean(now) > 0}
+        unwell = {
+            self._name(offering): wall + until - now
+            for offering, until in engine.unwell.items()
+            if until > now
+        }
+        good = {
+            self.offerings[offering]: wall + time - now
+            for offering, time in engine.good.items()
+            if now - time < MEMORY and self.faults[offering].mean(now) > 0
+        }
         if not (unwell or good or engine.narrowed):
             return None
         return Marks(wall, started, unwell, good, engine.narrowed)
@@ -111,8 +125,9 @@
     def _name(self, offering: int) -> str:
         return "" if offering == ALL else self.offerings[offering]
 
-    def changes(self, engines: Iterable[tuple[Engine, float]], now: float, wall: float
-                ) -> dict[str, Pace | Marks | None]:
+    def changes(
+        self, engines: Iterable[tuple[Engine, float]], now: float, wall: float
+    ) -> dict[str, Pace | Marks | None]:
         """What is to be written since the last call; None deletes.  `engines` come with their start as
         listed."""
         found: dict[str, Pace | Marks] = {}
@@ -125,13 +140,19 @@
                 found[engine.id.decode()] = marks
         told: dict[str, Pace | Marks | None] = dict(found)
         for name in self.saved.keys() - found.keys() - {FLEET}:
-            told[name] = None                        # an old pace is worth more than none
+            told[name] = None  # an old pace is worth more than none
         self.saved = found
         return told
 
 
-def recall(kept: Kept, offerings: list[str], engines: Iterable[tuple[Engine, float]], wall: float,
-           turnover: Turnover, believed_for: float) -> Recalled:
+def recall(
+    kept: Kept,
+    offerings: list[str],
+    engines: Iterable[tuple[Engine, float]],
+    wall: float,
+    turnover: Turnover,
+    believed_for: float,
+) -> Recalled:
     """What the module is told of `kept`, by its age.  A clock that ran backwards makes all of it old: its
     size counts as the age, and no mark lasts longer than it can have been given for."""
     seen = [(0.0, 0.0)] * (2 + len(offerings))
--- a/worksmux/membership/roster.py
+++ b/worksmux/membership/roster.py
@@ -10,6 +10,7 @@
   seen and told, since the two clocks need not agree.
 - An engine that comes and goes is held back, as `damping` says.
 """
+
 from __future__ import annotations
 
 from collections import Counter
@@ -21,23 +22,29 @@
 from .damping import Damping
 from .listing import ListKeeper, Told
 
-HALF = 0.5               # of the engines in use: a whole list with fewer is asked for again
-ASKS = 4                 # within the time of doubt
+HALF = 0.5  # of the engines in use: a whole list with fewer is asked for again
+ASKS = 4  # within the time of doubt
 
 
 class Roster:
     """`doubt` is how long an empty list must be repeated, `half_life` that of damping; milliseconds."""
 
-    def __init__(self, kinds: list[str], zones: list[str], find: Callable[[str], Engine], doubt: float,
-                 half_life: float) -> None:
+    def __init__(
+        self,
+        kinds: list[str],
+        zones: list[str],
+        find: Callable[[str], Engine],
+        doubt: float,
+        half_life: float,
+    ) -> None:
         self.keeper = ListKeeper(kinds, zones, find)
         self.doubt = doubt
         self.damping = Damping(half_life)
-        self.told: dict[str, str] = {}               # the state that the module was told, by engine
+        self.told: dict[str, str] = {}  # the state that the module was told, by engine
         self.empty_since: float | None = None
-        self.doubted = 0                             # ready engines of a halved list, asked for again
+        self.doubted = 0  # ready engines of a halved list, asked for again
         self.ask_at: float | None = None
-        self.late = 0.0                              # milliseconds, of the last message
+        self.late = 0.0  # milliseconds, of the last message
         self.promptest: float | None = None
 
     def take(self, now: float, message: Listing) -> Told:
@@ -138,8 +145,11 @@
         if self.damping.held:
             listed, held = self._counts()
             for name, known in self.keeper.known.items():
-                if self.damping.is_held(name) and known.line.state == "ready" and self.damping.admit(
-                        name, now, listed[known.line.kind], held[known.line.kind]):
+                if (
+                    self.damping.is_held(name)
+                    and known.line.state == "ready"
+                    and self.damping.admit(name, now, listed[known.line.kind], held[known.line.kind])
+                ):
                     entries.append(self.keeper.entry(known, "ready"))
                     self.told[name] = "ready"
         ask = self.ask_at is not None and self.ask_at <= now
@@ -149,8 +159,15 @@
 
     def next_time(self) -> float | None:
         """When `tick` is due."""
-        times = [self.damping.let_in_at(name) for name, known in self.keeper.known.items()
-                 if self.damping.is_held(name)] if self.damping.held else []
+        times = (
+            [
+                self.damping.let_in_at(name)
+                for name, known in self.keeper.known.items()
+                if self.damping.is_held(name)
+            ]
+            if self.damping.held
+            else []
+        )
         if self.ask_at is not None:
             times.append(self.ask_at)
         return min(times, default=None)
--- a/worksmux/membership/trust.py
+++ b/worksmux/membership/trust.py
@@ -9,6 +9,7 @@
 restart together on one list settle their shares alone: each asks an engine at a random moment of a time so
 long that all of them together keep to the stated rate.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -25,22 +26,24 @@
 from ..interface import Outcome
 from ..measure import Chance
 
-SURE = 0.95              # likely enough to be used as it stands
-LIKELY = 0.5             # to be used with a cold engine's care
-USEFUL = 0.01            # under it a line is an address to ask, after all others
+SURE = 0.95  # likely enough to be used as it stands
+LIKELY = 0.5  # to be used with a cold engine's care
+USEFUL = 0.01  # under it a line is an address to ask, after all others
 PAUSE = 0.5  # of the time to ask all, before an engine that was silent is asked again; doubled each time
-LEAST_PAUSE = 1000.0     # milliseconds
-DOUBLINGS = 5            # of the pause at most: an engine that is away for long is asked seldom, but asked
+LEAST_PAUSE = 1000.0  # milliseconds
+DOUBLINGS = 5  # of the pause at most: an engine that is away for long is asked seldom, but asked
 
 
 class Saved(msgspec.Struct):
     """A line as it is kept on disk; `confirmed` is when it last held, in milliseconds since 1970."""
+
     line: Line
     confirmed: float
 
 
 class Turnover(msgspec.Struct):
     """What this front has seen leave: line-milliseconds watched, and lines that left or restarted."""
+
     watched: float = 0.0
     left: int = 0
 
@@ -51,12 +54,13 @@
 
 class Stand(Enum):
     """Where a remembered line stands."""
-    SURE = "sure"                    # used as it stands
-    LIKELY = "likely"                # used with a cold engine's care
-    ASKED = "asked first"            # not used until it answers
-    DRAINING = "draining"            # told so, and kept so until fresh news
-    CONFIRMED = "confirmed"          # it answered, or served, as the line says
-    DROPPED = "dropped"              # contradicted: another engine answers there
+
+    SURE = "sure"  # used as it stands
+    LIKELY = "likely"  # used with a cold engine's care
+    ASKED = "asked first"  # not used until it answers
+    DRAINING = "draining"  # told so, and kept so until fresh news
+    CONFIRMED = "confirmed"  # it answered, or served, as the line says
+    DROPPED = "dropped"  # contradicted: another engine answers there
 
     @property
     def listed(self) -> Literal["ready", "draining", "gone"]:
@@ -69,6 +73,7 @@
 @dataclass(slots=True)
 class Belief:
     """One remembered line."""
+
     line: Line
     trust: float
     stand: Stand
@@ -78,15 +83,17 @@
 @dataclass(slots=True)
 class Answer:
     """What an engine said of itself when it was asked."""
+
     id: str
     kind: str
-    started: float                   # milliseconds since 1970; 0: long ago
+    started: float  # milliseconds since 1970; 0: long ago
     draining: bool = False
 
 
 @dataclass(slots=True)
 class Step:
     """What is to be done: lines whose use changes, and engines to ask."""
+
     changed: list[Belief] = field(default_factory=list)
     ask: list[Line] = field(default_factory=list)
     notes: list[str] = field(default_factory=list)
@@ -123,11 +130,11 @@
         """`rate` is how many probes a second all `fronts` together may send to one engine; `whole` tells
         whether the store vouches for the list as a whole: if not, no line of it is sure."""
         self.chance = Chance(seed)
-        self.spread = 1000 * fronts / rate           # the time over which all fronts ask one engine once
+        self.spread = 1000 * fronts / rate  # the time over which all fronts ask one engine once
         self.beliefs: dict[str, Belief] = {}
         self.due: list[tuple[float, int, str]] = []
         self.order = count()
-        self.over = False                            # the registry has spoken
+        self.over = False  # the registry has spoken
         for one in saved:
             likely = trust(one, wall, turnover, believed_for) * (1.0 if whole else SURE - 1e-6)
             self.beliefs[one.line.id] = Belief(one.line, likely, self._stand(one.line, likely))
@@ -172,8 +179,15 @@
         time."""
         step = Step()
         for kind in kinds:
-            best = min((entry for entry in self.due if self.beliefs[entry[2]].line.kind == kind
-                        and self.beliefs[entry[2]].stand is Stand.ASKED), default=None)
+            best = min(
+                (
+                    entry
+                    for entry in self.due
+                    if self.beliefs[entry[2]].line.kind == kind
+                    and self.beliefs[entry[2]].stand is Stand.ASKED
+                ),
+                default=None,
+            )
             if best is not None and best[0] > now:
                 self.due.remove(best)
                 heapq.heapify(self.due)
@@ -264,5 +278,6 @@
         return True
 
     def usable(self, kind: str) -> bool:
-        return any(belief.line.kind == kind and belief.stand.listed == "ready"
-                   for belief in self.beliefs.values())
+        return any(
+            belief.line.kind == kind and belief.stand.listed == "ready" for belief in self.beliefs.values()
+        )
--- a/worksmux/model/clients.py
+++ b/worksmux/model/clients.py
@@ -2,6 +2,7 @@
 
 The same figures and the same lines of the journal as `standins/clients.py`, so that one audit serves both.
 """
+
 from __future__ import annotations
 
 import random
@@ -21,7 +22,7 @@
     traffic: Traffic
     offering: int
     turns: int
-    tokens: float                    # of all that was said so far
+    tokens: float  # of all that was said so far
     prefix: int
     prefix_tokens: float
 
@@ -37,13 +38,14 @@
     patience: float
     leaves: bool
     front: int
-    stream: bool = True              # else it sees its answer only whole
+    stream: bool = True  # else it sees its answer only whole
     tries: int = 0
 
 
 @dataclass(slots=True)
 class Totals:
     """What all jobs came to, so that large days need no journal."""
+
     jobs: int = 0
     asked: float = 0.0
     credit: float = 0.0
@@ -53,8 +55,9 @@
 
 
 class Clients:
-    def __init__(self, sim: Sim, day: Scenario, fronts: list[ModelFront | None], note: Note,
-                 hop: float) -> None:
+    def __init__(
+        self, sim: Sim, day: Scenario, fronts: list[ModelFront | None], note: Note, hop: float
+    ) -> None:
         self.sim, self.day, self.fronts, self.note, self.hop = sim, day, fronts, note, hop
         self.chance = random.Random(day.seed)
         self.offerings: list[Offering] = day.offerings
@@ -64,9 +67,12 @@
         self.start, self.over = 0.0, False
         self.totals = Totals()
         self.on_end: Callable[[str, float], None] = lambda how, now: None
-        self.shared = {one.offering: [(1000 * number + at + 1, self._between(one.beginning_tokens))
-                                      for at in range(one.beginnings)]
-                       for number, one in enumerate(day.traffic)}
+        self.shared = {
+            one.offering: [
+                (1000 * number + at + 1, self._between(one.beginning_tokens)) for at in range(one.beginnings)
+            ]
+            for number, one in enumerate(day.traffic)
+        }
         turns = sum(one.share * sum(one.turns) / 2 for one in day.traffic)
         self.rate = day.rate / (turns / sum(one.share for one in day.traffic)) / 1000
 
@@ -75,8 +81,10 @@
 
     def _burst(self, kind: str) -> Trouble | None:
         past = self.sim.now - self.start
-        return next((one for one in self.day.troubles
-                     if one.kind == kind and one.at <= past < one.at + one.length), None)
+        return next(
+            (one for one in self.day.troubles if one.kind == kind and one.at <= past < one.at + one.length),
+            None,
+        )
 
     def begin(self) -> None:
         self.start = self.sim.now
@@ -101,8 +109,15 @@
             prefix, tokens = 1_000_003 + int(hot.at), hot.factor
         elif self.shared[traffic.offering] and self.chance.random() < traffic.beginning_share:
             prefix, tokens = self.chance.choice(self.shared[traffic.offering])
-        session = Session(self.count, traffic, self.at_of[traffic.offering],
-                          max(1, round(self._between(traffic.turns))), tokens, prefix, tokens)
+        session = Session(
+            self.count,
+            traffic,
+            self.at_of[traffic.offering],
+            max(1, round(self._between(traffic.turns))),
+            tokens,
+            prefix,
+            tokens,
+        )
         self._ask(session)
 
     def _ask(self, session: Session) -> None:
@@ -119,10 +134,18 @@
         if hasty and self.chance.random() < hasty.share:
             patience, leaves = offering.promised_time * hasty.factor, hasty.how == "leave"
         self.count += 1
-        job = ClientJob(f"j{self.count}", session, self.sim.now, session.tokens,
-                        max(1, min(offering.most_answer, round(self._between(one.answer_tokens)))),
-                        int(self._between(self.day.retries) + 1), patience, leaves, self._next_front(),
-                        self.chance.random() < self.day.streams)
+        job = ClientJob(
+            f"j{self.count}",
+            session,
+            self.sim.now,
+            session.tokens,
+            max(1, min(offering.most_answer, round(self._between(one.answer_tokens)))),
+            int(self._between(self.day.retries) + 1),
+            patience,
+            leaves,
+            self._next_front(),
+            self.chance.random() < self.day.streams,
+        )
         self.open += 1
         self._try(job)
 
@@ -148,9 +171,16 @@
         whole = 0.0 if job.stream else 2 * offering.token_time * offering.most_answer
         front = self.fronts[job.front]
         state = {"first": None, "over": False}  # type: dict[str, float | bool | None]
-        self.note("clients", "try", try_id=name, job=job.id, offering=offering.name, effect=offering.effect,
-                  left=(offering.outer_limit if job.leaves else stays) + whole,
-                  front=front.name if front else f"front-{job.front + 1}")
+        self.note(
+            "clients",
+            "try",
+            try_id=name,
+            job=job.id,
+            offering=offering.name,
+            effect=offering.effect,
+            left=(offering.outer_limit if job.leaves else stays) + whole,
+            front=front.name if front else f"front-{job.front + 1}",
+        )
 
         def began() -> None:
             if not state["over"] and job.stream:
@@ -165,11 +195,21 @@
                 self.note("clients", "answer", try_id=name, how=how)
                 self._ended(job, how, state["first"], asked.stay_away)
 
-        asked = Ask(name, session.offering, offering.name, session.id, session.prefix, job.prompt,
-                    session.prefix_tokens, job.answer, offering.most_answer,
-                    offering.outer_limit if job.leaves else stays, job.tries > 1,
-                    lambda: self.sim.after(self.hop, began),
-                    lambda how: self.sim.after(self.hop, answered, how))
+        asked = Ask(
+            name,
+            session.offering,
+            offering.name,
+            session.id,
+            session.prefix,
+            job.prompt,
+            session.prefix_tokens,
+            job.answer,
+            offering.most_answer,
+            offering.outer_limit if job.leaves else stays,
+            job.tries > 1,
+            lambda: self.sim.after(self.hop, began),
+            lambda how: self.sim.after(self.hop, answered, how),
+        )
         if front is None:
             self.sim.after(2 * self.hop, answered, "unreachable")
             return
@@ -188,8 +228,12 @@
             self.dead.setdefault(job.front, self.sim.now)
         else:
             self.dead.pop(job.front, None)
-        harmless = (how in ("deferred", "unreachable") or offering.effect == "redoable"
-                    or offering.effect == "labelled" and how != "left")
+        harmless = (
+            how in ("deferred", "unreachable")
+            or offering.effect == "redoable"
+            or offering.effect == "labelled"
+            and how != "left"
+        )
         if how != "delivered" and harmless and job.left > 0:
             job.front = self._next_front()
             self.sim.after(max(stay_away, self._between(self.day.wait)), self._try, job)
@@ -199,8 +243,17 @@
         if how == "delivered":
             how = "delivered" if wait is not None and wait <= promised else "late"
         credit = offering.credit * {"delivered": 1.0, "late": offering.late_credit}.get(how, 0.0)
-        self.note("clients", "job ended", job=job.id, offering=offering.name, how=how, tries=job.tries,
-                  first=wait, credit=credit, asked=offering.credit)
+        self.note(
+            "clients",
+            "job ended",
+            job=job.id,
+            offering=offering.name,
+            how=how,
+            tries=job.tries,
+            first=wait,
+            credit=credit,
+            asked=offering.credit,
+        )
         totals.jobs += 1
         totals.tries += job.tries
         totals.asked += offering.credit
--- a/worksmux/model/conductor.py
+++ b/worksmux/model/conductor.py
@@ -5,6 +5,7 @@
 `alone`: each front plans by its own reports.  `common`: one plan from all reports, heard and told late as a
 council and its followers are.  `ceiling`: a planner that sees the engines themselves, at once.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -21,32 +22,38 @@
 
 MODES = ("today", "static", "alone", "common", "ceiling")
 CEILING_EVERY = 50.0
-RAMP = (1.0, 1000.0, 8000.0)        # of a lost zone's jobs, held back; for how long; until all are let in
+RAMP = (1.0, 1000.0, 8000.0)  # of a lost zone's jobs, held back; for how long; until all are let in
 
 
 @dataclass(frozen=True)
 class Ways:
     """Milliseconds: between two looks, until reports have come up, until a plan is agreed and has spread."""
+
     every: float = 250.0
     up: float = 150.0
     down: float = 150.0
 
 
 class Conductor:
-    def __init__(self, model: Model, mode: str, ways: Ways | None = None,
-                 carries: dict[str, float] | None = None) -> None:
+    def __init__(
+        self, model: Model, mode: str, ways: Ways | None = None, carries: dict[str, float] | None = None
+    ) -> None:
         self.model, self.day, self.mode, self.ways = model, model.day, mode, ways or Ways()
         day = self.day
-        self.map = Map({zone: day.regions.get(zone, "") for zone in day.zones},
-                       {one.name: one.credit for one in day.offerings}, day.rules["cold_share"],
-                       CEILING_EVERY if mode == "ceiling" else self.ways.every, carries or {})
+        self.map = Map(
+            {zone: day.regions.get(zone, "") for zone in day.zones},
+            {one.name: one.credit for one in day.offerings},
+            day.rules["cold_share"],
+            CEILING_EVERY if mode == "ceiling" else self.ways.every,
+            carries or {},
+        )
         self.planner = Planner(self.map, Plan())
         self.alone: dict[int, Planner] = {}
         self.plans: list[tuple[float, Plan]] = []
         self.told: dict[int, tuple[ModelFront, int]] = {}
         self.plan = Plan()
         self.sizes = dict.fromkeys(day.zones, 0.0)
-        self.since: dict[str, float] = {}            # when a zone was found lost
+        self.since: dict[str, float] = {}  # when a zone was found lost
         if mode != "today":
             model.sim.after(self.map.every, self.look)
 
@@ -61,8 +68,11 @@
                 front.watcher = watcher_of(self.day)
                 for known in front.roster.keeper.known.values():
                     front.watcher.engines[known.engine] = ListedEngine(
-                        known.line.state, self.day.zones.index(known.line.zone), known.line.size,
-                        known.line.started)
+                        known.line.state,
+                        self.day.zones.index(known.line.zone),
+                        known.line.size,
+                        known.line.started,
+                    )
             reports[at] = front.watcher.report(now)
         if self.mode == "alone":
             for at, own in reports.items():
@@ -76,7 +86,7 @@
         else:
             model.sim.after(self.ways.up, self.plan_for_all, added(reports.values()))
         if self.mode != "alone":
-            for at, front in enumerate(model.fronts):    # those that were started since
+            for at, front in enumerate(model.fronts):  # those that were started since
                 if front is not None and self.told.get(at, (front, 0))[0] is not front:
                     self.tell(at, front, self.plan)
 
--- a/worksmux/model/council.py
+++ b/worksmux/model/council.py
@@ -2,6 +2,7 @@
 clocks of their own, over a network that loses, repeats, reorders and cuts.  What must always hold is
 checked as it goes.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -13,8 +14,25 @@
 from ..council.messages import Message
 from ..council.raft import Raft
 from ..council.steps import (
-    Committed, Compact, Fact, Figures, Heard, Leads, Odd, Out, Propose, Proposed, Read, Readable, Rebased,
-    Refused, Role, Tick, What, Written)
+    Committed,
+    Compact,
+    Fact,
+    Figures,
+    Heard,
+    Leads,
+    Odd,
+    Out,
+    Propose,
+    Proposed,
+    Read,
+    Readable,
+    Rebased,
+    Refused,
+    Role,
+    Tick,
+    What,
+    Written,
+)
 from ..measure import Chance, mix
 from .sim import Sim, Timer
 from .wire import Weather, Wire
@@ -29,6 +47,7 @@
 @dataclass
 class Disk:
     """What a seat has on disk."""
+
     saved: Saved = field(default_factory=Saved)
 
     def put(self, write: Write) -> None:
@@ -71,8 +90,13 @@
     def start(self) -> None:
         self.starts += 1
         self.waiting, self.writing, self.frozen, self.unheard = [], False, False, []
-        self.raft = self.world.make(self.name, self.disk.read(), self.world.figures,
-                                    mix(self.world.seed, self.starts * 31 + ord(self.name[0])), self.now)
+        self.raft = self.world.make(
+            self.name,
+            self.disk.read(),
+            self.world.figures,
+            mix(self.world.seed, self.starts * 31 + ord(self.name[0])),
+            self.now,
+        )
         self.world.wire.listen(self.name, self.take)
         self.rest()
 
@@ -118,7 +142,7 @@
                 return
             self.waiting.pop(0)
             self.post(messages)
-            if write is not None:                    # an impatient shell: messages leave before the write
+            if write is not None:  # an impatient shell: messages leave before the write
                 self.world.sim.after(self.world.disk_ms, self.late_write, self.starts, write)
                 self.step(Written(write.number))
 
@@ -173,8 +197,16 @@
 class CouncilWorld:
     """Seats a, b, c and so on; every proposal, read and agreed entry is checked against the others."""
 
-    def __init__(self, count: int = 3, seed: int = 1, make: Make = Raft, weather: Weather | None = None,
-                 drift: float = 0.008, disk_ms: float = 3.0, patient: bool = True) -> None:
+    def __init__(
+        self,
+        count: int = 3,
+        seed: int = 1,
+        make: Make = Raft,
+        weather: Weather | None = None,
+        drift: float = 0.008,
+        disk_ms: float = 3.0,
+        patient: bool = True,
+    ) -> None:
         self.sim = Sim()
         self.sim.now = 1000.0
         self.seed, self.make, self.drift, self.disk_ms, self.patient = seed, make, drift, disk_ms, patient
@@ -189,11 +221,11 @@
         self.leaders: dict[int, set[str]] = {}
         self.agreed: dict[int, Entry] = {}
         self.token = 0
-        self.proposed: dict[int, tuple[int, int]] = {}       # token: index and term
-        self.acknowledged: dict[int, int] = {}       # token: index
-        self.reads: dict[int, int] = {}              # token: the highest index acknowledged as it was asked
+        self.proposed: dict[int, tuple[int, int]] = {}  # token: index and term
+        self.acknowledged: dict[int, int] = {}  # token: index
+        self.reads: dict[int, int] = {}  # token: the highest index acknowledged as it was asked
         self.read_count = self.refused = 0
-        self.fragile = 0.0                           # the part of writes at which the power fails
+        self.fragile = 0.0  # the part of writes at which the power fails
         for seat in self.seats.values():
             seat.start()
 
@@ -201,8 +233,11 @@
         self.sim.run(self.sim.now + ms)
 
     def leader(self) -> SeatInTime | None:
-        leading = [seat for seat in self.seats.values()
-                   if seat.raft is not None and not seat.frozen and seat.raft.role is Role.LEADER]
+        leading = [
+            seat
+            for seat in self.seats.values()
+            if seat.raft is not None and not seat.frozen and seat.raft.role is Role.LEADER
+        ]
         return max(leading, key=lambda seat: seat.raft.term if seat.raft else 0, default=None)
 
     def led(self, within: float = 10_000.0) -> SeatInTime:
@@ -210,8 +245,12 @@
         end = self.sim.now + within
         while True:
             leader = self.leader()
-            if leader is not None and leader.raft is not None and leader.raft.leads_surely(leader.now) \
-                    and leader.raft.commit >= leader.raft.began:
+            if (
+                leader is not None
+                and leader.raft is not None
+                and leader.raft.leads_surely(leader.now)
+                and leader.raft.commit >= leader.raft.began
+            ):
                 return leader
             assert self.sim.now < end, "no leader in time"
             self.run(20.0)
@@ -283,19 +322,32 @@
     def compact(self, name: str) -> None:
         raft = self.seats[name].raft
         if raft is not None and raft.commit > raft.log.base.index + 5:
-            data = msgspec.msgpack.encode([self.agreed[index].digest
-                                           for index in range(1, raft.commit + 1) if index in self.agreed])
+            data = msgspec.msgpack.encode(
+                [self.agreed[index].digest for index in range(1, raft.commit + 1) if index in self.agreed]
+            )
             self.seats[name].step(Compact(raft.commit, data))
 
 
-def storm(seed: int, make: Make = Raft, steps: int = 120, patient: bool = True, seats: int = 0,
-          fragile: float = 0.04) -> CouncilWorld:
+def storm(
+    seed: int,
+    make: Make = Raft,
+    steps: int = 120,
+    patient: bool = True,
+    seats: int = 0,
+    fragile: float = 0.04,
+) -> CouncilWorld:
     """One run with everything at once: loss, repeats, reordering, cuts, crashes, freezes, snapshots, reads.
     Raises Broken where something that must always hold does not."""
     chance = Chance(mix(seed, 99))
     weather = Weather((0.3, 3.0 + 60.0 * chance.share()), 0.2 * chance.share(), 0.2 * chance.share())
-    world = CouncilWorld(seats or (3 if chance.share() < 0.6 else 5), seed, make, weather,
-                         disk_ms=1.0 + 10.0 * chance.share(), patient=patient)
+    world = CouncilWorld(
+        seats or (3 if chance.share() < 0.6 else 5),
+        seed,
+        make,
+        weather,
+        disk_ms=1.0 + 10.0 * chance.share(),
+        patient=patient,
+    )
     world.fragile = fragile * chance.share()
     names = list(world.seats)
     for _ in range(steps):
@@ -309,9 +361,12 @@
                 for _ in range(1 + int(3 * chance.share())):
                     world.propose(target)
         elif draw < 0.5:
-            for other in world.seats.values():       # all that believe to lead, and one more
-                if other.raft is not None and not other.frozen and (
-                        other is seat or other.raft.role is Role.LEADER):
+            for other in world.seats.values():  # all that believe to lead, and one more
+                if (
+                    other.raft is not None
+                    and not other.frozen
+                    and (other is seat or other.raft.role is Role.LEADER)
+                ):
                     world.read(other.name)
         elif draw < 0.62:
             victim = leader if leader is not None and chance.share() < 0.5 else seat
@@ -321,7 +376,7 @@
         elif draw < 0.72:
             some = chance.some(names, 1 + int(chance.share() * len(names) / 2))
             others = [other for other in names if other not in some]
-            if chance.share() < 0.4:                 # one pair alone: both still reach the others
+            if chance.share() < 0.4:  # one pair alone: both still reach the others
                 some, others = [leader.name if leader else some[0]], chance.some(others, 1)
             world.wire.cut(some, others, ("both", "out", "in")[int(3 * chance.share())])
             world.sim.after(1200.0 * chance.share(), world.wire.heal)
--- a/worksmux/model/day.py
+++ b/worksmux/model/day.py
@@ -4,6 +4,7 @@
 (broken streams, garbage, refused and slow connections, late reports, neighbours) have no counterpart here; a
 day that holds one is refused by name.
 """
+
 from __future__ import annotations
 
 import random
@@ -26,10 +27,27 @@
 from .front import ModelFront
 from .sim import Sim
 
-HOP = 0.5                            # milliseconds that a message takes
-PLAYED = frozenset({"crash", "vanish", "drain", "mass-restart", "zone-loss", "hang", "slow", "fast-errors",
-                    "offering-fails", "front-crash", "front-roll"}) | OF_CLIENTS | OF_THE_LIST
-EPOCH = 1e9                          # where simulated time starts, so that older times are positive
+HOP = 0.5  # milliseconds that a message takes
+PLAYED = (
+    frozenset(
+        {
+            "crash",
+            "vanish",
+            "drain",
+            "mass-restart",
+            "zone-loss",
+            "hang",
+            "slow",
+            "fast-errors",
+            "offering-fails",
+            "front-crash",
+            "front-roll",
+        }
+    )
+    | OF_CLIENTS
+    | OF_THE_LIST
+)
+EPOCH = 1e9  # where simulated time starts, so that older times are positive
 
 
 class NotPlayed(Exception):
@@ -39,6 +57,7 @@
 @dataclass(slots=True)
 class Remembered:
     """What a front finds at its start in place of a registry."""
+
     lines: list[Saved]
     turnover: Turnover = field(default_factory=Turnover)
     believed_for: float = 3.6e6
@@ -55,7 +74,7 @@
         self.serial = 0
         self.lost, self.extra, self.skip = False, 0.0, 0
         self.last_up = EPOCH
-        self.last: dict[int, float] = {}             # by front: one connection keeps its messages in order
+        self.last: dict[int, float] = {}  # by front: one connection keeps its messages in order
 
     def change(self, line: Line, at_once: bool = False) -> None:
         self.serial += 1
@@ -82,8 +101,14 @@
         front = self.model.fronts[at]
         if self.lost or front is None:
             return
-        self.model.note("registry", "told", front=front.name, serial=message.serial, list=message.scope,
-                        engines=[[line.id, line.state, line.started] for line in message.engines])
+        self.model.note(
+            "registry",
+            "told",
+            front=front.name,
+            serial=message.serial,
+            list=message.scope,
+            engines=[[line.id, line.state, line.started] for line in message.engines],
+        )
         copies = [msgspec.structs.replace(line) for line in message.engines]
         front.listed(msgspec.structs.replace(message, engines=copies))
         if front.roster.keeper.fetching:
@@ -102,13 +127,20 @@
     """One day.  `make` decides in place of the day's policy; `journal` keeps every line for the audit, which
     costs most of the memory; `remembered` starts every front without a registry."""
 
-    def __init__(self, day: Scenario, make: Maker | None = None, journal: bool = True,
-                 remembered: Callable[[int], Remembered] | None = None,
-                 built: Callable[[Model], None] | None = None) -> None:
+    def __init__(
+        self,
+        day: Scenario,
+        make: Maker | None = None,
+        journal: bool = True,
+        remembered: Callable[[int], Remembered] | None = None,
+        built: Callable[[Model], None] | None = None,
+    ) -> None:
         for trouble in day.troubles:
             if trouble.kind not in PLAYED:
-                raise NotPlayed(f"line {trouble.line}: the model does not play \"{trouble.kind}\"; "
-                                "leave it out, or play the day with `worksmux trial`")
+                raise NotPlayed(
+                    f'line {trouble.line}: the model does not play "{trouble.kind}"; '
+                    "leave it out, or play the day with `worksmux trial`"
+                )
         self.day, self.make = day, make or POLICIES[day.policy]
         self.sim = Sim()
         self.sim.now = EPOCH
@@ -142,8 +174,9 @@
 
     def tell(self, place: Place, state: Any, at_once: bool = False) -> None:
         started = self.engines[place.id].started or 0.0
-        self.registry.change(Line(place.id, "", 0, place.kind, state, place.zone, place.cell, 1.0, started),
-                             at_once)
+        self.registry.change(
+            Line(place.id, "", 0, place.kind, state, place.zone, place.cell, 1.0, started), at_once
+        )
 
     def kill(self, place: Place) -> None:
         engine = self.engines[place.id]
@@ -157,19 +190,45 @@
         day = self.day
         zone = day.zones[at % len(day.zones)]
         front = ModelFront(
-            self.sim, self.engines, f"front-{at + 1}", day.module_settings(at, zone), day.zones,
-            [kind.name for kind in day.kinds], self.make,
-            day.seed * 7919 + at * 31 + int(self.sim.now - EPOCH), self.note, HOP)
+            self.sim,
+            self.engines,
+            f"front-{at + 1}",
+            day.module_settings(at, zone),
+            day.zones,
+            [kind.name for kind in day.kinds],
+            self.make,
+            day.seed * 7919 + at * 31 + int(self.sim.now - EPOCH),
+            self.note,
+            HOP,
+        )
         self.fronts[at] = front
         saved = self.saved[at] or (self.remembered(at) if self.remembered else None)
         if day.memory or self.remembered:
             front.learner = Learner([one.name for one in day.offerings])
         if saved is not None:
-            front.remember(Beliefs(
-                saved.lines, self.sim.now, self.sim.now, saved.turnover, saved.believed_for, day.fronts,
-                saved.rate, True, day.seed + at))
-            front.tell(recall(saved.learned, [one.name for one in day.offerings], self._engines(front),
-                              self.sim.now, saved.turnover, saved.believed_for))
+            front.remember(
+                Beliefs(
+                    saved.lines,
+                    self.sim.now,
+                    self.sim.now,
+                    saved.turnover,
+                    saved.believed_for,
+                    day.fronts,
+                    saved.rate,
+                    True,
+                    day.seed + at,
+                )
+            )
+            front.tell(
+                recall(
+                    saved.learned,
+                    [one.name for one in day.offerings],
+                    self._engines(front),
+                    self.sim.now,
+                    saved.turnover,
+                    saved.believed_for,
+                )
+            )
         if not self.registry.lost:
             self.registry.full(at)
 
@@ -186,8 +245,11 @@
             told = front.learner.changes(self._engines(front), self.sim.now, self.sim.now)
             pace = told.pop("", None)
             marks = {name: one for name, one in told.items() if isinstance(one, Marks)}
-            lines = [Saved(msgspec.structs.replace(known.line, started=max(0.0, known.line.started)), heard)
-                     for known in front.roster.keeper.known.values() if known.line.state != "gone"]
+            lines = [
+                Saved(msgspec.structs.replace(known.line, started=max(0.0, known.line.started)), heard)
+                for known in front.roster.keeper.known.values()
+                if known.line.state != "gone"
+            ]
             self.saved[at] = Remembered(lines, learned=Kept(pace if isinstance(pace, Pace) else None, marks))
         front.die()
         self.fronts[at] = None
@@ -260,4 +322,3 @@
 
     def _back(self, place: Place) -> None:
         self.start_engine(place, cold=True)
-
--- a/worksmux/model/engine.py
+++ b/worksmux/model/engine.py
@@ -5,6 +5,7 @@
 machine evenly, so one virtual clock counts the tokens that each of them has made since it began, and a heap
 over it gives who is next (the usual device of processor sharing).  Speed is taken as it is at each event.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -19,12 +20,13 @@
 from .sim import Sim, Timer
 
 Note = Callable[..., None]
-WHILE_COLD = 1 / 20                  # of the warm-up, between two looks at the speed
+WHILE_COLD = 1 / 20  # of the warm-up, between two looks at the speed
 
 
 @dataclass(eq=False, slots=True)
 class Call:
     """One trip on its way; `began(elapsed)` and `ended(outcome, note)` are called at the front."""
+
     job: str
     key: str
     front: str
@@ -32,7 +34,7 @@
     prompt: float
     answer: int
     reading: bool
-    holder: ModelEngine | None       # where its read state waits
+    holder: ModelEngine | None  # where its read state waits
     beginnings: tuple[tuple[int, float], ...]
     began: Callable[[], None]
     ended: Callable[[Outcome, int], None]
@@ -40,7 +42,7 @@
     memory: float = 0.0
     cached: float = 0.0
     over: bool = False
-    ahead: ModelEngine | None = None     # holds a place for it
+    ahead: ModelEngine | None = None  # holds a place for it
 
 
 @dataclass(eq=False, slots=True)
@@ -62,10 +64,11 @@
 @dataclass(slots=True)
 class Counts:
     """What reached this engine."""
+
     trips: int = 0
     probes: int = 0
-    peak: float = 0.0                # the most that reached it cold, against what it can stand
-    probe_peak: int = 0              # probes within one second
+    peak: float = 0.0  # the most that reached it cold, against what it can stand
+    probe_peak: int = 0  # probes within one second
     falls: int = 0
 
 
@@ -75,7 +78,7 @@
     def __init__(self, sim: Sim, spec: Spec, note: Note, hop: float, started: float | None = None) -> None:
         self.sim, self.spec, self.note, self.hop = sim, spec, note, hop
         self.alive, self.hanging, self.draining = True, False, False
-        self.started = started                       # None: long ago
+        self.started = started  # None: long ago
         self.slow = 1.0
         self.line: deque[Call] = deque()
         self.fetching: dict[Call, None] = {}
@@ -87,14 +90,14 @@
         self.texts: OrderedDict[int, float] = OrderedDict()
         self.used = 0.0
         self.at, self.virtual, self.number = sim.now, 0.0, 0
-        self.marks: list[tuple[float, int, Call, bool]] = []     # virtual time, order, call, whether its end
+        self.marks: list[tuple[float, int, Call, bool]] = []  # virtual time, order, call, whether its end
         self.next: Timer | None = None
         self.read_timer: Timer | None = None
         self.link_free = {"near": 0.0, "far": 0.0}
         self.pressure: deque[float] = deque()
         self.probed: deque[float] = deque()
         self.hung: dict[Call, None] = {}
-        self.failing: dict[str, float] = {}          # share of quick errors by offering; "" for all
+        self.failing: dict[str, float] = {}  # share of quick errors by offering; "" for all
         self.chance = random.Random(spec.seed)
         self.counts = Counts()
         note(spec.id, "start", role=spec.role, zone=spec.zone, cell=spec.cell, cold=started is not None)
@@ -120,7 +123,7 @@
         while self.pressure[0] < now - self.spec.fall_time:
             self.pressure.popleft()
         room = self.spec.fall_multiple * warm * self.spec.capacity * self.spec.fall_time / 1000
-        room += 3 * float(room ** 0.5)
+        room += 3 * float(room**0.5)
         self.counts.peak = max(self.counts.peak, len(self.pressure) / room)
         return len(self.pressure) > room
 
@@ -216,7 +219,8 @@
 
     def _fits(self, call: Call) -> bool:
         return call.job in self.places or (
-            self._taken() < self.spec.slots and self.used + call.prompt + call.answer <= self.spec.memory)
+            self._taken() < self.spec.slots and self.used + call.prompt + call.answer <= self.spec.memory
+        )
 
     def _admit(self) -> None:
         while self.line and self._fits(self.line[0]):
@@ -233,8 +237,16 @@
                 self.fetching[call] = None
                 self._pull(call)
             else:
-                kept = max([0.0, *(min(length, self.texts[key]) for key, length in call.beginnings
-                                   if key in self.texts)])
+                kept = max(
+                    [
+                        0.0,
+                        *(
+                            min(length, self.texts[key])
+                            for key, length in call.beginnings
+                            if key in self.texts
+                        ),
+                    ]
+                )
                 call.cached = min(kept, call.prompt - 1.0)
                 self.reads.append(call)
                 if len(self.reads) == 1:
@@ -327,15 +339,16 @@
             heapq.heappop(self.marks)
         if self.marks and not self.hanging:
             wait = (self.marks[0][0] - self.virtual) * self._pace()
-            if self.started is not None:             # it grows faster meanwhile
+            if self.started is not None:  # it grows faster meanwhile
                 wait = min(wait, self.spec.warm_up * WHILE_COLD) if self.warmth() < 1.0 else wait
             self.next = self.sim.after(wait, self._due)
 
     def _due(self) -> None:
         self._advance()
         freed = False
-        while self.marks and (self.marks[0][2] not in self.answering
-                              or self.marks[0][0] <= self.virtual + 1e-6):
+        while self.marks and (
+            self.marks[0][2] not in self.answering or self.marks[0][0] <= self.virtual + 1e-6
+        ):
             _, _, call, end = heapq.heappop(self.marks)
             if call not in self.answering:
                 continue
@@ -373,7 +386,7 @@
         """Sends a state over the port, or over this engine's part of its cell's link, one after the other."""
         state = self.states.get(job)
         if state is None or not self.alive or self.hanging:
-            if not (self.alive and self.hanging):    # a hung one never answers
+            if not (self.alive and self.hanging):  # a hung one never answers
                 self.sim.after(self.hop, moved, False)
             return
         state.asked = True
@@ -390,15 +403,22 @@
 
         self.sim.after(self.link_free[way] - self.sim.now, over)
 
-    def place(self, job: str, tokens: float, reader: ModelEngine | None, front: str,
-              reply: Callable[[bool], None]) -> None:
+    def place(
+        self, job: str, tokens: float, reader: ModelEngine | None, front: str, reply: Callable[[bool], None]
+    ) -> None:
         """Holds a slot and memory for a job that is being read, if they are free at once."""
         if not self.alive or self.hanging:
             return
         self.note(self.spec.id, "place asked", job=job, front=front)
-        held = not (self.draining or self.line or self.spec.role == "read" or self._taken() >= self.spec.slots
-                    or self.used + tokens > self.spec.memory or job in self.places
-                    or any(call.job == job for call in (*self.fetching, *self.answering)))
+        held = not (
+            self.draining
+            or self.line
+            or self.spec.role == "read"
+            or self._taken() >= self.spec.slots
+            or self.used + tokens > self.spec.memory
+            or job in self.places
+            or any(call.job == job for call in (*self.fetching, *self.answering))
+        )
         if held:
             self.used += tokens
             self.places[job] = Place(tokens, self.sim.now, reader, pulling=reader is not None)
--- a/worksmux/model/followers.py
+++ b/worksmux/model/followers.py
@@ -1,6 +1,7 @@
 """How what the council agrees reaches many fronts, in simulated time: followers over a network that loses,
 delays and cuts, under one leader whose council agrees to what `put` says.
 """
+
 from __future__ import annotations
 
 from functools import partial
@@ -24,8 +25,9 @@
         self.wire = Wire(self.sim, seed, Weather((0.3, 3.0), loss, loss / 2))
         self.names = [f"f{at}" for at in range(count)]
         self.zero = {name: 1e5 * Chance(seed + at).share() for at, name in enumerate(self.names)}
-        self.followers = {name: make(name, LEASE, seed + at, self.now(name))
-                          for at, name in enumerate(self.names)}
+        self.followers = {
+            name: make(name, LEASE, seed + at, self.now(name)) for at, name in enumerate(self.names)
+        }
         self.frozen: set[str] = set()
         self.unheard: list[tuple[str, str, Any]] = []
         self.sent = 0
--- a/worksmux/model/front.py
+++ b/worksmux/model/front.py
@@ -1,5 +1,6 @@
 """A front in simulated time: the door, the roster and the remembered list of the real one, without its
 sockets."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
@@ -18,12 +19,13 @@
 from .engine import Call, ModelEngine, Note
 from .sim import Sim, Timer
 
-NOWHERE = Spec("nowhere", "", "both", "", -1, 0, 0, 0.0)      # where an engine that is no more was
+NOWHERE = Spec("nowhere", "", "both", "", -1, 0, 0, 0.0)  # where an engine that is no more was
 
 
 @dataclass(eq=False, slots=True)
 class Case:
     """One job as its front has it; `answered(how)` tells its client."""
+
     job: i.Job
     key: str
     asked: Ask
@@ -38,6 +40,7 @@
 @dataclass(eq=False, slots=True)
 class Ask:
     """What a client asks; milliseconds and tokens."""
+
     id: str
     offering: int
     name: str
@@ -51,7 +54,7 @@
     repeat: bool
     began: Callable[[], object]
     answered: Callable[[str], object]
-    stay_away: float = 0.0           # told with a deferral
+    stay_away: float = 0.0  # told with a deferral
 
 
 @dataclass(slots=True)
@@ -59,15 +62,27 @@
     probes: int = 0
     trips: int = 0
     unreachable: int = 0
-    stale_last: float = 0.0          # when a send last went to an engine that is no more
+    stale_last: float = 0.0  # when a send last went to an engine that is no more
     turns: int = 0
     events: int = 0
 
 
 class ModelFront:
-    def __init__(self, sim: Sim, engines: dict[str, ModelEngine], name: str, settings: i.Settings,
-                 zones: list[str], kinds: list[str], make: Maker, seed: int, note: Note, hop: float,
-                 doubt: float = 5000.0, margin: float = 30.0) -> None:
+    def __init__(
+        self,
+        sim: Sim,
+        engines: dict[str, ModelEngine],
+        name: str,
+        settings: i.Settings,
+        zones: list[str],
+        kinds: list[str],
+        make: Maker,
+        seed: int,
+        note: Note,
+        hop: float,
+        doubt: float = 5000.0,
+        margin: float = 30.0,
+    ) -> None:
         self.sim, self.engines, self.name, self.settings, self.note = sim, engines, name, settings, note
         self.door = Door(settings, seed, make)
         self.roster = Roster(kinds, zones, self._engine, doubt, max(doubt, settings["warm_up"]))
@@ -160,8 +175,9 @@
             state = belief.stand.listed
             if state == "gone" and belief.line.id not in self.roster.keeper.known:
                 continue
-            entry = self.roster.keeper.remember(self.sim.now, self.sim.now, belief.line, state,
-                                                careful=belief.stand is Stand.LIKELY)
+            entry = self.roster.keeper.remember(
+                self.sim.now, self.sim.now, belief.line, state, careful=belief.stand is Stand.LIKELY
+            )
             if entry is not None:
                 entries.append(entry)
         if entries or scope == "cached":
@@ -225,8 +241,18 @@
         self.number += 1
         now = self.sim.now
         left = max(0.0, asked.left - self.margin)
-        job = i.Job(self.number, asked.offering, asked.session, asked.prefix, asked.prompt,
-                    asked.prefix_tokens, float(asked.most), now, now + left, repeat=asked.repeat)
+        job = i.Job(
+            self.number,
+            asked.offering,
+            asked.session,
+            asked.prefix,
+            asked.prompt,
+            asked.prefix_tokens,
+            float(asked.most),
+            now,
+            now + left,
+            repeat=asked.repeat,
+        )
         case = Case(job, f"{self.start}.{self.number}", asked)
         case.guard = self.sim.after(left + self.settings["answer_slack"], self._overdue, case)
         self.cases[job] = case
@@ -347,14 +373,31 @@
         if case.place not in (None, trip.engine) and not trip.reading:
             self._let_go(case, case.place)
         asked = case.asked
-        facts: dict[str, Any] = {"job": case.key, "trip": f"{case.key}.{trip.number}", "front": self.name,
-                                 "try": asked.id, "label": case.key, "offering": asked.name}
+        facts: dict[str, Any] = {
+            "job": case.key,
+            "trip": f"{case.key}.{trip.number}",
+            "front": self.name,
+            "try": asked.id,
+            "label": case.key,
+            "offering": asked.name,
+        }
         beginnings: tuple[tuple[int, float], ...] = ((asked.session, asked.prompt),)
         if asked.prefix:
             beginnings += ((-asked.prefix, asked.prefix_tokens),)
-        call = Call(case.key, facts["trip"], self.name, asked.name, asked.prompt, asked.answer, trip.reading,
-                    case.holder if job.holder is not None else None, beginnings,
-                    lambda: self._began(trip), lambda outcome, note: self._ended(trip, outcome, note), facts)
+        call = Call(
+            case.key,
+            facts["trip"],
+            self.name,
+            asked.name,
+            asked.prompt,
+            asked.answer,
+            trip.reading,
+            case.holder if job.holder is not None else None,
+            beginnings,
+            lambda: self._began(trip),
+            lambda outcome, note: self._ended(trip, outcome, note),
+            facts,
+        )
         engine = self.engines.get(trip.engine.id.decode())
         if engine is None:
             case.out[trip] = call, self.nowhere
--- a/worksmux/model/peers.py
+++ b/worksmux/model/peers.py
@@ -1,5 +1,6 @@
 """Membership among many fronts in simulated time: the core itself over a network that loses, cuts and
 delays."""
+
 from __future__ import annotations
 
 from ..days.engines import hash_of
@@ -82,8 +83,9 @@
 
 
 class World:
-    def __init__(self, seed: int = 1, period: float = 500.0, weather: Weather | None = None,
-                 zones: int = 3) -> None:
+    def __init__(
+        self, seed: int = 1, period: float = 500.0, weather: Weather | None = None, zones: int = 3
+    ) -> None:
         self.sim = Sim()
         self.sim.now = 1000.0
         self.seed, self.period, self.zones = seed, period, zones
@@ -106,8 +108,10 @@
         """Everybody believes all that are there, and nobody else, to be there: alive, or suspected for
         now."""
         names = set(self.peers)
-        return all({name for name, state in peer.believes().items() if state <= State.SUSPECT}
-                   == names - {peer.name} for peer in self.peers.values())
+        return all(
+            {name for name, state in peer.believes().items() if state <= State.SUSPECT} == names - {peer.name}
+            for peer in self.peers.values()
+        )
 
     def agree(self, within: float) -> float:
         """Runs until all agree; the time it took, or fails."""
--- a/worksmux/model/sim.py
+++ b/worksmux/model/sim.py
@@ -1,4 +1,5 @@
 """Simulated time: what is to happen, in order.  Milliseconds; the same seed gives the same day."""
+
 from __future__ import annotations
 
 import heapq
@@ -8,6 +9,7 @@
 
 class Timer:
     """Something that is to happen; `cancel` keeps it from happening."""
+
     __slots__ = ("call", "args")
 
     def __init__(self, call: Callable[..., object], args: tuple[Any, ...]) -> None:
--- a/worksmux/model/wire.py
+++ b/worksmux/model/wire.py
@@ -4,6 +4,7 @@
 Whoever listens at an address is given each message that arrives there.  Messages overtake one another by
 their delays, as calls on several connections do.
 """
+
 from __future__ import annotations
 
 from collections import Counter
@@ -22,6 +23,7 @@
 @dataclass
 class Weather:
     """How the network is; milliseconds and shares."""
+
     delay: tuple[float, float] = (0.3, 2.0)
     loss: float = 0.0
     twice: float = 0.0
@@ -31,11 +33,11 @@
     def __init__(self, sim: Sim, seed: int, weather: Weather | None = None) -> None:
         self.sim, self.chance, self.weather = sim, Chance(seed), weather or Weather()
         self.at: dict[str, Take] = {}
-        self.cuts: set[tuple[str, str]] = set()      # directed pairs of addresses
-        self.slow: dict[str, float] = {}             # milliseconds more, for all that comes from an address
+        self.cuts: set[tuple[str, str]] = set()  # directed pairs of addresses
+        self.slow: dict[str, float] = {}  # milliseconds more, for all that comes from an address
         self.sent: Counter[str] = Counter()
         self.bytes: Counter[str] = Counter()
-        self.weigh = False                           # count bytes, which costs time
+        self.weigh = False  # count bytes, which costs time
 
     def listen(self, address: str, take: Take) -> None:
         """`take(sender, message)`."""
--- a/worksmux/peers/health.py
+++ b/worksmux/peers/health.py
@@ -1,6 +1,7 @@
 """A front's doubt of itself (Lifeguard, Dadgar, Phillips and Currey 2018): one that is slow or starved
 gives others more time before it accuses them.  Pure.
 """
+
 from __future__ import annotations
 
 MOST = 8
--- a/worksmux/peers/members.py
+++ b/worksmux/peers/members.py
@@ -4,6 +4,7 @@
 its own *beat* up to refute what is said of it or to tell that what it carries has changed.  Life and beat
 together are its incarnation.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -13,13 +14,13 @@
 import msgspec
 import xxhash
 
-KEPT = 2                            # times the fronts that are there: of those that are not, so many are kept
+KEPT = 2  # times the fronts that are there: of those that are not, so many are kept
 LEAST_KEPT = 64
-MOST_FACTS = 16                      # that one front may have carried along
-LONGEST = 200                        # characters of a name, an address or a fact
+MOST_FACTS = 16  # that one front may have carried along
+LONGEST = 200  # characters of a name, an address or a fact
 
 
-PARTS = 64                           # of all rumours, by a hash of the name: compared one by one
+PARTS = 64  # of all rumours, by a hash of the name: compared one by one
 
 
 def part_of(name: str) -> int:
@@ -30,7 +31,7 @@
     ALIVE = 0
     SUSPECT = 1
     DEAD = 2
-    LEFT = 3                         # it ended in order; this life of it does not come back
+    LEFT = 3  # it ended in order; this life of it does not come back
 
 
 class Incarnation(NamedTuple):
@@ -41,15 +42,16 @@
 class Rumour(msgspec.Struct, frozen=True):
     """What one front tells of another; `facts` are the versions and the like that this one has told of
     itself."""
+
     name: str
     life: int
     beat: int
     state: int
-    address: str                     # host:port of its listener for peers
+    address: str  # host:port of its listener for peers
     zone: str
     region: str
     facts: dict[str, str] = {}
-    by: str = ""                     # of a suspicion: who accuses
+    by: str = ""  # of a suspicion: who accuses
 
     @property
     def rank(self) -> tuple[int, int, int]:
@@ -65,16 +67,23 @@
     def sound(self) -> bool:
         """Whether its figures can be what they claim to be."""
         texts = (self.name, self.address, self.zone, self.region, self.by, *self.facts, *self.facts.values())
-        return (bool(self.name) and self.life > 0 and self.beat >= 0 and self.state in tuple(State)
-                and len(self.facts) <= MOST_FACTS and all(len(text) <= LONGEST for text in texts))
+        return (
+            bool(self.name)
+            and self.life > 0
+            and self.beat >= 0
+            and self.state in tuple(State)
+            and len(self.facts) <= MOST_FACTS
+            and all(len(text) <= LONGEST for text in texts)
+        )
 
 
 @dataclass(slots=True)
 class Member:
     """A front as it is believed to be; times of this front's own clock, milliseconds."""
+
     rumour: Rumour
-    since: float                     # in this state
-    accusers: set[str] = field(default_factory=set)      # who told, each on its own, that it is suspected
+    since: float  # in this state
+    accusers: set[str] = field(default_factory=set)  # who told, each on its own, that it is suspected
     suspected_at: float = 0.0
 
     @property
@@ -97,9 +106,9 @@
     def __init__(self, me: str) -> None:
         self.me = me
         self.known: dict[str, Member] = {}
-        self.there: dict[str, Member] = {}           # those of them that are
+        self.there: dict[str, Member] = {}  # those of them that are
         self.suspects: dict[str, Member] = {}
-        self.marks = [0] * PARTS                     # of the rumours in each part, whatever their order
+        self.marks = [0] * PARTS  # of the rumours in each part, whatever their order
 
     def take(self, rumour: Rumour, now: float) -> tuple[Rumour | None, Member] | None:
         """What was believed before and what is now; None where the rumour is old news."""
@@ -125,6 +134,6 @@
     def _forget(self) -> None:
         """Guards against a fleet that is replaced all day: of those gone only the latest stay known."""
         gone = [member for member in self.known.values() if not member.there]
-        for member in sorted(gone, key=lambda member: member.since)[:len(gone) // 2]:
+        for member in sorted(gone, key=lambda member: member.since)[: len(gone) // 2]:
             self.marks[part_of(member.name)] ^= member.rumour.mark
             del self.known[member.name]
--- a/worksmux/peers/swim.py
+++ b/worksmux/peers/swim.py
@@ -9,6 +9,7 @@
 most likely heard it.  What a front sends grows with the logarithm of their number, and not at all with that
 of the messages it gets.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -24,18 +25,18 @@
 from .members import PARTS, Incarnation, Member, Members, Rumour, State, part_of
 from .messages import Ack, Ask, Everyone, Message, Nack, Parts, Ping, Same, Some
 
-PATIENCE = 0.5           # of a period: for the answer to a ping, before helpers are asked
+PATIENCE = 0.5  # of a period: for the answer to a ping, before helpers are asked
 HELPERS = 3
-HELPER = 0.3             # of a period: after it a helper says that it has not heard either
-SUSPICION = 4.0         # periods, times the logarithm of their number: the least time to answer an accusation
-GENEROUS = 6.0           # times the least: where one front alone accuses
-WITNESSES = 3            # further accusers that make it the least
-SPREAD = 3.0             # times the logarithm of their number: so often one piece of news is sent
-MOST_RUMOURS = 10        # in a message
-COMPARING = 10.0         # periods between two comparisons of all that is believed, with one other front
-BACKLOG = 40             # pieces of news unsent: so many at once are told whole instead, as in a mass restart
-AGAIN = 6.0              # periods between two attempts to reach who seems gone: a cut may be over
-LATE = 0.5               # of a period: a tick later than that says that this front itself was asleep
+HELPER = 0.3  # of a period: after it a helper says that it has not heard either
+SUSPICION = 4.0  # periods, times the logarithm of their number: the least time to answer an accusation
+GENEROUS = 6.0  # times the least: where one front alone accuses
+WITNESSES = 3  # further accusers that make it the least
+SPREAD = 3.0  # times the logarithm of their number: so often one piece of news is sent
+MOST_RUMOURS = 10  # in a message
+COMPARING = 10.0  # periods between two comparisons of all that is believed, with one other front
+BACKLOG = 40  # pieces of news unsent: so many at once are told whole instead, as in a mass restart
+AGAIN = 6.0  # periods between two attempts to reach who seems gone: a cut may be over
+LATE = 0.5  # of a period: a tick later than that says that this front itself was asleep
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +47,7 @@
 @dataclass(frozen=True, slots=True)
 class Heard:
     """A message, and who sent it from where."""
+
     name: str
     address: str
     message: Message
@@ -59,6 +61,7 @@
 @dataclass(frozen=True, slots=True)
 class Carry:
     """What this front wants carried along about itself has changed."""
+
     facts: dict[str, str]
 
 
@@ -68,6 +71,7 @@
 @dataclass(frozen=True, slots=True)
 class Post:
     """A message to an address; `name` is empty where it is not known who is there."""
+
     name: str
     address: str
     message: Message
@@ -76,6 +80,7 @@
 @dataclass(frozen=True, slots=True)
 class Changed:
     """A front is believed to be something else than before; `before` is None for a new one."""
+
     before: Rumour | None
     now: Rumour
 
@@ -83,12 +88,14 @@
 @dataclass(frozen=True, slots=True)
 class Lives:
     """This front has taken a higher life: a start of it was known that its own clock or disk did not show."""
+
     life: int
 
 
 @dataclass(frozen=True, slots=True)
 class Outlived:
     """Another process with this name started later: this one has to end."""
+
     life: int
     address: str
 
@@ -110,13 +117,14 @@
     helped: bool = False
     answered: bool = False
     helpers: int = 0
-    silent: set[str] = field(default_factory=set)        # of them, those that have said nothing
+    silent: set[str] = field(default_factory=set)  # of them, those that have said nothing
 
 
 @dataclass(slots=True)
 class Errand:
     """A ping sent for somebody else."""
-    number: int                      # of theirs
+
+    number: int  # of theirs
     name: str
     address: str
     until: float
@@ -129,11 +137,11 @@
         self.members = Members(me.name)
         self.health = Health()
         self.number = 0
-        self.line: list[str] = []                    # whom to ping next
+        self.line: list[str] = []  # whom to ping next
         self.probe: Probe | None = None
         self.errands: dict[int, Errand] = {}
-        self.news: dict[str, tuple[Rumour, int]] = {}        # by name: how often it was sent
-        self.joined = False                          # another front has told all that it believes
+        self.news: dict[str, tuple[Rumour, int]] = {}  # by name: how often it was sent
+        self.joined = False  # another front has told all that it believes
         self.gone = False
         self.next_probe = now + period * self.chance.share()
         self.next_compare = now + period * COMPARING * self.chance.share()
@@ -186,13 +194,18 @@
                 del self.errands[number]
                 out.posts.append(Post(errand.name, errand.address, Nack(errand.number)))
         probe = self.probe
-        if (probe is not None and not probe.answered and not probe.helped
-                and probe.sent + self._patience() <= now):
+        if (
+            probe is not None
+            and not probe.answered
+            and not probe.helped
+            and probe.sent + self._patience() <= now
+        ):
             self._ask_helpers(probe, out)
         for member in list(self.members.suspects.values()):
             if self._condemned_at(member) <= now:
-                self._believe(msgspec.structs.replace(member.rumour, state=State.DEAD, by=self.me.name),
-                              now, out)
+                self._believe(
+                    msgspec.structs.replace(member.rumour, state=State.DEAD, by=self.me.name), now, out
+                )
         if self.next_probe <= now:
             self._next_round(now, out)
         if self.next_compare <= now:
@@ -227,8 +240,13 @@
             self._compare(out)
         self.number += 1
         self.probe = Probe(self.number, member, now)
-        out.posts.append(Post(member.name, member.rumour.address, Ping(
-            self.number, member.rumour.life, self._rumours(member))))
+        out.posts.append(
+            Post(
+                member.name,
+                member.rumour.address,
+                Ping(self.number, member.rumour.life, self._rumours(member)),
+            )
+        )
 
     def _next_member(self) -> Member | None:
         """Each in its turn, in an order that is drawn anew for each round: none is left out for long."""
@@ -244,13 +262,21 @@
 
     def _ask_helpers(self, probe: Probe, out: Out) -> None:
         probe.helped = True
-        able = [member for member in self.members.there.values()
-                if member.state == State.ALIVE and member is not probe.member]
+        able = [
+            member
+            for member in self.members.there.values()
+            if member.state == State.ALIVE and member is not probe.member
+        ]
         for helper in self.chance.some(able, HELPERS):
             probe.helpers += 1
             probe.silent.add(helper.name)
-            out.posts.append(Post(helper.name, helper.rumour.address, Ask(
-                probe.number, probe.member.name, self._rumours(helper))))
+            out.posts.append(
+                Post(
+                    helper.name,
+                    helper.rumour.address,
+                    Ask(probe.number, probe.member.name, self._rumours(helper)),
+                )
+            )
 
     def _end_round(self, now: float, out: Out) -> None:
         probe, self.probe = self.probe, None
@@ -260,13 +286,14 @@
         self.health.worse(len(probe.silent) if probe.helpers else 1)
         member = probe.member
         if self.members.known.get(member.name) is member and member.there:
-            self._believe(msgspec.structs.replace(member.rumour, state=State.SUSPECT, by=self.me.name),
-                          now, out)
+            self._believe(
+                msgspec.structs.replace(member.rumour, state=State.SUSPECT, by=self.me.name), now, out
+            )
 
     def _condemned_at(self, member: Member) -> float:
         """The more fronts accuse it independently, the sooner."""
         least = SUSPICION * self.period * max(1.0, log10(self._count()))
-        wanted = min(WITNESSES, self._count() - 3)   # the accuser, the accused and this front left out
+        wanted = min(WITNESSES, self._count() - 3)  # the accuser, the accused and this front left out
         accusers = max(0, len(member.accusers) - 1)
         part = 1.0 if accusers >= wanted else log(accusers + 1) / log(wanted + 1)
         return member.suspected_at + least * (GENEROUS - (GENEROUS - 1) * part)
@@ -275,11 +302,11 @@
 
     def _heard(self, now: float, heard: Heard, out: Out) -> None:
         if heard.name == self.me.name:
-            return                                   # an address that leads back here
+            return  # an address that leads back here
         match heard.message:
             case Ping(number, life, rumours):
                 self._take(rumours, heard.name, now, out)
-                if life >= 0:                        # to who asks for an earlier life: an answer to nothing
+                if life >= 0:  # to who asks for an earlier life: an answer to nothing
                     member = self.members.known.get(heard.name)
                     number = number if life == self.me.life else 0
                     out.posts.append(Post(heard.name, heard.address, Ack(number, self._rumours(member))))
@@ -326,8 +353,13 @@
             return
         self.number += 1
         self.errands[self.number] = Errand(number, heard.name, heard.address, now + HELPER * self.period)
-        out.posts.append(Post(member.name, member.rumour.address, Ping(
-            self.number, member.rumour.life, self._rumours(member))))
+        out.posts.append(
+            Post(
+                member.name,
+                member.rumour.address,
+                Ping(self.number, member.rumour.life, self._rumours(member)),
+            )
+        )
 
     def _rumours(self, to: Member | None) -> list[Rumour]:
         """This front's own rumour, then what the other is accused of, then the news sent least often."""
@@ -432,7 +464,11 @@
         if rumour.state == State.SUSPECT:
             member.suspected_at, member.accusers = now, {rumour.by}
         if before is None or (before.life, before.state, before.facts, before.address) != (
-                rumour.life, rumour.state, rumour.facts, rumour.address):
+            rumour.life,
+            rumour.state,
+            rumour.facts,
+            rumour.address,
+        ):
             out.facts.append(Changed(before, rumour))
 
     def _witness(self, member: Member, rumour: Rumour) -> None:
--- a/worksmux/settings/document.py
+++ b/worksmux/settings/document.py
@@ -5,6 +5,7 @@
 nearest known name.  A reader that meets a complaint goes on with a harmless stand-in value, so that one run
 shows all.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
@@ -24,6 +25,7 @@
 @dataclass(frozen=True, order=True)
 class Complaint:
     """One fault of a settings file: where it stands, what was expected and how to mend it."""
+
     file: str
     line: int
     text: str
@@ -43,6 +45,7 @@
 @dataclass
 class Section:
     """A node: its name, arguments, properties and children, and the line it stands on."""
+
     name: str
     line: int
     args: list[Any] = field(default_factory=list)
@@ -94,6 +97,7 @@
             if found < least:
                 raise ValueError(f"expected at least {least:g}ms")
             return found
+
         return self.value(key, make, max(1.0, least), default)
 
     def size(self, key: str, default: int | None = None) -> int:
@@ -108,14 +112,20 @@
                 span = f"from {least:g}" + (f" to {most:g}" if most < 1e15 else "")
                 raise ValueError(f"expected a number {span}")
             return float(raw)
+
         return self.value(key, make, least, default)
 
     def whole(self, key: str, default: int | None = None, least: int = 0, most: int = 10**9) -> int:
         def make(raw: object) -> int:
-            if isinstance(raw, bool) or not isinstance(raw, (int, float)) or raw != int(raw) \
-                    or not least <= raw <= most:
+            if (
+                isinstance(raw, bool)
+                or not isinstance(raw, (int, float))
+                or raw != int(raw)
+                or not least <= raw <= most
+            ):
                 raise ValueError(f"expected a whole number from {least} to {most}")
             return int(raw)
+
         return self.value(key, make, least, default)
 
     def flag(self, key: str, default: bool | None = None) -> bool:
@@ -123,6 +133,7 @@
             if not isinstance(raw, bool):
                 raise ValueError("expected true or false")
             return raw
+
         return self.value(key, make, False, default)
 
     def text(self, key: str, default: str | None = None) -> str:
@@ -130,6 +141,7 @@
             if not isinstance(raw, str) or not raw:
                 raise ValueError("expected a text in quotes")
             return raw
+
         return self.value(key, make, "", default)
 
     def choice(self, key: str, choices: list[str], default: str | None = None) -> str:
@@ -137,6 +149,7 @@
             if not isinstance(raw, str) or raw not in choices:
                 raise ValueError(f"expected one of {', '.join(choices)}")
             return raw
+
         return self.value(key, make, choices[0] if choices else "", default)
 
     def span(self, key: str, default: tuple[float, float] | None = None) -> tuple[float, float]:
@@ -146,8 +159,9 @@
     def times(self, key: str, default: tuple[float, float] | None = None) -> tuple[float, float]:
         return self._pair(key, units.milliseconds, 'times, such as "1s" "4s"', default)
 
-    def _pair(self, key: str, make: Callable[[Any], float], wanted: str,
-              default: tuple[float, float] | None) -> tuple[float, float]:
+    def _pair(
+        self, key: str, make: Callable[[Any], float], wanted: str, default: tuple[float, float] | None
+    ) -> tuple[float, float]:
         self.known.add(key)
         node = next((node for node in self.nodes if node.name == key), None)
         if node is None and key in self.props:
--- a/worksmux/settings/fleet.py
+++ b/worksmux/settings/fleet.py
@@ -1,17 +1,18 @@
 """The section `fleet` of a front's settings: the other fronts, and what all decide in common.
 
-    fleet "home" {
-        listen "127.0.0.1:7001"                  // for the other fronts
-        address "127.0.0.1:7001"                 // what they are told; `listen` if absent
-        seeds "127.0.0.1:7002" "127.0.0.1:7003"  // whom to ask first
-        founders "front-1" "front-2" "front-3"   // who form the council, once, when all are there
-        seats 3
-        disk "/var/lib/worksmux/front-1"
-        lease "4s"
-        carries "north" 65                       // jobs a second that a zone carries warm; learned if absent
-        reach "front-2" "127.0.0.1:9002"         // another way to a front than the address it tells
-    }
+fleet "home" {
+    listen "127.0.0.1:7001"                  // for the other fronts
+    address "127.0.0.1:7001"                 // what they are told; `listen` if absent
+    seeds "127.0.0.1:7002" "127.0.0.1:7003"  // whom to ask first
+    founders "front-1" "front-2" "front-3"   // who form the council, once, when all are there
+    seats 3
+    disk "/var/lib/worksmux/front-1"
+    lease "4s"
+    carries "north" 65                       // jobs a second that a zone carries warm; learned if absent
+    reach "front-2" "127.0.0.1:9002"         // another way to a front than the address it tells
+}
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -26,20 +27,21 @@
 @dataclass(frozen=True)
 class FleetSettings:
     """Times in milliseconds."""
+
     name: str
     listen: Address
-    address: str                     # host:port; empty: as it listens
+    address: str  # host:port; empty: as it listens
     seeds: tuple[str, ...]
     founders: tuple[str, ...]
     seats: int
     disk: str
-    period: float                    # between two probes of other fronts
-    beat: float                      # of the council's leader
-    patience: float                  # without a leader, until a seat stands
-    lease: float                     # of what was decided in common
-    look: float                      # between two looks of the planner
-    gone: float                      # a front away for so long loses its seat
-    body: int                        # bytes of a message
+    period: float  # between two probes of other fronts
+    beat: float  # of the council's leader
+    patience: float  # without a leader, until a seat stands
+    lease: float  # of what was decided in common
+    look: float  # between two looks of the planner
+    gone: float  # a front away for so long loses its seat
+    body: int  # bytes of a message
     carries: dict[str, float]
     reach: dict[str, str]
 
@@ -77,15 +79,30 @@
             one.complain(f"carries: expected jobs a second above 0, not {value!r}")
         else:
             carries[zone] = float(value)
-    reach = {name: _address(value, "reach", one) for name, value, one in _pairs(
-        node, "reach", 'a front and an address, such as reach "front-2" "127.0.0.1:9002"')}
+    reach = {
+        name: _address(value, "reach", one)
+        for name, value, one in _pairs(
+            node, "reach", 'a front and an address, such as reach "front-2" "127.0.0.1:9002"'
+        )
+    }
     found = FleetSettings(
-        node.title(), node.address("listen"), f"{told[0]}:{told[1]}" if told[0] else "", seeds,
-        tuple(node.texts("founders")), node.whole("seats", 3, least=1, most=5), node.text("disk"),
-        node.time("period", 500.0, least=10), node.time("beat", 150.0, least=5),
-        node.time("patience", 1000.0, least=20), node.time("lease", 4000.0, least=100),
-        node.time("look", 250.0, least=20), node.time("gone", 60_000.0, least=100),
-        node.size("body", 2**20), carries, reach)
+        node.title(),
+        node.address("listen"),
+        f"{told[0]}:{told[1]}" if told[0] else "",
+        seeds,
+        tuple(node.texts("founders")),
+        node.whole("seats", 3, least=1, most=5),
+        node.text("disk"),
+        node.time("period", 500.0, least=10),
+        node.time("beat", 150.0, least=5),
+        node.time("patience", 1000.0, least=20),
+        node.time("lease", 4000.0, least=100),
+        node.time("look", 250.0, least=20),
+        node.time("gone", 60_000.0, least=100),
+        node.size("body", 2**20),
+        carries,
+        reach,
+    )
     if found.seats not in SEATS:
         node.complain(f"seats: expected 1, 3 or 5, not {found.seats}")
     if found.patience < 3 * found.beat:
--- a/worksmux/settings/front.py
+++ b/worksmux/settings/front.py
@@ -1,4 +1,5 @@
 """The settings of one front: `worksmux serve` and `worksmux check` read them."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -17,41 +18,44 @@
 @dataclass(frozen=True)
 class Transport:
     """Bounds of the front's own sockets; milliseconds and bytes."""
-    connect_time_out: float          # a connection to an engine
-    keep_alive: float                # an idle connection, to a client or an engine
-    idle_connections: int            # kept open to each engine
-    stream_silence: float            # between two pieces of a begun stream
-    call_time_out: float             # a probe, a place or a release
+
+    connect_time_out: float  # a connection to an engine
+    keep_alive: float  # an idle connection, to a client or an engine
+    idle_connections: int  # kept open to each engine
+    stream_silence: float  # between two pieces of a begun stream
+    call_time_out: float  # a probe, a place or a release
     release_tries: int
-    answer_margin: float             # taken off the time a client names, for the way back
-    body: int                        # a client's job
-    head: int                        # a message's head, from clients and engines
-    reply: int                       # an engine's answer, and one event of a stream
-    open_jobs: int                   # taken and not yet answered
-    drain_time: float                # at a stop: for the jobs still out
+    answer_margin: float  # taken off the time a client names, for the way back
+    body: int  # a client's job
+    head: int  # a message's head, from clients and engines
+    reply: int  # an engine's answer, and one event of a stream
+    open_jobs: int  # taken and not yet answered
+    drain_time: float  # at a stop: for the jobs still out
 
 
 @dataclass(frozen=True)
 class ListSource:
     """Where the list of engines comes from."""
+
     address: Address
-    ask: bool                        # changes come only after they were asked for
-    least_pause: float               # before the next attempt to connect
+    ask: bool  # changes come only after they were asked for
+    least_pause: float  # before the next attempt to connect
     most_pause: float
     longest_line: int
-    silence: float                   # without any line: the connection is given up
+    silence: float  # without any line: the connection is given up
 
 
 @dataclass(frozen=True)
 class Counting:
     """Bounds of counting prompts; bytes, characters, tokens and milliseconds."""
+
     cache: int
     workers: int
     long_workers: int
-    long: int                        # bytes from which a prompt is long
-    line: int                        # bytes that may wait
-    piece: int                       # characters of a piece, about
-    block: int                       # tokens
+    long: int  # bytes from which a prompt is long
+    line: int  # bytes that may wait
+    piece: int  # characters of a piece, about
+    block: int  # tokens
     shared_blocks: int
     shared_sessions: int
     time_limit: float
@@ -60,33 +64,36 @@
 @dataclass(frozen=True)
 class MemorySettings:
     """What is kept on disk of the list of engines; milliseconds."""
+
     file: str
-    believed_for: float              # before this front has seen any turnover: a line's mean life
-    probe_rate: float                # probes a second that all fronts together may send to one engine
-    write_pause: float               # between two writes
-    seeds: list[Line]                # engines to ask where nothing is remembered
+    believed_for: float  # before this front has seen any turnover: a line's mean life
+    probe_rate: float  # probes a second that all fronts together may send to one engine
+    write_pause: float  # between two writes
+    seeds: list[Line]  # engines to ask where nothing is remembered
 
 
 @dataclass(frozen=True)
 class Admission:
     """Bounds of calls of one stage (embeddings and rerank) and of the front itself; see
     `admission/gate.py`."""
-    load_tokens: int                 # that one engine is asked at once
+
+    load_tokens: int  # that one engine is asked at once
     load_inputs: int
-    line_tokens: int                 # that may wait, for each offering
+    line_tokens: int  # that may wait, for each offering
     line_calls: int
-    open_calls: int                  # taken and not yet answered
-    repeat_ratio: float              # of first attempts
+    open_calls: int  # taken and not yet answered
+    repeat_ratio: float  # of first attempts
     repeat_burst: float
     stay_away: tuple[float, float]
-    loop_lag: float                  # milliseconds: what the front's own loop may be late
+    loop_lag: float  # milliseconds: what the front's own loop may be late
     sockets: int
-    memory: int                      # bytes
+    memory: int  # bytes
 
 
 @dataclass(frozen=True)
 class Lane:
     """What carries one call of one stage: its offerings, and what its decision module is given."""
+
     call: str
     offerings: list[shared.Offering]
     module: dict[str, Any]
@@ -96,8 +103,8 @@
 class FrontSettings:
     name: str
     listen: Address
-    watch: Address                   # health and metrics
-    turn: float                      # the shortest time between two turns
+    watch: Address  # health and metrics
+    turn: float  # the shortest time between two turns
     seed: int | None
     policy: str
     zones: list[str]
@@ -105,26 +112,34 @@
     kinds: list[shared.Kind]
     transport: Transport
     source: ListSource
-    tokenizers: dict[str, str]       # name: file
+    tokenizers: dict[str, str]  # name: file
     counting: Counting | None
     memory: MemorySettings | None
     log_format: str
     log_level: str
-    module: dict[str, Any]           # what the decision module is given
+    module: dict[str, Any]  # what the decision module is given
     lanes: list[Lane]
     admission: Admission | None
-    regions: dict[str, str]          # by zone; empty where none are told
-    fleet: FleetSettings | None      # other fronts, and what is decided in common; none: alone as ever
+    regions: dict[str, str]  # by zone; empty where none are told
+    fleet: FleetSettings | None  # other fronts, and what is decided in common; none: alone as ever
 
 
 def read_transport(section: Section) -> Transport:
     node = section.only("transport")
     found = Transport(
-        node.time("connect-time-out", least=1), node.time("keep-alive", least=1),
-        node.whole("idle-connections", 32), node.time("stream-silence", least=1),
-        node.time("call-time-out", least=1), node.whole("release-tries", 3, least=1),
-        node.time("answer-margin", 0.0), node.size("body"), node.size("head"), node.size("reply"),
-        node.whole("open-jobs", least=1), node.time("drain-time"))
+        node.time("connect-time-out", least=1),
+        node.time("keep-alive", least=1),
+        node.whole("idle-connections", 32),
+        node.time("stream-silence", least=1),
+        node.time("call-time-out", least=1),
+        node.whole("release-tries", 3, least=1),
+        node.time("answer-margin", 0.0),
+        node.size("body"),
+        node.size("head"),
+        node.size("reply"),
+        node.whole("open-jobs", least=1),
+        node.time("drain-time"),
+    )
     node.end()
     return found
 
@@ -132,9 +147,13 @@
 def _source(section: Section) -> ListSource:
     node = section.only("registry")
     found = ListSource(
-        node.address("address"), node.choice("changes", ["pushed", "asked-for"], "pushed") == "asked-for",
-        node.time("least-pause", least=1), node.time("most-pause", least=1), node.size("longest-line"),
-        node.time("silence", least=1))
+        node.address("address"),
+        node.choice("changes", ["pushed", "asked-for"], "pushed") == "asked-for",
+        node.time("least-pause", least=1),
+        node.time("most-pause", least=1),
+        node.size("longest-line"),
+        node.time("silence", least=1),
+    )
     if found.most_pause < found.least_pause:
         node.complain("registry: most-pause is shorter than least-pause; swap them")
     node.end()
@@ -149,8 +168,10 @@
         node.end()
     for one in offered:
         if (one.tokenizer or files and one.call == "chat") and one.tokenizer not in files:
-            root.complain(f'offering "{one.name}": tokenizer "{one.tokenizer}" is not given; name one of '
-                          f"{', '.join(files) or 'none, add a section tokenizer'}")
+            root.complain(
+                f'offering "{one.name}": tokenizer "{one.tokenizer}" is not given; name one of '
+                f"{', '.join(files) or 'none, add a section tokenizer'}"
+            )
     if not files:
         return {}, None
     node = root.only("counting")
@@ -192,8 +213,12 @@
         )
         seed.end()
     found = MemorySettings(
-        node.text("file"), node.time("believed-for", least=1), node.number("probe-rate", least=0.001),
-        node.time("write-pause", 500.0), seeds)
+        node.text("file"),
+        node.time("believed-for", least=1),
+        node.number("probe-rate", least=0.001),
+        node.time("write-pause", 500.0),
+        seeds,
+    )
     node.end()
     return found
 
@@ -205,12 +230,18 @@
             root.complain("admission is missing; offerings of embeddings or rerank need that section")
         return None
     found = Admission(
-        node.whole("load-tokens", least=1), node.whole("load-inputs", least=1),
-        node.whole("line-tokens", least=1), node.whole("line-calls", least=1),
-        node.whole("open-calls", least=1), node.number("repeat-ratio", 0.1, most=1.0),
-        node.number("repeat-burst", 10.0, least=1.0), node.times("stay-away", (200.0, 20_000.0)),
-        node.time("loop-lag", 100.0, least=1), node.whole("sockets", 10_000, least=1),
-        node.size("memory", 4 * 2**30))
+        node.whole("load-tokens", least=1),
+        node.whole("load-inputs", least=1),
+        node.whole("line-tokens", least=1),
+        node.whole("line-calls", least=1),
+        node.whole("open-calls", least=1),
+        node.number("repeat-ratio", 0.1, most=1.0),
+        node.number("repeat-burst", 10.0, least=1.0),
+        node.times("stay-away", (200.0, 20_000.0)),
+        node.time("loop-lag", 100.0, least=1),
+        node.whole("sockets", 10_000, least=1),
+        node.size("memory", 4 * 2**30),
+    )
     if found.line_tokens < found.load_tokens:
         node.complain("line-tokens is less than load-tokens; no full load could ever wait")
     node.end()
@@ -241,14 +272,18 @@
     admission = read_admission(root, bool(one_stage))
     regions, fleet = shared.regions(root, zones), read_fleet(root, zones)
     log = root.maybe("log") or Section("log", root.line, complaints=root.complaints)
-    log_format, level = log.choice("format", ["json", "console"], "json"), log.choice(
-        "level", ["debug", "info", "warning", "error"], "info")
+    log_format, level = (
+        log.choice("format", ["json", "console"], "json"),
+        log.choice("level", ["debug", "info", "warning", "error"], "info"),
+    )
     log.end()
     root.end()
     for one in one_stage:
         if not any(kind.call == one.call for kind in kinds):
-            root.complain(f'offering "{one.name}": no kind of engine carries {one.call}; add one with '
-                          f'call="{one.call}" role="both"')
+            root.complain(
+                f'offering "{one.name}": no kind of engine carries {one.call}; add one with '
+                f'call="{one.call}" role="both"'
+            )
     chat = [one for one in offered if one.call == "chat"]
     if chat and not any(kind.call == "chat" for kind in kinds):
         root.complain("no kind of engine carries chat; add one")
@@ -256,18 +291,51 @@
         root.complain("limits: hold is on, yet no kind of engine writes only; set hold false")
     if root.complaints:
         raise SettingsError(root.complaints)
-    place = {"me": number, "fronts": fronts, "zone": zones.index(zone), "tick": turn,
-             "connect_time_out": transport.connect_time_out}
-    module = shared.module_settings(chat or offered, kinds, figures, allowed, priced, **place,
-                                    ask_for_list=source.ask)
+    place = {
+        "me": number,
+        "fronts": fronts,
+        "zone": zones.index(zone),
+        "tick": turn,
+        "connect_time_out": transport.connect_time_out,
+    }
+    module = shared.module_settings(
+        chat or offered, kinds, figures, allowed, priced, **place, ask_for_list=source.ask
+    )
     lanes = []
     for call in dict.fromkeys(one.call for one in one_stage):
         own = [one for one in one_stage if one.call == call]
-        lanes.append(Lane(call, own, shared.module_settings(
-            own, kinds, figures, {**allowed, "may_hold": False}, priced, **place, ask_for_list=False)))
-    return FrontSettings(name, listen, watch, turn, None if seed < 0 else seed, policy, zones, chat, kinds,
-                         transport, source, tokenizers, counting, memory, log_format, level, module, lanes,
-                         admission, regions, fleet)
+        lanes.append(
+            Lane(
+                call,
+                own,
+                shared.module_settings(
+                    own, kinds, figures, {**allowed, "may_hold": False}, priced, **place, ask_for_list=False
+                ),
+            )
+        )
+    return FrontSettings(
+        name,
+        listen,
+        watch,
+        turn,
+        None if seed < 0 else seed,
+        policy,
+        zones,
+        chat,
+        kinds,
+        transport,
+        source,
+        tokenizers,
+        counting,
+        memory,
+        log_format,
+        level,
+        module,
+        lanes,
+        admission,
+        regions,
+        fleet,
+    )
 
 
 def load_front(path: str | Path) -> FrontSettings:
--- a/worksmux/settings/shared.py
+++ b/worksmux/settings/shared.py
@@ -1,5 +1,6 @@
 """Sections that the front's settings and a trial's file have in common: offerings, kinds, rules, limits,
 prices."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -16,21 +17,22 @@
 @dataclass(frozen=True)
 class Offering:
     """One offering; times in milliseconds, tokens as whole numbers."""
+
     name: str
     promised_time: float
-    promised_per_k: float            # added for each 1,000 tokens of the prompt
+    promised_per_k: float  # added for each 1,000 tokens of the prompt
     outer_limit: float
-    token_time: float                # the mean time wanted between tokens
-    most_answer: int                 # tokens, where the client names no figure
+    token_time: float  # the mean time wanted between tokens
+    most_answer: int  # tokens, where the client names no figure
     credit: float
     late_credit: float
     effect: str
     group: str
     remembered: float
-    tokenizer: str = ""              # its name; none: lengths are guessed from bytes
-    most_prompt: int = 10**9         # tokens
-    call: str = "chat"               # what clients ask it by
-    share: float = 1.0               # of the engines, among offerings of its call that wait
+    tokenizer: str = ""  # its name; none: lengths are guessed from bytes
+    most_prompt: int = 10**9  # tokens
+    call: str = "chat"  # what clients ask it by
+    share: float = 1.0  # of the engines, among offerings of its call that wait
 
 
 def offerings(section: Section) -> list[Offering]:
@@ -40,7 +42,7 @@
         effect = node.choice("effect", EFFECTS)
         labelled = effect == "labelled"
         call = node.choice("call", CALLS, "chat")
-        chat = call == "chat"                        # only an answer of tokens has a pace and a length
+        chat = call == "chat"  # only an answer of tokens has a pace and a length
         one = Offering(
             node.title(),
             node.time("promised-time", least=1),
@@ -53,13 +55,18 @@
             effect,
             node.choice("group", GROUPS, None if labelled else "all"),
             node.time("remembered", None if labelled else 0.0),
-            node.value("tokenizer", str, "", ""), node.whole("most-prompt", 10**9, least=1),
-            call, node.number("share", 1.0, least=0.001))
+            node.value("tokenizer", str, "", ""),
+            node.whole("most-prompt", 10**9, least=1),
+            call,
+            node.number("share", 1.0, least=0.001),
+        )
         if not chat and effect != "redoable":
             node.complain(f'offering "{one.name}": {call} has no effect; set effect "redoable"')
         if one.outer_limit < one.promised_time:
-            node.complain(f'offering "{one.name}": outer-limit is shorter than promised-time; '
-                          "a client does not leave before its answer is due")
+            node.complain(
+                f'offering "{one.name}": outer-limit is shorter than promised-time; '
+                "a client does not leave before its answer is due"
+            )
         if any(other.name == one.name for other in found):
             node.complain(f'offering "{one.name}" is given twice; rename one')
         node.end()
@@ -72,17 +79,22 @@
 @dataclass(frozen=True)
 class Kind:
     """A kind of engine; memory in tokens."""
+
     name: str
     role: str
     memory: float
-    call: str = "chat"               # what its engines carry
+    call: str = "chat"  # what its engines carry
 
 
 def kinds(section: Section) -> list[Kind]:
     found = []
     for node in section.all("kind"):
-        one = Kind(node.title(), node.choice("role", ROLES), node.number("memory", least=1),
-                   node.choice("call", CALLS, "chat"))
+        one = Kind(
+            node.title(),
+            node.choice("role", ROLES),
+            node.number("memory", least=1),
+            node.choice("call", CALLS, "chat"),
+        )
         if one.call != "chat" and one.role != "both":
             node.complain(f'kind "{one.name}": {one.call} is one stage; set role "both"')
         node.end()
@@ -118,10 +130,13 @@
     """The figures of the five rules, named as the module names them."""
     node = section.only("rules")
     found = {
-        "answer_slack": node.time("answer-slack"), "drain_grace": node.time("drain-grace"),
+        "answer_slack": node.time("answer-slack"),
+        "drain_grace": node.time("drain-grace"),
         "release_within": node.time("release-within", least=1),
-        "cold_share": node.number("cold-share", most=1.0), "warm_up": node.time("warm-up"),
-        "fall_multiple": node.number("fall-multiple"), "fall_time": node.time("fall-time"),
+        "cold_share": node.number("cold-share", most=1.0),
+        "warm_up": node.time("warm-up"),
+        "fall_multiple": node.number("fall-multiple"),
+        "fall_time": node.time("fall-time"),
     }
     node.end()
     return found
@@ -132,9 +147,12 @@
     node = section.only("limits")
     found = {
         "most_trips": node.whole("trips", least=2, most=100),
-        "may_cancel": node.flag("cancel", True), "may_probe": node.flag("probe", True),
-        "may_hold": node.flag("hold", False), "writers_read": node.flag("writers-read", False),
-        "second_copies": node.flag("second-copies", False), "stay_away": node.time("stay-away", 0.0),
+        "may_cancel": node.flag("cancel", True),
+        "may_probe": node.flag("probe", True),
+        "may_hold": node.flag("hold", False),
+        "writers_read": node.flag("writers-read", False),
+        "second_copies": node.flag("second-copies", False),
+        "stay_away": node.time("stay-away", 0.0),
     }
     node.end()
     return found
@@ -150,8 +168,14 @@
     return found
 
 
-def module_settings(offered: list[Offering], kinds_of: list[Kind], figures: dict[str, float],
-                    allowed: dict[str, Any], priced: dict[str, float], **place: Any) -> dict[str, Any]:
+def module_settings(
+    offered: list[Offering],
+    kinds_of: list[Kind],
+    figures: dict[str, float],
+    allowed: dict[str, Any],
+    priced: dict[str, float],
+    **place: Any,
+) -> dict[str, Any]:
     """The plain map for the module, with the names that `told.py` uses."""
     return {
         "offerings": [
--- a/worksmux/settings/units.py
+++ b/worksmux/settings/units.py
@@ -1,4 +1,5 @@
 """Figures with units, as they stand in settings: times, sizes, addresses."""
+
 from __future__ import annotations
 
 import re
--- a/worksmux/standins/clients.py
+++ b/worksmux/standins/clients.py
@@ -5,6 +5,7 @@
 answered. A job's credit follows its first try's intended time: promised time to the first token, then the
 pace of the rest.
 """
+
 from __future__ import annotations
 
 import random
@@ -26,12 +27,15 @@
 
 
 QUERY = "what went wrong in the lab"
-TEXTS = [SAMPLES[name] for name in ("finnish", "swedish", "english", "arabic", "russian", "chinese", "hindi",
-                                    "code", "lab log")]
+TEXTS = [
+    SAMPLES[name]
+    for name in ("finnish", "swedish", "english", "arabic", "russian", "chinese", "hindi", "code", "lab log")
+]
 
 
 class OfferingSpec(msgspec.Struct):
     """One offering's traffic; spans are (lowest, highest), times in milliseconds."""
+
     name: str
     share: float
     promised_time: float
@@ -50,7 +54,7 @@
     beginning_tokens: tuple[float, float]
     beginning_share: float
     call: str = "chat"
-    inputs: tuple[float, float] = (1.0, 1.0)     # of one call of embeddings or rerank
+    inputs: tuple[float, float] = (1.0, 1.0)  # of one call of embeddings or rerank
     callers: int = 1
 
 
@@ -63,6 +67,7 @@
 
 class Burst(msgspec.Struct):
     """A change of the traffic for a while."""
+
     name: str
     at: float
     length: float
@@ -75,17 +80,17 @@
 class ClientsSpec(msgspec.Struct):
     journal: str
     seed: int
-    start: float                     # on the machine's clock
+    start: float  # on the machine's clock
     length: float
-    rate: float                      # jobs a second
+    rate: float  # jobs a second
     offerings: list[OfferingSpec]
     fronts: list[FrontSpec]
     bursts: list[Burst]
     retries: tuple[float, float]
-    wait: tuple[float, float]        # before a retry
-    patience: tuple[float, float]    # part of the outer limit
+    wait: tuple[float, float]  # before a retry
+    patience: tuple[float, float]  # part of the outer limit
     stream_share: float
-    notice: float                    # how long a dead front is still sent to
+    notice: float  # how long a dead front is still sent to
 
 
 @dataclass(eq=False)
@@ -101,17 +106,18 @@
 @dataclass(eq=False)
 class ClientJob:
     """One question with all its tries."""
+
     id: str
     session: Session
     intended: float
     prompt: float
     answer: int
-    left: int                        # tries that remain
+    left: int  # tries that remain
     patience: float
     stream: bool
     front: int
-    leaves: bool = False             # goes before the time that it names
-    inputs: list[str] = field(default_factory=list)      # of a call of one stage
+    leaves: bool = False  # goes before the time that it names
+    inputs: list[str] = field(default_factory=list)  # of a call of one stage
     body: bytes = b""
     tries: int = 0
     ended: str = ""
@@ -128,8 +134,8 @@
         self.body = bytearray()
         self.first = self.last = 0.0
         self.tokens = self.expect = 0
-        self.prompt = 0              # its length as the engine counted it
-        self.stay_away = 0.0         # what it was told, milliseconds
+        self.prompt = 0  # its length as the engine counted it
+        self.stay_away = 0.0  # what it was told, milliseconds
         self.code = self.finish = ""
         self.over = False
         self.call: client.Call | None = None
@@ -197,8 +203,11 @@
         self.owner.journal.note("first token", try_id=self.name, at=now)
         if one.call == "embeddings":
             found, _ = embeddings.vectors(body, len(inputs))
-            wrong = [at for at, text in enumerate(inputs)
-                     if found.get(at) != embeddings.pack(vector(one.name, text))]
+            wrong = [
+                at
+                for at, text in enumerate(inputs)
+                if found.get(at) != embeddings.pack(vector(one.name, text))
+            ]
         else:
             scores, _ = rerank.scores(body, len(inputs))
             wrong = [at for at, text in enumerate(inputs) if scores.get(at) != score(QUERY, text)]
@@ -223,8 +232,14 @@
             return
         self.over = True
         how = {"broken_off": "broken off", "reset": "reset", "cut": "cut"}.get(how, how)
-        self.owner.journal.note("answer", try_id=self.name, how=how, tokens=self.tokens, status=self.status,
-                                named=self.headers.get(ANSWER, ""))
+        self.owner.journal.note(
+            "answer",
+            try_id=self.name,
+            how=how,
+            tokens=self.tokens,
+            status=self.status,
+            named=self.headers.get(ANSWER, ""),
+        )
         self.owner.ended(self, how)
 
 
@@ -233,14 +248,20 @@
         self.spec, self.reactor = spec, reactor
         self.chance = random.Random(spec.seed)
         self.journal = Journal(spec.journal, "clients")
-        self.pools = [client.Pool(reactor, front.host, front.port, 500.0, 2_000.0, 64, 65_536)
-                      for front in spec.fronts]
+        self.pools = [
+            client.Pool(reactor, front.host, front.port, 500.0, 2_000.0, 64, 65_536) for front in spec.fronts
+        ]
         self.dead: dict[int, float] = {}
         self.turn = self.count = self.open = 0
         self.next = spec.start
-        self.floods: dict[str, float] = {}           # by offering: its flood's next arrival
-        self.shared = {one.name: [(f"{one.name}-{at}", self._text(f"{one.name} {at}", one.beginning_tokens))
-                                  for at in range(one.beginnings)] for one in spec.offerings}
+        self.floods: dict[str, float] = {}  # by offering: its flood's next arrival
+        self.shared = {
+            one.name: [
+                (f"{one.name}-{at}", self._text(f"{one.name} {at}", one.beginning_tokens))
+                for at in range(one.beginnings)
+            ]
+            for one in spec.offerings
+        }
         self.waiting = 0
         self.over = False
 
@@ -252,7 +273,7 @@
         length = int(self._between(span) * chat.BYTES_A_TOKEN)
         sample = TEXTS[self.chance.randrange(len(TEXTS))]
         words = f"{name} " + sample * (1 + length // len(sample))
-        return words.encode()[:max(8, length)].decode("utf-8", "ignore")
+        return words.encode()[: max(8, length)].decode("utf-8", "ignore")
 
     def start(self) -> None:
         self.reactor.callLater(max(0.0, self.spec.start - clock.now()) / 1000, self._arrive)
@@ -273,7 +294,8 @@
             self._begin(self.next)
             burst = self._burst("burst")
             turns = sum(one.share * sum(one.turns) / 2 for one in self.spec.offerings) / sum(
-                one.share for one in self.spec.offerings)
+                one.share for one in self.spec.offerings
+            )
             rate = self.spec.rate * (burst.factor if burst else 1.0) / turns
             self.next += self.chance.expovariate(rate) * 1000
         if self.next < end:
@@ -338,9 +360,18 @@
         hasty, leaves = self._burst("give_up"), False
         if hasty and self.chance.random() < hasty.share:
             patience, leaves = one.promised_time * hasty.factor, hasty.how == "leave"
-        job = ClientJob(f"j{self.spec.seed}-{self.count}", session, intended, prompt, answer,
-                        int(self._between(self.spec.retries) + 1), patience,
-                        self.chance.random() < self.spec.stream_share, self._next_front(), leaves)
+        job = ClientJob(
+            f"j{self.spec.seed}-{self.count}",
+            session,
+            intended,
+            prompt,
+            answer,
+            int(self._between(self.spec.retries) + 1),
+            patience,
+            self.chance.random() < self.spec.stream_share,
+            self._next_front(),
+            leaves,
+        )
         job.body = msgspec.json.encode(
             {
                 "model": one.name,
@@ -360,15 +391,29 @@
         """A call of one stage, of many inputs."""
         one = session.offering
         self.count += 1
-        inputs = [self._text(f"{self.count} {at}", one.new_tokens)
-                  for at in range(max(1, round(self._between(one.inputs))))]
+        inputs = [
+            self._text(f"{self.count} {at}", one.new_tokens)
+            for at in range(max(1, round(self._between(one.inputs))))
+        ]
         patience = one.outer_limit * self._between(self.spec.patience)
-        job = ClientJob(f"j{self.spec.seed}-{self.count}", session, intended, 0.0, 0,
-                        int(self._between(self.spec.retries) + 1), patience, True, self._next_front(),
-                        inputs=inputs)
+        job = ClientJob(
+            f"j{self.spec.seed}-{self.count}",
+            session,
+            intended,
+            0.0,
+            0,
+            int(self._between(self.spec.retries) + 1),
+            patience,
+            True,
+            self._next_front(),
+            inputs=inputs,
+        )
         user = f"u{self.chance.randrange(one.callers)}"
-        asked = ({"input": inputs, "encoding_format": "base64"} if one.call == "embeddings"
-                 else {"query": QUERY, "documents": inputs})
+        asked = (
+            {"input": inputs, "encoding_format": "base64"}
+            if one.call == "embeddings"
+            else {"query": QUERY, "documents": inputs}
+        )
         job.body = msgspec.json.encode({"model": one.name, "user": user, **asked})
         self.journal.note("job", job=job.id, offering=one.name, intended=intended, inputs=len(inputs))
         self.open += 1
@@ -394,8 +439,15 @@
         left = offering.outer_limit if job.leaves else stays
         # Who wants the answer whole sees no first token: it stays for the longest answer besides.
         whole = 0.0 if job.stream else 2 * offering.token_time * offering.most_answer
-        self.journal.note("try", try_id=one.name, job=job.id, offering=offering.name, left=left + whole,
-                          front=self.spec.fronts[job.front].name, effect=offering.effect)
+        self.journal.note(
+            "try",
+            try_id=one.name,
+            job=job.id,
+            offering=offering.name,
+            left=left + whole,
+            front=self.spec.fronts[job.front].name,
+            effect=offering.effect,
+        )
         headers = [
             ("Content-Type", "application/json"),
             (chat.REQUEST_ID, one.name),
@@ -405,8 +457,10 @@
             (chat.REPEAT, str(job.tries - 1)),
         ]
         if job.session.prefix:
-            headers += [(chat.PREFIX, job.session.prefix),
-                        (chat.PREFIX_TOKENS, str(len(job.session.beginning) / chat.BYTES_A_TOKEN))]
+            headers += [
+                (chat.PREFIX, job.session.prefix),
+                (chat.PREFIX_TOKENS, str(len(job.session.beginning) / chat.BYTES_A_TOKEN)),
+            ]
         path = {"embeddings": embeddings.PATH, "rerank": rerank.PATH}.get(offering.call, CHAT)
         one.call = self.pools[job.front].call("POST", path, one, headers, job.body)
         self.reactor.callLater((stays + whole) / 1000, one.give_up)
--- a/worksmux/standins/engine.py
+++ b/worksmux/standins/engine.py
@@ -3,6 +3,7 @@
 `python -m worksmux.standins.engine SPEC` takes a `Spec` in JSON, prints its port on standard output and
 serves until it is ended.  Its text is numbered words, so that who reads it can tell a gap or a repeat.
 """
+
 from __future__ import annotations
 
 import random
@@ -26,12 +27,13 @@
 from .vectors import Vectors
 
 BOUND = 16 * 2**20
-TICK = 5.0                           # milliseconds between two looks at the work
-ANSWER = "x-standin-answer-tokens"   # in the session's text: how long the true answer is
+TICK = 5.0  # milliseconds between two looks at the work
+ANSWER = "x-standin-answer-tokens"  # in the session's text: how long the true answer is
 
 
 class Job(msgspec.Struct):
     """What the stand-in reads of a job."""
+
     model: str
     messages: list[chat.Message]
     max_tokens: int
@@ -41,6 +43,7 @@
 
 class Pull(msgspec.Struct):
     """A writer asks a reader for a job's state."""
+
     job: str
     by: str
     zone: str
@@ -50,6 +53,7 @@
 
 class Fault(msgspec.Struct):
     """A fault that is put on or off; which fields count depends on its name."""
+
     name: str
     on: bool = True
     share: float = 1.0
@@ -80,8 +84,14 @@
 
     def start(self) -> int:
         self.port_object, self.port = listen(self.reactor, ("127.0.0.1", self.spec.port), self.server)
-        self.journal.note("start", role=self.spec.role, zone=self.spec.zone, cell=self.spec.cell,
-                          cold=self.spec.cold, port=self.port)
+        self.journal.note(
+            "start",
+            role=self.spec.role,
+            zone=self.spec.zone,
+            cell=self.spec.cell,
+            cold=self.spec.cold,
+            port=self.port,
+        )
         return self.port
 
     def _connected(self, channel: Any) -> None:
@@ -109,8 +119,9 @@
             elif path in (embeddings.PATH, rerank.PATH):
                 self.vectors.take(path, exchange)
             elif path == calls.PROBE:
-                exchange.answer(200, msgspec.json.encode(self._self()),
-                                headers=(calls.load_header(self._report()),))
+                exchange.answer(
+                    200, msgspec.json.encode(self._self()), headers=(calls.load_header(self._report()),)
+                )
             elif path == calls.PLACE:
                 self._place(msgspec.json.decode(exchange.body(), type=calls.Place), exchange)
             elif path == calls.RELEASE:
@@ -183,10 +194,15 @@
         exchange.answer(200, b"{}")
 
     def _facts(self, exchange: Exchange, job: Job | None = None) -> dict[str, Any]:
-        return {"job": exchange.header(calls.JOB) or "", "trip": exchange.header(chat.REQUEST_ID) or "",
-                "front": exchange.header(calls.FRONT) or "", "try": exchange.header(calls.TRY) or "",
-                "label": exchange.header(chat.LABEL) or "", "offering": job.model if job else "",
-                **({"plan": plan} if (plan := exchange.header(calls.PLAN)) else {})}
+        return {
+            "job": exchange.header(calls.JOB) or "",
+            "trip": exchange.header(chat.REQUEST_ID) or "",
+            "front": exchange.header(calls.FRONT) or "",
+            "try": exchange.header(calls.TRY) or "",
+            "label": exchange.header(chat.LABEL) or "",
+            "offering": job.model if job else "",
+            **({"plan": plan} if (plan := exchange.header(calls.PLAN)) else {}),
+        }
 
     def facts(self, exchange: Exchange, offering: str) -> dict[str, Any]:
         return {**self._facts(exchange), "offering": offering}
@@ -228,7 +244,7 @@
             length += len(text.encode()) / chat.BYTES_A_TOKEN
             keys.append(chain.intdigest())
             parts.append(length)
-        if self.tokenizer is not None:               # counted whole, as the reference for the front's count
+        if self.tokenizer is not None:  # counted whole, as the reference for the front's count
             whole = render([(message.role, chat.text_of(message.content)) for message in job.messages])
             scale = prompt
             prompt = float(len(tokens(self.tokenizer, whole)) // 4)
@@ -238,10 +254,22 @@
                 self.journal.note("counted", job=facts["job"], by_front=int(told), own=int(prompt))
         wanted = texts[-1].rpartition(ANSWER + "=")[2].split(" ", 1)[0]
         answer = min(job.max_tokens, int(wanted)) if wanted.isdigit() else job.max_tokens
-        state = job.kv_transfer_params if job.kv_transfer_params and not job.kv_transfer_params.get(
-            "do_remote_decode") else None
-        return Work(facts["job"], job.model, prompt, job.max_tokens if self.spec.role != "read" else 1, keys,
-                    max(1, answer), state, door=exchange, facts={**facts, "parts": parts})
+        state = (
+            job.kv_transfer_params
+            if job.kv_transfer_params and not job.kv_transfer_params.get("do_remote_decode")
+            else None
+        )
+        return Work(
+            facts["job"],
+            job.model,
+            prompt,
+            job.max_tokens if self.spec.role != "read" else 1,
+            keys,
+            max(1, answer),
+            state,
+            door=exchange,
+            facts={**facts, "parts": parts},
+        )
 
     def _end(self, work: Work, how: str) -> None:
         facts = {key: value for key, value in work.facts.items() if key != "parts"}
@@ -252,8 +280,11 @@
 
     def _refuse(self, exchange: Exchange, facts: dict[str, Any], code: str) -> None:
         self.journal.note("end", how=code, **facts)
-        exchange.answer(429, errors.error(f"turned away: {code}", "rate_limit_error", code=code),
-                        headers=(calls.load_header(self._report()),))
+        exchange.answer(
+            429,
+            errors.error(f"turned away: {code}", "rate_limit_error", code=code),
+            headers=(calls.load_header(self._report()),),
+        )
 
     def _gone(self, exchange: Exchange) -> None:
         """The front closed the connection: what waits is dropped, what runs stops."""
@@ -292,8 +323,9 @@
                 self._fetch(work)
         else:
             model.at = now
-        self.ticking = bool(model.line or model.reading or model.answering or model.fetching or model.states
-                            or model.places)
+        self.ticking = bool(
+            model.line or model.reading or model.answering or model.fetching or model.states or model.places
+        )
         if self.ticking:
             self.reactor.callLater(TICK / 1000, self._tick)
 
@@ -324,7 +356,8 @@
         self.journal.note("held", job=work.job, tokens=work.prompt, front=work.facts["front"])
         reply = chat.ReadReply(
             chat.KvParams(self.spec.id, "127.0.0.1", self.port, [], work.job),
-            chat.Usage(int(work.prompt), 1, int(work.prompt) + 1, {"cached_tokens": int(work.cached)}))
+            chat.Usage(int(work.prompt), 1, int(work.prompt) + 1, {"cached_tokens": int(work.cached)}),
+        )
         self._end(work, "read")
         exchange.answer(200, msgspec.json.encode(reply), headers=(calls.load_header(self._report()),))
         for waiting, pull in self.pulls.pop(work.job, []):
@@ -348,10 +381,14 @@
             work.sent += 1
         exchange.more(event(chat.chunk(work.job, work.offering, "".join(words))))
         if work.sent >= work.answer:
-            usage = chat.Usage(int(work.prompt), work.sent, int(work.prompt) + work.sent,
-                               {"cached_tokens": int(work.cached)})
-            exchange.more(event(chat.chunk(work.job, work.offering, finish="stop"))
-                          + event(chat.chunk(work.job, work.offering, usage=usage)) + DONE)
+            usage = chat.Usage(
+                int(work.prompt), work.sent, int(work.prompt) + work.sent, {"cached_tokens": int(work.cached)}
+            )
+            exchange.more(
+                event(chat.chunk(work.job, work.offering, finish="stop"))
+                + event(chat.chunk(work.job, work.offering, usage=usage))
+                + DONE
+            )
             self._end(work, "done")
             exchange.end()
 
@@ -398,8 +435,11 @@
         state = self.model.states[pull.job]
         state.asked = True
         near = pull.cell == self.spec.cell
-        rate = self.spec.near if near else self.spec.far / (
-            1.0 if pull.zone == self.spec.zone else self.spec.zone_slower)
+        rate = (
+            self.spec.near
+            if near
+            else self.spec.far / (1.0 if pull.zone == self.spec.zone else self.spec.zone_slower)
+        )
         slow = self.faults.get("slow_links")
         if slow and not near:
             rate /= slow.factor
@@ -418,9 +458,12 @@
 
     def _place(self, wanted: calls.Place, exchange: Exchange) -> None:
         self.journal.note("place asked", job=wanted.job, front=exchange.header(calls.FRONT) or "")
-        known = any(work.job == wanted.job for work in self.works.values())     # it came after its job's trip
-        held = not known and "drain" not in self.faults and self.model.place(
-            wanted.job, wanted.tokens * 1.2, clock.now())
+        known = any(work.job == wanted.job for work in self.works.values())  # it came after its job's trip
+        held = (
+            not known
+            and "drain" not in self.faults
+            and self.model.place(wanted.job, wanted.tokens * 1.2, clock.now())
+        )
         if held:
             self.journal.note("placed", job=wanted.job, front=exchange.header(calls.FRONT) or "")
             self._tick_on()
--- a/worksmux/standins/journal.py
+++ b/worksmux/standins/journal.py
@@ -1,4 +1,5 @@
 """Journals of the stand-ins: JSON lines, each written whole at once, so that a killed process loses none."""
+
 from __future__ import annotations
 
 import os
