--- a/worksmux/standins/model.py
+++ b/worksmux/standins/model.py
@@ -6,6 +6,7 @@
 grows faster until it is warm; sent more than `fall_multiple` times what it can do for `fall_time`, it falls
 over and stays down.
 """
+
 from __future__ import annotations
 
 from collections import OrderedDict, deque
@@ -17,6 +18,7 @@
 
 class Spec(msgspec.Struct):
     """What an engine is; times in milliseconds, lengths in tokens, speeds in tokens a second."""
+
     id: str
     kind: str
     role: str
@@ -28,66 +30,68 @@
     read_speed: float = 0.0
     step: float = 20.0
     per_stream: float = 0.3
-    near: float = 250_000.0          # state moved inside the cell, tokens a second
-    far: float = 100_000.0           # its part of the cell's link
+    near: float = 250_000.0  # state moved inside the cell, tokens a second
+    far: float = 100_000.0  # its part of the cell's link
     zone_slower: float = 2.0
-    kept: int = 200                  # beginnings and sessions whose text is kept
+    kept: int = 200  # beginnings and sessions whose text is kept
     cold_from: float = 0.3
     warm_up: float = 14_000.0
     fall_multiple: float = 3.0
     fall_time: float = 3_000.0
-    capacity: float = 1e9            # jobs a second when warm
-    lease: float = 8_000.0           # state that nobody asks for is freed
+    capacity: float = 1e9  # jobs a second when warm
+    lease: float = 8_000.0  # state that nobody asks for is freed
     cold: bool = False
     journal: str = ""
     port: int = 0
     seed: int = 1
-    tokenizer: str = ""              # a file; none: lengths are guessed from bytes
+    tokenizer: str = ""  # a file; none: lengths are guessed from bytes
 
 
 @dataclass(eq=False)
 class Work:
     """One trip at this engine."""
+
     job: str
     offering: str
     prompt: float
     most: int
-    keys: list[int]                  # of the text it begins with
-    answer: int = 1                  # tokens that it will make
-    state: Any = None                # the handle of its read state, from elsewhere
-    ready: bool = False              # its prompt is read or its state is here
-    left: float = 0.0                # tokens still to read
+    keys: list[int]  # of the text it begins with
+    answer: int = 1  # tokens that it will make
+    state: Any = None  # the handle of its read state, from elsewhere
+    ready: bool = False  # its prompt is read or its state is here
+    left: float = 0.0  # tokens still to read
     made: float = 0.0
     sent: int = 0
     cached: float = 0.0
     memory: float = 0.0
     since: float = 0.0
-    door: Any = None                 # the connection, for the shell
+    door: Any = None  # the connection, for the shell
     facts: dict[str, Any] = field(default_factory=dict)
 
 
 @dataclass
 class State:
     """A read prompt that waits for a writer, or a place held for one."""
+
     tokens: float
     since: float
-    asked: bool = False              # of a state: a writer is pulling it; of a place: the state has come
-    pulling: bool = False            # of a place: the state is on its way
+    asked: bool = False  # of a state: a writer is pulling it; of a place: the state has come
+    pulling: bool = False  # of a place: the state is on its way
 
 
 class EngineModel:
     def __init__(self, spec: Spec, now: float) -> None:
         self.spec, self.started, self.at = spec, now if spec.cold else -1e12, now
-        self.line: deque[Work] = deque()             # waits for a slot and memory
-        self.fetching: dict[Work, None] = {}         # has a slot, its state is on the way
-        self.reading: deque[Work] = deque()          # being read, first come first served
+        self.line: deque[Work] = deque()  # waits for a slot and memory
+        self.fetching: dict[Work, None] = {}  # has a slot, its state is on the way
+        self.reading: deque[Work] = deque()  # being read, first come first served
         self.answering: dict[Work, None] = {}
         self.states: dict[str, State] = {}
         self.places: dict[str, State] = {}
-        self.attached: dict[str, Work] = {}          # wait for the state that their place is pulling
+        self.attached: dict[str, Work] = {}  # wait for the state that their place is pulling
         self.texts: OrderedDict[int, float] = OrderedDict()
         self.used = 0.0
-        self.slow = self.taken = 0.0                 # times slower, part taken by a neighbour
+        self.slow = self.taken = 0.0  # times slower, part taken by a neighbour
         self.pressure: deque[tuple[float, float]] = deque()
         self.fallen = False
 
@@ -108,7 +112,7 @@
         while self.pressure[0][0] < now - self.spec.fall_time:
             self.pressure.popleft()
         room = self.spec.fall_multiple * warm * self.spec.capacity * self.spec.fall_time / 1000
-        self.fallen = sum(part for _, part in self.pressure) > room + 3 * room ** 0.5
+        self.fallen = sum(part for _, part in self.pressure) > room + 3 * room**0.5
         return self.fallen
 
     @property
@@ -137,7 +141,7 @@
             place = self.places.pop(work.job, None)
             work.memory = place.tokens if place else work.prompt + work.most
             self.used += 0.0 if place else work.memory
-            if place and place.asked:                # its state was pulled ahead
+            if place and place.asked:  # its state was pulled ahead
                 work.ready = True
                 self.answering[work] = None
             elif place and place.pulling and work.state is not None:
@@ -176,7 +180,7 @@
         speed = self.speed(now)
         tokens = self.spec.read_speed * speed * passed / 1000
         if self.answering and self.spec.role == "both":
-            tokens /= 2                              # reads stand between the steps of answers
+            tokens /= 2  # reads stand between the steps of answers
         done = []
         while self.reading and tokens > 0:
             work = self.reading[0]
@@ -216,8 +220,13 @@
 
     def place(self, job: str, tokens: float, now: float) -> bool:
         """Holds a slot and memory, if they are free at once and nothing waits."""
-        if (self.line or self.spec.role == "read" or self.taken_slots >= self.spec.slots
-                or self.used + tokens > self.spec.memory or job in self.places):
+        if (
+            self.line
+            or self.spec.role == "read"
+            or self.taken_slots >= self.spec.slots
+            or self.used + tokens > self.spec.memory
+            or job in self.places
+        ):
             return False
         self.used += tokens
         self.places[job] = State(tokens, now)
@@ -231,7 +240,10 @@
 
     def report(self) -> dict[str, float]:
         waiting = [*self.line, *self.reading, *self.fetching]
-        return {"latency_ms": max([0.0, *(self.at - work.since for work in list(self.line)[:1])]),
-                "inflight": float(self.taken_slots + len(self.line) + len(self.states)),
-                "queue": float(len(self.line)), "x0": self.used / self.spec.memory,
-                "x1": sum(work.left or work.prompt for work in waiting) / 1000}
+        return {
+            "latency_ms": max([0.0, *(self.at - work.since for work in list(self.line)[:1])]),
+            "inflight": float(self.taken_slots + len(self.line) + len(self.states)),
+            "queue": float(len(self.line)),
+            "x0": self.used / self.spec.memory,
+            "x1": sum(work.left or work.prompt for work in waiting) / 1000,
+        }
--- a/worksmux/standins/registry.py
+++ b/worksmux/standins/registry.py
@@ -1,5 +1,6 @@
 """A registry stand-in: pushes lists and changes as JSON lines, late by what it is told, and journals what it
 said."""
+
 from __future__ import annotations
 
 import random
@@ -75,17 +76,17 @@
         self.reactor, self.journal, self.late, self.ask = reactor, journal, late, ask
         self.chance = random.Random(seed)
         self.extra = 0.0
-        self.skip = 0                                # changes that get lost, each front alike
-        self.engines: dict[str, Line] = {}           # as they are
-        self.listed: dict[str, Line] = {}            # as the registry knows them by now
+        self.skip = 0  # changes that get lost, each front alike
+        self.engines: dict[str, Line] = {}  # as they are
+        self.listed: dict[str, Line] = {}  # as the registry knows them by now
         self.serial = 0
         self.fronts: dict[Subscriber, None] = {}
         self.port_object: Any = None
         self.port = 0
         self.failing = False
-        self.mute = False                            # takes connections and says nothing
-        self.half = False                            # breaks off in the middle of each list
-        self.way: Callable[[str, Line], Line] | None = None      # how a front is told to reach an engine
+        self.mute = False  # takes connections and says nothing
+        self.half = False  # breaks off in the middle of each list
+        self.way: Callable[[str, Line], Line] | None = None  # how a front is told to reach an engine
 
     def start(self) -> int:
         self.port_object, self.port = listen(self.reactor, ("127.0.0.1", self.port), self)
--- a/worksmux/standins/vectors.py
+++ b/worksmux/standins/vectors.py
@@ -4,6 +4,7 @@
 Faults of its own: `few` leaves the last result out, `many` gives one twice, `shuffle` gives scores in another
 order, `bad` refuses every call that holds an input with the word BAD.
 """
+
 from __future__ import annotations
 
 import base64
@@ -19,7 +20,7 @@
 from ..net import clock
 from ..net.server import Exchange
 
-MOST_WAIT = 1000.0                   # milliseconds of work that may wait: more is answered full
+MOST_WAIT = 1000.0  # milliseconds of work that may wait: more is answered full
 
 
 def vector(model: str, one: object, dimensions: int | None = None) -> list[float]:
@@ -38,7 +39,7 @@
     def __init__(self, process: Any, end: Callable[..., None]) -> None:
         self.process, self.end = process, end
         self.free_at = 0.0
-        self.tokens = 0.0                            # made so far
+        self.tokens = 0.0  # made so far
 
     def take(self, path: str, exchange: Exchange) -> None:
         body, process = exchange.body(), self.process
--- a/worksmux/store/database.py
+++ b/worksmux/store/database.py
@@ -5,6 +5,7 @@
 file, one of a newer version, or one that cannot be written is left as it is, and the front goes on without
 memory.
 """
+
 from __future__ import annotations
 
 import os
@@ -16,14 +17,14 @@
 
 from .records import WORD, Manifest, Table, check, checksum, seal
 
-OURS = 0x574D5558                    # "WMUX", the database's application id
+OURS = 0x574D5558  # "WMUX", the database's application id
 VERSION = 1
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS record (tab TEXT NOT NULL, key TEXT NOT NULL, value BLOB NOT NULL,
     sum INTEGER NOT NULL, PRIMARY KEY (tab, key)) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS manifest (tab TEXT PRIMARY KEY, value BLOB NOT NULL) WITHOUT ROWID;
 """
-Changes = dict[str, dict[str, bytes | None]]                 # table, key, value; None deletes
+Changes = dict[str, dict[str, bytes | None]]  # table, key, value; None deletes
 
 
 class Unusable(Exception):
@@ -33,8 +34,9 @@
 class Store:
     """Opened by `open_store`.  Not for use by several threads at once."""
 
-    def __init__(self, path: Path, database: sqlite3.Connection, notes: list[str],
-                 read_only: bool = False) -> None:
+    def __init__(
+        self, path: Path, database: sqlite3.Connection, notes: list[str], read_only: bool = False
+    ) -> None:
         self.path, self.database, self.notes, self.read_only = path, database, notes, read_only
 
     def read(self, table: str) -> Table:
@@ -46,8 +48,11 @@
             row = self.database.execute("SELECT value FROM manifest WHERE tab = ?", (table,)).fetchone()
         except (sqlite3.DatabaseError, OverflowError, UnicodeError):
             return Table(bad=1)
-        rows = [(key, value, stored) for key, value, stored in rows
-                if isinstance(key, str) and isinstance(value, bytes) and isinstance(stored, int)]
+        rows = [
+            (key, value, stored)
+            for key, value, stored in rows
+            if isinstance(key, str) and isinstance(value, bytes) and isinstance(stored, int)
+        ]
         manifest = row[0] if row and isinstance(row[0], bytes) else None
         return check(table, rows, manifest)
 
@@ -141,8 +146,12 @@
         return found
     try:
         for table, key, value, stored in database.execute("SELECT tab, key, value, sum FROM record"):
-            if isinstance(value, bytes) and isinstance(table, str) and isinstance(key, str) \
-                    and checksum(table, key, value) & (WORD >> 1) == stored:
+            if (
+                isinstance(value, bytes)
+                and isinstance(table, str)
+                and isinstance(key, str)
+                and checksum(table, key, value) & (WORD >> 1) == stored
+            ):
                 found.setdefault(table, []).append((key, value))
     except (sqlite3.Error, OverflowError, UnicodeError):
         pass
@@ -154,8 +163,13 @@
 def _read_only(path: Path, error: sqlite3.OperationalError) -> Store:
     """A file that cannot be written may still be read: what it holds is served from, and kept no further."""
     try:
-        database = sqlite3.connect(f"file:{path}?mode=ro&immutable=1", uri=True, isolation_level=None,
-                                   check_same_thread=False, timeout=1.0)
+        database = sqlite3.connect(
+            f"file:{path}?mode=ro&immutable=1",
+            uri=True,
+            isolation_level=None,
+            check_same_thread=False,
+            timeout=1.0,
+        )
         mark = database.execute("PRAGMA application_id").fetchone()[0]
         version = database.execute("PRAGMA user_version").fetchone()[0]
     except sqlite3.Error:
--- a/worksmux/store/records.py
+++ b/worksmux/store/records.py
@@ -5,6 +5,7 @@
 record that fails is left out; a table whose manifest fails is told as broken, and whoever reads it decides
 what that is worth.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -17,6 +18,7 @@
 
 class Manifest(msgspec.Struct):
     """What a table must be; `saved_at` is milliseconds since 1970."""
+
     count: int
     total: int
     saved_at: float
@@ -25,10 +27,11 @@
 @dataclass
 class Table:
     """What was read of one table."""
+
     values: dict[str, bytes] = field(default_factory=dict)
     saved_at: float = 0.0
-    whole: bool = False              # the manifest is there and agrees
-    bad: int = 0                     # records left out
+    whole: bool = False  # the manifest is there and agrees
+    bad: int = 0  # records left out
 
 
 def checksum(table: str, key: str, value: bytes) -> int:
--- a/worksmux/store/writer.py
+++ b/worksmux/store/writer.py
@@ -1,5 +1,6 @@
 """Writes to the store on a thread of its own: changes are merged while they wait, and a job never waits for
 them."""
+
 from __future__ import annotations
 
 import sqlite3
@@ -16,8 +17,8 @@
 
     def __init__(self, store: Store, pause: float, on_error: Callable[[str], None]) -> None:
         self.store, self.pause, self.on_error = store, pause, on_error
-        self.pending: Changes = {}                   # bounded by the keys that there are
-        self.writing: Changes = {}                   # on its way to the disk
+        self.pending: Changes = {}  # bounded by the keys that there are
+        self.writing: Changes = {}  # on its way to the disk
         self.lock, self.due, self.ended = threading.Lock(), threading.Event(), threading.Event()
         self.failing = False
         self.writes = 0
--- a/worksmux/tokens/blocks.py
+++ b/worksmux/tokens/blocks.py
@@ -4,6 +4,7 @@
 The chain is the usual one of engines that keep text by blocks: a block's hash covers its ids and the hash
 before it, so that equal hashes mean equal beginnings.  Version and block size seed the chain.
 """
+
 from __future__ import annotations
 
 from array import array
@@ -24,7 +25,7 @@
     """
     step, found, last = block * WIDTH, [], seed & 0xFFFFFFFFFFFFFFFF
     for start in range(0, len(ids) - step + 1, step):
-        last = xxhash.xxh3_64_intdigest(ids[start:start + step], last)
+        last = xxhash.xxh3_64_intdigest(ids[start : start + step], last)
         found.append(last)
     return found
 
--- a/worksmux/tokens/cache.py
+++ b/worksmux/tokens/cache.py
@@ -4,6 +4,7 @@
 would push out (window, probation and protected parts, admission by a sketch of recent frequencies), so that a
 scan of prompts that come once leaves the shared beginnings where they are.
 """
+
 from __future__ import annotations
 
 import sys
@@ -12,8 +13,8 @@
 
 from .sketch import Sketch
 
-KEY, SLOT = 44, 160                  # bytes: a 128-bit key; two dictionary slots with links, measured once
-WINDOW, PROTECTED = 0.05, 0.8        # of the bound; of what is not the window
+KEY, SLOT = 44, 160  # bytes: a 128-bit key; two dictionary slots with links, measured once
+WINDOW, PROTECTED = 0.05, 0.8  # of the bound; of what is not the window
 
 
 def cost(ids: bytes) -> int:
@@ -101,7 +102,7 @@
             if key in part.entries:
                 part.entries.move_to_end(key)
                 return part.entries[key]
-        if key in self.probation.entries:            # used again: it is worth protecting
+        if key in self.probation.entries:  # used again: it is worth protecting
             ids = self.probation.take(key)
             self.protected.add(key, ids)
             while self.protected.used > PROTECTED * self.main_room:
@@ -112,8 +113,9 @@
 
     def put(self, key: int, ids: bytes) -> None:
         size = cost(ids)
-        if size > self.main_room or any(key in part.entries for part in (
-                self.window, self.probation, self.protected)):
+        if size > self.main_room or any(
+            key in part.entries for part in (self.window, self.probation, self.protected)
+        ):
             return
         self.window.add(key, ids)
         while self.window.used > self.window_room:
--- a/worksmux/tokens/desk.py
+++ b/worksmux/tokens/desk.py
@@ -8,6 +8,7 @@
 a bound.  The line is bounded in bytes: what does not fit goes on by its bound where that is within its limit,
 and is deferred where it is not.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -17,33 +18,34 @@
 
 from ..measure import Ring
 
-WAIT = 0.15              # of the promised time: a count is waited for that long
-PATIENCE = 20.0          # times the usual time for its bytes, before a worker counts as hung
-LEAST_PATIENCE = 0.5     # of the time limit given in the settings: no worker is suspected sooner
-RATE_MEMORY = 10_000.0   # milliseconds
-POISON = 2               # workers that one prompt may cost
+WAIT = 0.15  # of the promised time: a count is waited for that long
+PATIENCE = 20.0  # times the usual time for its bytes, before a worker counts as hung
+LEAST_PATIENCE = 0.5  # of the time limit given in the settings: no worker is suspected sooner
+RATE_MEMORY = 10_000.0  # milliseconds
+POISON = 2  # workers that one prompt may cost
 
 
 class Verdict(Enum):
-    COUNTED = "counted"              # the exact count is known
-    WAIT = "wait"                    # in the line; its job waits for it, for a time
-    BOUND = "bound"                  # go on with the bound
-    TOO_LONG = "too long"            # over the offering's limit: refused before any trip
-    DEFER = "defer"                  # may be too long and cannot be counted in time
+    COUNTED = "counted"  # the exact count is known
+    WAIT = "wait"  # in the line; its job waits for it, for a time
+    BOUND = "bound"  # go on with the bound
+    TOO_LONG = "too long"  # over the offering's limit: refused before any trip
+    DEFER = "defer"  # may be too long and cannot be counted in time
 
 
 @dataclass(eq=False, slots=True)
 class Ask:
     """A prompt to be counted; lengths in bytes and tokens, times in milliseconds."""
-    known: int                       # tokens of the pieces that are kept
-    missing: int                     # bytes of those that are not
-    limit: int                       # tokens that its offering allows
-    longest_token: int               # bytes
+
+    known: int  # tokens of the pieces that are kept
+    missing: int  # bytes of those that are not
+    limit: int  # tokens that its offering allows
+    longest_token: int  # bytes
     promised_time: float
     now: float
     version: int = 0
     wait_until: float = 0.0
-    waits: bool = False              # its job waits for the count
+    waits: bool = False  # its job waits for the count
     long: bool = False
     workers_lost: int = 0
     begun: float = 0.0
@@ -63,9 +65,10 @@
 @dataclass
 class Lane:
     """The line of one size of prompt."""
+
     workers: int
     waiting: list[tuple[float, int, Ask]] = field(default_factory=list)
-    bytes: int = 0                   # waiting and being counted
+    bytes: int = 0  # waiting and being counted
 
 
 class Desk:
@@ -77,7 +80,7 @@
     ) -> None:
         self.long, self.bound, self.time_limit = long, bound, time_limit
         self.lanes = {False: Lane(short_workers), True: Lane(long_workers)}
-        self.rate = Ring(RATE_MEMORY, 10)            # milliseconds for a byte
+        self.rate = Ring(RATE_MEMORY, 10)  # milliseconds for a byte
         self.order = count()
         self.deadlines: list[tuple[float, int, Ask]] = []
         self.refused = 0
@@ -97,7 +100,7 @@
         ask.wait_until = ask.now + WAIT * ask.promised_time
         safe = ask.most <= ask.limit
         if not safe and ask.now + wait > ask.now + ask.promised_time:
-            return self._without(ask)                # its count would come after its promised time
+            return self._without(ask)  # its count would come after its promised time
         if not safe:
             ask.wait_until = ask.now + ask.promised_time / 2
         ask.waits = not (safe and ask.now + wait > ask.wait_until)
--- a/worksmux/tokens/pieces.py
+++ b/worksmux/tokens/pieces.py
@@ -6,6 +6,7 @@
 stands between two characters that are no space: the byte-level splitting pattern ends a token there in the
 whole text and in the part alike.  Where a tokenizer does neither (`Cuts.NONE`), the prompt is one piece.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -14,21 +15,23 @@
 import xxhash
 
 START, END = "<|im_start|>", "<|im_end|>"
-Parts = list[tuple[str, str]]        # (role, text)
+Parts = list[tuple[str, str]]  # (role, text)
 
 
 class Cuts(Enum):
     """Where a tokenizer can be cut without a change of its tokens."""
+
     NONE = "none"
     MARKERS = "markers"
-    LINES = "lines"                  # at markers and at single line feeds
+    LINES = "lines"  # at markers and at single line feeds
 
 
 @dataclass(frozen=True, slots=True)
 class Piece:
     """A text to be tokenised by itself; `key` is its identity within one version of a tokenizer."""
+
     text: str
-    size: int                        # bytes of UTF-8
+    size: int  # bytes of UTF-8
     key: int
 
 
@@ -78,7 +81,7 @@
     parts, start, place = [], 0, longest - 1
     while (place := text.find("\n", place + 1)) >= 0:
         if place + 1 < len(text) and not text[place - 1].isspace() and not text[place + 1].isspace():
-            parts.append(text[start:place + 1])
+            parts.append(text[start : place + 1])
             start = place + 1
             place += longest - 1
     return [*parts, text[start:]]
--- a/worksmux/tokens/pool.py
+++ b/worksmux/tokens/pool.py
@@ -3,6 +3,7 @@
 A worker takes its first count once it has said that it has loaded what it was given: starting a process and
 loading a vocabulary take longer than a count, on a busy machine by seconds, and are no sign of a hang.
 """
+
 from __future__ import annotations
 
 import os
@@ -24,7 +25,7 @@
     0.05,
     5.0,
 )  # seconds before a dead worker is replaced; doubled while they die at once
-LOADING = 25.0           # times the patience with a count: a worker that has not loaded by then hangs
+LOADING = 25.0  # times the patience with a count: a worker that has not loaded by then hangs
 OnCounted = Callable[[Counted | None], None]
 
 
@@ -37,9 +38,9 @@
         self.timer: Any = None
         self.process: Any = None
         self.counted = 0
-        self.loading = 0                             # versions that it was given and has not yet loaded
-        self.started = False                         # it has loaded all that it was given first
-        self.patience = pool.patience                # milliseconds for what it does now
+        self.loading = 0  # versions that it was given and has not yet loaded
+        self.started = False  # it has loaded all that it was given first
+        self.patience = pool.patience  # milliseconds for what it does now
 
     def connectionMade(self) -> None:
         self.process = self.transport
@@ -73,7 +74,7 @@
             self._rest()
             self.pool.free(self)
         elif self.waiting:
-            self._await()                            # the count that waited behind it begins
+            self._await()  # the count that waited behind it begins
 
     def count(
         self, version: int, texts: list[str], most: int, patience: float, on_counted: OnCounted
@@ -128,8 +129,9 @@
     """`on_free` is called with a lane whenever one of its workers has nothing to do; `patience` is the
     settings' time limit of a count, milliseconds."""
 
-    def __init__(self, reactor: Reactor, short: int, long: int, patience: float,
-                 on_free: Callable[[bool], None]) -> None:
+    def __init__(
+        self, reactor: Reactor, short: int, long: int, patience: float, on_free: Callable[[bool], None]
+    ) -> None:
         self.reactor: Any = reactor
         self.on_free, self.patience = on_free, patience
         self.sizes = {False: short, True: long}
@@ -158,7 +160,7 @@
         """From now on these versions, and no others."""
         fresh = {one.version: one for one in vocabularies}
         for worker in self.workers:
-            if worker.process is None:               # not started yet: it will be given all
+            if worker.process is None:  # not started yet: it will be given all
                 continue
             for version in fresh.keys() - self.vocabularies.keys():
                 worker.load(fresh[version])
--- a/worksmux/tokens/samples.py
+++ b/worksmux/tokens/samples.py
@@ -1,5 +1,6 @@
 """Texts in the languages and forms that users write, made for this project: to train small vocabularies and
 to test."""
+
 from __future__ import annotations
 
 SAMPLES: dict[str, str] = {
--- a/worksmux/tokens/service.py
+++ b/worksmux/tokens/service.py
@@ -1,5 +1,6 @@
 """Counts prompts for one front: cuts them, looks kept pieces up, and has workers count the rest as the desk
 decides."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -20,13 +21,14 @@
 from .worker import Counted
 
 LOG = structlog.get_logger()
-DEEPEST = 1 / 256        # of the blocks kept: how many of one prompt are followed as its beginning
+DEEPEST = 1 / 256  # of the blocks kept: how many of one prompt are followed as its beginning
 ODD = 0x9E3779B97F4A7C15F39CC0605CEDC835
 
 
 @dataclass(frozen=True, slots=True)
 class Result:
     """What is known of a prompt; tokens."""
+
     verdict: Verdict
     prompt: float
     exact: bool
@@ -42,15 +44,22 @@
 class Prompt:
     """One prompt on its way; its `on_result` is called once, and once more if a bound is corrected."""
 
-    def __init__(self, messages: Parts, offering: int, limit: int, promised_time: float, session: int,
-                 on_result: OnResult) -> None:
+    def __init__(
+        self,
+        messages: Parts,
+        offering: int,
+        limit: int,
+        promised_time: float,
+        session: int,
+        on_result: OnResult,
+    ) -> None:
         self.messages, self.offering, self.limit = messages, offering, limit
         self.promised_time, self.session, self.on_result = promised_time, session, on_result
         self.arrived = clock.now()
         self.vocabulary: Vocabulary | None = None
         self.pieces: list[Piece] = []
         self.ids: list[bytes | None] = []
-        self.more: dict[int, int] = {}               # tokens of a piece beyond its ids
+        self.more: dict[int, int] = {}  # tokens of a piece beyond its ids
         self.ask: Ask | None = None
         self.told = self.over = False
 
@@ -58,8 +67,13 @@
 class TokenService:
     """`vocabularies` gives each offering's, in their order."""
 
-    def __init__(self, reactor: Reactor, bounds: Counting, vocabularies: list[Vocabulary],
-                 make: Callable[[int], Cache] = Frequent) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        bounds: Counting,
+        vocabularies: list[Vocabulary],
+        make: Callable[[int], Cache] = Frequent,
+    ) -> None:
         self.reactor, self.bounds = reactor, bounds
         self.vocabularies = vocabularies
         self.cache = make(bounds.cache)
@@ -67,8 +81,8 @@
         self.deepest = max(1, round(DEEPEST * bounds.shared_blocks))
         self.desk = Desk(bounds.long, bounds.line, bounds.workers, bounds.long_workers, bounds.time_limit)
         self.workers = Workers(reactor, bounds.workers, bounds.long_workers, bounds.time_limit, self._feed)
-        self.open: dict[Ask, Prompt] = {}            # counted or waiting
-        self.strangers = 0                           # jobs without a session: each is one of its own
+        self.open: dict[Ask, Prompt] = {}  # counted or waiting
+        self.strangers = 0  # jobs without a session: each is one of its own
         self.hits = self.misses = self.bytes_counted = self.recounted = 0
         self.timer: Any = None
 
@@ -82,8 +96,15 @@
 
     # Prompts.
 
-    def count(self, messages: Parts, offering: int, limit: int, promised_time: float, session: int,
-              on_result: OnResult) -> Prompt:
+    def count(
+        self,
+        messages: Parts,
+        offering: int,
+        limit: int,
+        promised_time: float,
+        session: int,
+        on_result: OnResult,
+    ) -> Prompt:
         """Counts a prompt; where nothing has to be waited for, `on_result` is called before this returns."""
         if not session:
             self.strangers += 1
@@ -110,8 +131,15 @@
         missing = sum(piece.size for piece, ids in zip(prompt.pieces, prompt.ids, strict=True) if ids is None)
         self.hits += sum(ids is not None for ids in prompt.ids)
         self.misses += sum(ids is None for ids in prompt.ids)
-        ask = prompt.ask = Ask(known, missing, prompt.limit, vocabulary.longest_token, prompt.promised_time,
-                               prompt.arrived, vocabulary.version)
+        ask = prompt.ask = Ask(
+            known,
+            missing,
+            prompt.limit,
+            vocabulary.longest_token,
+            prompt.promised_time,
+            prompt.arrived,
+            vocabulary.version,
+        )
         verdict = self.desk.arrive(ask)
         if verdict is Verdict.COUNTED:
             return self._counted(prompt)
@@ -133,8 +161,9 @@
         if prompt.told or prompt.over or not prompt.ask or not prompt.vocabulary:
             return
         prompt.told = True
-        prompt.on_result(Result(verdict, float(prompt.ask.most), False, prompt.vocabulary.version,
-                                least=prompt.ask.least))
+        prompt.on_result(
+            Result(verdict, float(prompt.ask.most), False, prompt.vocabulary.version, least=prompt.ask.least)
+        )
 
     def _counted(self, prompt: Prompt) -> None:
         """All pieces are known; a count over the limit is refused, also where a bound went before it."""
@@ -148,8 +177,17 @@
             return
         hashes = chain(self._beginning(prompt), self.bounds.block, prompt.vocabulary.version)
         depth = self.shared.show(hashes, prompt.session)
-        prompt.on_result(Result(Verdict.COUNTED, total, True, prompt.vocabulary.version,
-                                hashes[depth - 1] if depth else 0, float(depth * self.bounds.block), total))
+        prompt.on_result(
+            Result(
+                Verdict.COUNTED,
+                total,
+                True,
+                prompt.vocabulary.version,
+                hashes[depth - 1] if depth else 0,
+                float(depth * self.bounds.block),
+                total,
+            )
+        )
 
     def _beginning(self, prompt: Prompt) -> bytes:
         """The ids from the front, as far as a beginning is followed."""
@@ -169,7 +207,7 @@
             if ask is None:
                 return self.workers.back(worker)
             prompt = self.open[ask]
-            self._look_up(prompt)                    # another prompt may have had the same pieces counted
+            self._look_up(prompt)  # another prompt may have had the same pieces counted
             missing = [at for at, ids in enumerate(prompt.ids) if ids is None]
             if missing:
                 self._send(worker, prompt, ask, missing)
@@ -180,7 +218,7 @@
 
     def _send(self, worker: Worker, prompt: Prompt, ask: Ask, missing: list[int]) -> None:
         def counted(told: Counted | None) -> None:
-            if ask not in self.open:                 # cancelled, or begun anew under another version
+            if ask not in self.open:  # cancelled, or begun anew under another version
                 return
             if told is None or told.error:
                 if told:
--- a/worksmux/tokens/sketch.py
+++ b/worksmux/tokens/sketch.py
@@ -4,6 +4,7 @@
 Published as TinyLFU (Einziger, Friedman, Manes: "TinyLFU: A Highly Efficient Cache Admission Policy", 2017);
 a doorkeeper takes a key's first sight, so that one-time keys do not wear the counters.
 """
+
 from __future__ import annotations
 
 ROWS, MOST = 4, 15
--- a/worksmux/tokens/train.py
+++ b/worksmux/tokens/train.py
@@ -3,6 +3,7 @@
 They stand in for a model's published `tokenizer.json` in tests and scripted days; two versions, so that a
 change of version can be tried.  Training is deterministic for one version of the library.
 """
+
 from __future__ import annotations
 
 import sys
@@ -13,7 +14,7 @@
 from .samples import corpus
 
 MARKERS = ["<|im_start|>", "<|im_end|>"]
-VERSIONS = {"lab-1": (900, 3), "lab-2": (1400, 6)}     # size of the vocabulary, rounds over the texts
+VERSIONS = {"lab-1": (900, 3), "lab-2": (1400, 6)}  # size of the vocabulary, rounds over the texts
 
 
 def train(size: int, rounds: int) -> Tokenizer:
@@ -21,8 +22,11 @@
     tokenizer.pre_tokenizer = pre_tokenizers.ByteLevel(add_prefix_space=False)
     tokenizer.decoder = decoders.ByteLevel()
     trainer = trainers.BpeTrainer(  # type: ignore[no-untyped-call]
-        vocab_size=size, show_progress=False, initial_alphabet=pre_tokenizers.ByteLevel.alphabet(),
-        special_tokens=[AddedToken(marker, special=True, normalized=False) for marker in MARKERS])
+        vocab_size=size,
+        show_progress=False,
+        initial_alphabet=pre_tokenizers.ByteLevel.alphabet(),
+        special_tokens=[AddedToken(marker, special=True, normalized=False) for marker in MARKERS],
+    )
     tokenizer.train_from_iterator(corpus(rounds), trainer)
     return tokenizer
 
--- a/worksmux/tokens/vocabulary.py
+++ b/worksmux/tokens/vocabulary.py
@@ -1,4 +1,5 @@
 """A tokenizer in the published `tokenizer.json` form: loaded, checked, and where it can be cut."""
+
 from __future__ import annotations
 
 import json
@@ -21,11 +22,12 @@
 @dataclass(frozen=True)
 class Vocabulary:
     """One version of a tokenizer; `version` is the hash of its file."""
+
     path: str
     version: int
     text: str
     cuts: Cuts
-    longest_token: int               # bytes
+    longest_token: int  # bytes
     size: int
 
     def open(self) -> Tokenizer:
@@ -50,7 +52,7 @@
         form: dict[str, Any] = json.loads(text)
         tokenizer = Tokenizer.from_str(text)
         tokenizer.encode("try")
-    except Exception as error:                       # the library raises bare exceptions
+    except Exception as error:  # the library raises bare exceptions
         raise BadTokenizer(f"{path}: is no whole tokenizer.json: {str(error)[:200]}") from error
     for marker in (START, END):
         if tokenizer.token_to_id(marker) is None:
@@ -71,17 +73,24 @@
 def _byte_level(form: dict[str, Any]) -> bool:
     """Whether every token covers a byte at least and the usual pattern splits the text."""
     splitter = form.get("pre_tokenizer") or {}
-    return bool(form["model"].get("type") == "BPE" and splitter.get("type") == "ByteLevel"
-                and not splitter.get("add_prefix_space") and splitter.get("use_regex", True)
-                and not form.get("normalizer"))
+    return bool(
+        form["model"].get("type") == "BPE"
+        and splitter.get("type") == "ByteLevel"
+        and not splitter.get("add_prefix_space")
+        and splitter.get("use_regex", True)
+        and not form.get("normalizer")
+    )
 
 
 def _cuts(form: dict[str, Any], tokenizer: Tokenizer, byte_level: bool) -> Cuts:
     """Cuts that the form promises and that hold on every sample; a file that promises falsely is not cut."""
     markers = {token["content"]: token for token in form.get("added_tokens", [])}
-    plain = all(marker in markers and markers[marker]["special"] and not any(
-        markers[marker].get(flag) for flag in ("lstrip", "rstrip", "single_word", "normalized"))
-        for marker in (START, END))
+    plain = all(
+        marker in markers
+        and markers[marker]["special"]
+        and not any(markers[marker].get(flag) for flag in ("lstrip", "rstrip", "single_word", "normalized"))
+        for marker in (START, END)
+    )
     if not plain:
         return Cuts.NONE
     messages = [("system", "\n".join(SAMPLES.values())), *(("user", text) for text in SAMPLES.values())]
--- a/worksmux/tokens/worker.py
+++ b/worksmux/tokens/worker.py
@@ -3,6 +3,7 @@
 A frame is its length in four bytes, then a message in MessagePack.  A worker keeps every version it was
 given; the front tells it which to forget.
 """
+
 from __future__ import annotations
 
 import os
@@ -16,6 +17,7 @@
 
 class Load(msgspec.Struct, tag="load"):
     """A version of a tokenizer, to be used from now on."""
+
     version: int
     text: str
 
@@ -26,15 +28,17 @@
 
 class Count(msgspec.Struct, tag="count"):
     """Texts to tokenise."""
+
     number: int
     version: int
     texts: list[str]
-    most: int                        # ids of one text that are wanted back; a giant's are not worth moving
+    most: int  # ids of one text that are wanted back; a giant's are not worth moving
 
 
 class Counted(msgspec.Struct):
     """The packed ids of each text, and how many more it has than were wanted; empty with an error.  Number 0
     says that a version is loaded."""
+
     number: int
     version: int
     ids: list[bytes] = []
@@ -67,10 +71,10 @@
         self._rest += data
         found, at = [], 0
         while len(self._rest) - at >= HEAD:
-            size = int.from_bytes(self._rest[at:at + HEAD], "little")
+            size = int.from_bytes(self._rest[at : at + HEAD], "little")
             if len(self._rest) - at - HEAD < size:
                 break
-            found.append(bytes(self._rest[at + HEAD:at + HEAD + size]))
+            found.append(bytes(self._rest[at + HEAD : at + HEAD + size]))
             at += HEAD + size
         del self._rest[:at]
         return found
@@ -81,6 +85,7 @@
 
     from .blocks import WIDTH
     from .vocabulary import tokens
+
     loaded: dict[int, Tokenizer] = {}
     while len(head := source.read(HEAD)) == HEAD:
         data = source.read(int.from_bytes(head, "little"))
@@ -95,8 +100,8 @@
                 try:
                     ids = [tokens(loaded[version], text) for text in texts]
                     more = [max(0, len(one) // WIDTH - most) for one in ids]
-                    told = Counted(number, version, [one[:most * WIDTH] for one in ids], more)
-                except Exception as error:           # the library raises bare exceptions
+                    told = Counted(number, version, [one[: most * WIDTH] for one in ids], more)
+                except Exception as error:  # the library raises bare exceptions
                     told = Counted(number, version, error=f"{type(error).__name__}: {error}")
                 sink.write(frame(told))
                 sink.flush()
--- a/worksmux/trial/clocked.py
+++ b/worksmux/trial/clocked.py
@@ -4,6 +4,7 @@
 many milliseconds the wall clock is off and how fast both clocks run (1 as the machine's).  The monotonic
 clock never steps and never goes back.  The program itself knows nothing of it.
 """
+
 from __future__ import annotations
 
 import sys
@@ -11,7 +12,7 @@
 import time
 from collections.abc import Callable
 
-EVERY = 0.05                         # seconds between two looks at the control file
+EVERY = 0.05  # seconds between two looks at the control file
 
 
 class Skewed:
@@ -48,16 +49,17 @@
                 wall.rate(speed)
                 monotonic.rate(speed)
         except (OSError, ValueError):
-            pass                                     # not written yet, or half
+            pass  # not written yet, or half
         sleep(EVERY)
 
 
 def main() -> None:
     wall, monotonic = Skewed(time.time), Skewed(time.monotonic)
-    time.time, time.monotonic = wall, monotonic      # before anything that keeps them is imported
+    time.time, time.monotonic = wall, monotonic  # before anything that keeps them is imported
     threading.Thread(target=watch, args=(sys.argv[1], wall, monotonic), daemon=True).start()
     sys.argv[1:] = sys.argv[2:]
     from ..commands import main as run
+
     run()
 
 
--- a/worksmux/trial/faults.py
+++ b/worksmux/trial/faults.py
@@ -1,4 +1,5 @@
 """Faults between the processes of a day, and of the machines that fronts run on."""
+
 from __future__ import annotations
 
 import os
@@ -18,7 +19,7 @@
 from .relays import Network
 
 UNLIMITED = resource.RLIM_INFINITY
-SLICE = 0.5                          # seconds that a slow disk's lock is held, and as long let go
+SLICE = 0.5  # seconds that a slow disk's lock is held, and as long let go
 
 
 def limit_files(child: Child, full: bool) -> None:
--- a/worksmux/trial/fleet.py
+++ b/worksmux/trial/fleet.py
@@ -4,6 +4,7 @@
 Its reactor is turned by hand, so that a test reads from top to bottom: `until` something is seen, then the
 next fault.  Fronts are ended by their own handles, also where a test fails.
 """
+
 from __future__ import annotations
 
 import shutil
@@ -32,7 +33,7 @@
 from .small import SETTINGS
 
 ZONES = ("north", "south", "east")
-WITHIN = 40.0                        # seconds that a test waits for what it expects to see
+WITHIN = 40.0  # seconds that a test waits for what it expects to see
 FLEET = """
 fleet "home" {
     listen "127.0.0.1:0"
@@ -68,8 +69,11 @@
 
     def seen(self, event: str, **facts: Any) -> list[dict[str, Any]]:
         """Lines of its log, of all its starts."""
-        return [line for line in self.lines if line.get("event") == event
-                and all(line.get(key) == value for key, value in facts.items())]
+        return [
+            line
+            for line in self.lines
+            if line.get("event") == event and all(line.get(key) == value for key, value in facts.items())
+        ]
 
     @property
     def alive(self) -> bool:
@@ -79,21 +83,34 @@
 class FleetRig:
     """`fronts` of them in three zones by turns, and engines in each."""
 
-    def __init__(self, folder: Path, fronts: int = 5, seats: int = 3, zones: tuple[str, ...] = ZONES,
-                 text: str = SETTINGS) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        fronts: int = 5,
+        seats: int = 3,
+        zones: tuple[str, ...] = ZONES,
+        text: str = SETTINGS,
+    ) -> None:
         self.folder, self.zones, self.seats, self.text = folder, zones, seats, text
         self.reactor: Any = EPollReactor()  # type: ignore[no-untyped-call]
         self.reactor.startRunning(installSignalHandlers=False)
         self.journal = Journal(folder / "runner.jsonl", "runner")
         self.net = Network(self.reactor, Journal(folder / "net.jsonl", "net"))
-        self.registry = Registry(self.reactor, Journal(folder / "registry.jsonl", "registry"), (0.0, 50.0),
-                                 False, 1)
+        self.registry = Registry(
+            self.reactor, Journal(folder / "registry.jsonl", "registry"), (0.0, 50.0), False, 1
+        )
         self.registry.way = self._way
         self.registry.start()
         self.engines: dict[str, EngineProcess] = {}
-        self.fronts = {f"front-{at + 1}": Front(f"front-{at + 1}", zones[at % len(zones)],
-                                                folder / f"disk-{at + 1}", host=f"127.0.0.{at + 11}")
-                       for at in range(fronts)}
+        self.fronts = {
+            f"front-{at + 1}": Front(
+                f"front-{at + 1}",
+                zones[at % len(zones)],
+                folder / f"disk-{at + 1}",
+                host=f"127.0.0.{at + 11}",
+            )
+            for at in range(fronts)
+        }
         self.clients: Clients | None = None
         self.pools: dict[int, client.Pool] = {}
         for one in self.fronts:
@@ -123,8 +140,23 @@
 
     def engine(self, name: str, kind: str, zone: str, cell: int, cold: bool = False) -> EngineProcess:
         role = {"prefill": "read", "decode": "write"}.get(kind, "both")
-        spec = Spec(name, kind, role, zone, cell, 16, 16, 100_000.0, 40_000.0, 4.0, 0.1, cold=cold,
-                    warm_up=4000.0, fall_time=1000.0, journal=str(self.folder / f"engine-{name}.jsonl"))
+        spec = Spec(
+            name,
+            kind,
+            role,
+            zone,
+            cell,
+            16,
+            16,
+            100_000.0,
+            40_000.0,
+            4.0,
+            0.1,
+            cold=cold,
+            warm_up=4000.0,
+            fall_time=1000.0,
+            journal=str(self.folder / f"engine-{name}.jsonl"),
+        )
         engine = EngineProcess(spec, self.reactor)
         engine.start()
         self.engines[name] = engine
@@ -142,8 +174,20 @@
 
     def tell(self, name: str, state: Any, started: float = 0.0) -> None:
         spec = self.engines[name].spec
-        self.registry.change(Line(spec.id, "127.0.0.1", self.engines[name].port, spec.kind, state, spec.zone,
-                                  spec.cell, 1.0, started), at_once=True)
+        self.registry.change(
+            Line(
+                spec.id,
+                "127.0.0.1",
+                self.engines[name].port,
+                spec.kind,
+                state,
+                spec.zone,
+                spec.cell,
+                1.0,
+                started,
+            ),
+            at_once=True,
+        )
 
     def _way(self, front: str, line: Line) -> Line:
         return msgspec.structs.replace(line, port=self.net.relay(front, line.id).port)
@@ -171,16 +215,19 @@
     def settings(self, front: Front) -> str:
         number = list(self.fronts).index(front.name)
         others = [name for name in self.fronts if name != front.name]
-        reach = "\n".join(f'    reach "{name}" "127.0.0.1:{self.net.relay(front.name, name).port}"'
-                          for name in others)
+        reach = "\n".join(
+            f'    reach "{name}" "127.0.0.1:{self.net.relay(front.name, name).port}"' for name in others
+        )
         seeds = " ".join(f'"127.0.0.1:{self.net.relay(front.name, name).port}"' for name in others)
-        founders = " ".join(f'"{name}"' for name in list(self.fronts)[:self.seats])
-        text = self.text.replace('front "a"', f'front "{front.name}"').replace(
-            'zone "north"', f'zone "{front.zone}"', 1).replace(
-            "fronts 1", f"fronts {len(self.fronts)}\n    number {number}").replace(
-            'zones "north" "south"', "zones " + " ".join(f'"{zone}"' for zone in self.zones)).replace(
-            '127.0.0.1:1"', f'127.0.0.1:{self.registry.port}"').replace(
-            'listen "127.0.0.1:0"', f'listen "{front.host}:{front.listens}"', 1)
+        founders = " ".join(f'"{name}"' for name in list(self.fronts)[: self.seats])
+        text = (
+            self.text.replace('front "a"', f'front "{front.name}"')
+            .replace('zone "north"', f'zone "{front.zone}"', 1)
+            .replace("fronts 1", f"fronts {len(self.fronts)}\n    number {number}")
+            .replace('zones "north" "south"', "zones " + " ".join(f'"{zone}"' for zone in self.zones))
+            .replace('127.0.0.1:1"', f'127.0.0.1:{self.registry.port}"')
+            .replace('listen "127.0.0.1:0"', f'listen "{front.host}:{front.listens}"', 1)
+        )
         return text + FLEET % (seeds, founders, self.seats, front.folder, reach)
 
     def start(self, *names: str) -> None:
@@ -205,8 +252,13 @@
                     host, _, port = told["peers"].rpartition(":")
                     self.net.aim(front.name, (host, int(port)))
 
-            front.child = Child(self.reactor, ["-m", "worksmux", "serve", str(path)],
-                                self.folder / f"{name}.log", line, lambda _: None)
+            front.child = Child(
+                self.reactor,
+                ["-m", "worksmux", "serve", str(path)],
+                self.folder / f"{name}.log",
+                line,
+                lambda _: None,
+            )
 
     def up(self) -> None:
         """All fronts serve, under a plan's lease, and the council has its seats."""
@@ -265,8 +317,11 @@
         if not front.alive or not front.watch:
             return 0, b""
         pool = client.Pool(self.reactor, "127.0.0.1", front.watch, 500.0, 100.0, 0, 65_536)
-        call = pool.call("GET", path, client.Whole(2**22, lambda status, headers, body, trouble: found.append(
-            (status, body))))
+        call = pool.call(
+            "GET",
+            path,
+            client.Whole(2**22, lambda status, headers, body, trouble: found.append((status, body))),
+        )
         end = clock.now() + within
         while not found and clock.now() < end:
             self.turn()
@@ -275,14 +330,21 @@
 
     def status(self, name: str) -> dict[str, Any]:
         status, body = self.get(name, "/fleet")
-        nothing = {"alone": True, "council": {"role": "", "voters": [], "leader": "", "term": 0, "agreed": 0},
-                   "fronts": [], "plan": {"number": 0, "rows": {}, "shed": {}}}
+        nothing = {
+            "alone": True,
+            "council": {"role": "", "voters": [], "leader": "", "term": 0, "agreed": 0},
+            "fronts": [],
+            "plan": {"number": 0, "rows": {}, "shed": {}},
+        }
         return msgspec.json.decode(body) if status == 200 else nothing
 
     def leader(self) -> str:
         """Who leads, by its own word, if exactly one does."""
-        found = [name for name, front in self.fronts.items()
-                 if front.alive and self.status(name)["council"]["role"] == "leader"]
+        found = [
+            name
+            for name, front in self.fronts.items()
+            if front.alive and self.status(name)["council"]["role"] == "leader"
+        ]
         return found[0] if len(found) == 1 else ""
 
     def voters(self) -> list[str]:
@@ -291,18 +353,52 @@
 
     # Clients.
 
-    def ask(self, length: float = 4000.0, rate: float = 20.0, offering: str = "hint",
-            effect: str = "redoable", retries: float = 2.0) -> None:
+    def ask(
+        self,
+        length: float = 4000.0,
+        rate: float = 20.0,
+        offering: str = "hint",
+        effect: str = "redoable",
+        retries: float = 2.0,
+    ) -> None:
         """Clients ask all fronts from now on."""
-        one = OfferingSpec(offering, 1.0, 1000.0, 0.0, 3000.0, 60.0, 60, 1.0, 0.1, effect, (20, 60), (5, 15),
-                           (1, 1), (100, 200), 6, (100, 200), 0.8)
-        spec = ClientsSpec(str(self.folder / "clients.jsonl"), 3, clock.now() + 100, length, rate, [one],
-                           [FrontSpec(front.name, front.port, front.zone, front.host)
-                            for front in self.fronts.values()], [], (retries, retries), (50.0, 150.0),
-                           (1.0, 1.0), 0.7, 300.0)
+        one = OfferingSpec(
+            offering,
+            1.0,
+            1000.0,
+            0.0,
+            3000.0,
+            60.0,
+            60,
+            1.0,
+            0.1,
+            effect,
+            (20, 60),
+            (5, 15),
+            (1, 1),
+            (100, 200),
+            6,
+            (100, 200),
+            0.8,
+        )
+        spec = ClientsSpec(
+            str(self.folder / "clients.jsonl"),
+            3,
+            clock.now() + 100,
+            length,
+            rate,
+            [one],
+            [FrontSpec(front.name, front.port, front.zone, front.host) for front in self.fronts.values()],
+            [],
+            (retries, retries),
+            (50.0, 150.0),
+            (1.0, 1.0),
+            0.7,
+            300.0,
+        )
         self.clients = Clients(spec, self.reactor)
         self.answered = False
-        self.reactor.stop = self._answered           # what the clients call at their end
+        self.reactor.stop = self._answered  # what the clients call at their end
         self.clients.start()
 
     answered = True
--- a/worksmux/trial/fronts.py
+++ b/worksmux/trial/fronts.py
@@ -1,4 +1,5 @@
 """Writes a front's settings file for a day, so that its fronts are started just as an operator starts one."""
+
 from __future__ import annotations
 
 import json
@@ -9,7 +10,7 @@
 from ..days.scenario import Scenario
 
 
-LEASE = 2500.0                       # milliseconds, of what a day's fronts decide in common
+LEASE = 2500.0  # milliseconds, of what a day's fronts decide in common
 
 
 def _ms(value: float) -> str:
@@ -48,8 +49,10 @@
     one = day.counting
     if one is None:
         return ""
-    files = "".join(f"tokenizer {json.dumps(name)} file={json.dumps(str(Path(file).resolve()))}\n"
-                    for name, file in day.tokenizers.items())
+    files = "".join(
+        f"tokenizer {json.dumps(name)} file={json.dumps(str(Path(file).resolve()))}\n"
+        for name, file in day.tokenizers.items()
+    )
     return f"""{files}counting {{
     cache "{one.cache}B"
     workers {one.workers}
@@ -103,14 +106,17 @@
         return ""
     reach = "".join(f'    reach {json.dumps(other)} "127.0.0.1:{port}"\n' for other, port in ways.items())
     carries = "".join(f"    carries {json.dumps(zone)} {day.carries:g}\n" for zone in day.zones) * bool(
-        day.carries)
+        day.carries
+    )
     founders = " ".join(json.dumps(f"front-{at + 1}") for at in range(min(day.seats, day.fronts)))
     seeds = " ".join(f'"127.0.0.1:{port}"' for port in ways.values())
     regions: dict[str, list[str]] = {}
     for zone, region in day.regions.items():
         regions.setdefault(region, []).append(json.dumps(zone))
-    told = "".join(f"region {json.dumps(region)} {{\n    zones {' '.join(zones)}\n}}\n"
-                   for region, zones in regions.items())
+    told = "".join(
+        f"region {json.dumps(region)} {{\n    zones {' '.join(zones)}\n}}\n"
+        for region, zones in regions.items()
+    )
     return f"""{told}fleet {json.dumps(day.name)} {{
     listen "127.0.0.1:0"
     {f"seeds {seeds}" if seeds else ""}
@@ -126,8 +132,19 @@
 """
 
 
-def front_file(day: Scenario, name: str, number: int, zone: str, port: int, watch: int, registry: int,
-               policy: str, folder: Path, counting: bool = True, ways: dict[str, int] | None = None) -> str:
+def front_file(
+    day: Scenario,
+    name: str,
+    number: int,
+    zone: str,
+    port: int,
+    watch: int,
+    registry: int,
+    policy: str,
+    folder: Path,
+    counting: bool = True,
+    ways: dict[str, int] | None = None,
+) -> str:
     """The text of the settings; it holds what the day's file says, and the ports.
 
     Without `counting` the front guesses lengths from bytes.
@@ -195,4 +212,5 @@
 }}
 log format="json" level="info"
 {_counting(day)}{_admission(day)}{_memory(day, folder / f"{name}.memory")}{
-    _fleet(day, name, folder, ways or {})}"""
+        _fleet(day, name, folder, ways or {})
+    }"""
--- a/worksmux/trial/processes.py
+++ b/worksmux/trial/processes.py
@@ -1,4 +1,5 @@
 """The processes of a day: each is started, tells its port, and is ended or killed by its own handle."""
+
 from __future__ import annotations
 
 import os
@@ -15,14 +16,21 @@
 class Child(ProcessProtocol):
     """One process; `on_line` gets each line of its standard output and error, `on_end` its exit."""
 
-    def __init__(self, reactor: Any, args: list[str], log: Path, on_line: Callable[[bytes], None],
-                 on_end: Callable[[int | None], None]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        args: list[str],
+        log: Path,
+        on_line: Callable[[bytes], None],
+        on_end: Callable[[int | None], None],
+    ) -> None:
         self.log = log.open("ab")
         self.on_line, self.on_end = on_line, on_end
         self.rest: dict[int, bytes] = {}
         self.alive = True
         self.process = reactor.spawnProcess(
-            self, sys.executable, [sys.executable, *args], env={**os.environ, "PYTHONHASHSEED": "0"})
+            self, sys.executable, [sys.executable, *args], env={**os.environ, "PYTHONHASHSEED": "0"}
+        )
 
     def childDataReceived(self, childFD: int, data: bytes) -> None:
         self.log.write(data)
--- a/worksmux/trial/relays.py
+++ b/worksmux/trial/relays.py
@@ -3,6 +3,7 @@
 Each carries connections from one process to one other.  Nothing here needs rights of the machine, so a cut is
 not a missing answer to a connection's first packet: it comes up and then says nothing.
 """
+
 from __future__ import annotations
 
 import random
@@ -46,9 +47,9 @@
     def __init__(self, relay: Relay) -> None:
         self.relay = relay
         self.near, self.far = _End(self, FORWARD), _End(self, BACK)
-        self.waiting: list[bytes] = []               # for the far end to come up
-        self.torn: set[str] = set()                  # ways on which something was swallowed
-        self.at = {FORWARD: 0.0, BACK: 0.0}          # until when bytes are under way
+        self.waiting: list[bytes] = []  # for the far end to come up
+        self.torn: set[str] = set()  # ways on which something was swallowed
+        self.at = {FORWARD: 0.0, BACK: 0.0}  # until when bytes are under way
         self.over = False
 
     def made(self, end: _End) -> None:
@@ -65,7 +66,7 @@
     def came(self, end: _End, data: bytes) -> None:
         relay, way = self.relay, end.way
         if way in relay.swallows or way in self.torn:
-            self.torn.add(way)                       # a stream with a hole would be another stream
+            self.torn.add(way)  # a stream with a hole would be another stream
             return
         if relay.loss and relay.chance.random() < relay.loss:
             relay.journal.note("broken", relay=relay.name)
@@ -129,7 +130,7 @@
         self.target: tuple[str, int] | None = None
         self.swallows: frozenset[str] = frozenset()
         self.reset = False
-        self.delay = self.loss = self.rate = 0.0     # milliseconds, share of pieces, bytes a second (0: any)
+        self.delay = self.loss = self.rate = 0.0  # milliseconds, share of pieces, bytes a second (0: any)
         self.pairs: dict[_Pair, None] = {}
         self.carried = {FORWARD: 0, BACK: 0}
         self.port_object, self.port = listen(reactor, ("127.0.0.1", 0), self)
--- a/worksmux/trial/runner.py
+++ b/worksmux/trial/runner.py
@@ -1,5 +1,6 @@
 """Runs a scripted day: starts its processes, brings its troubles about in time, ends it, and has it
 audited."""
+
 from __future__ import annotations
 
 import random
@@ -28,13 +29,20 @@
 from .faults import SLICE, FleetNetwork, go_on, limit_files, lose_disk, slow_disk
 from .fronts import LEASE, front_file
 from .processes import Child, port_of_engine, ports_of_front
-from ..days.scenario import (
-    OF_CLIENTS, OF_CLOCKS, OF_FRONTS, OF_THE_LIST, Place, Scenario, Trouble)
-
-START_WITHIN = 20_000.0              # milliseconds for all processes to tell their ports
-FAULTS = {"hang": "hang", "fast-errors": "fail_fast", "slow": "slow", "drop-streams": "drop_streams",
-          "garbage": "garbage", "refuse-connections": "refuse", "slow-connections": "slow_connections",
-          "late-reports": "late_reports", "slow-links": "slow_links"}
+from ..days.scenario import OF_CLIENTS, OF_CLOCKS, OF_FRONTS, OF_THE_LIST, Place, Scenario, Trouble
+
+START_WITHIN = 20_000.0  # milliseconds for all processes to tell their ports
+FAULTS = {
+    "hang": "hang",
+    "fast-errors": "fail_fast",
+    "slow": "slow",
+    "drop-streams": "drop_streams",
+    "garbage": "garbage",
+    "refuse-connections": "refuse",
+    "slow-connections": "slow_connections",
+    "late-reports": "late_reports",
+    "slow-links": "slow_links",
+}
 
 
 class TrialError(Exception):
@@ -47,7 +55,7 @@
     port: int = 0
     child: Child | None = None
     starts: int = 0
-    started: float = 0.0             # on the registry's clock; 0: long ago
+    started: float = 0.0  # on the registry's clock; 0: long ago
     pool: client.Pool | None = None
 
 
@@ -59,13 +67,14 @@
     port: int = 0
     watch: int = 0
     child: Child | None = None
-    wanted: bool = True              # false while it is down on purpose
+    wanted: bool = True  # false while it is down on purpose
 
 
 class Trial:
-    def __init__(self, day: Scenario, folder: Path, policy: str, say: Callable[[str], None],
-                 counting: bool = True) -> None:
-        self.counting = counting             # fronts count prompts as the day says
+    def __init__(
+        self, day: Scenario, folder: Path, policy: str, say: Callable[[str], None], counting: bool = True
+    ) -> None:
+        self.counting = counting  # fronts count prompts as the day says
         self.day, self.folder, self.policy, self.say = day, folder, policy, say
         self.reactor: Any = the_reactor()
         self.chance = random.Random(day.seed)
@@ -116,7 +125,8 @@
     def _late_start(self) -> None:
         if not self.start:
             missing = [one.place.id for one in self.engines.values() if not one.port] + [
-                one.name for one in self.fronts if not one.port]
+                one.name for one in self.fronts if not one.port
+            ]
             self._fail(f"these did not start within {START_WITHIN / 1000:g} s: {', '.join(missing)}")
 
     # Engines.
@@ -139,8 +149,13 @@
                 self._list(handle, "ready", at_once=not cold)
                 self._maybe_fronts()
 
-        child = Child(self.reactor, ["-m", "worksmux.standins.engine", msgspec.json.encode(spec).decode()],
-                      self.folder / f"engine-{handle.place.id}.log", line, lambda code: ended(code))
+        child = Child(
+            self.reactor,
+            ["-m", "worksmux.standins.engine", msgspec.json.encode(spec).decode()],
+            self.folder / f"engine-{handle.place.id}.log",
+            line,
+            lambda code: ended(code),
+        )
         handle.child = child
 
         def ended(code: int | None) -> None:
@@ -172,8 +187,9 @@
 
     def _control(self, handle: EngineHandle, fault: Fault) -> None:
         if handle.pool and handle.child and handle.child.alive:
-            handle.pool.call("POST", calls.CONTROL, client.Whole(65_536, lambda *_: None), (),
-                             msgspec.json.encode(fault))
+            handle.pool.call(
+                "POST", calls.CONTROL, client.Whole(65_536, lambda *_: None), (), msgspec.json.encode(fault)
+            )
 
     # Fronts.
 
@@ -186,9 +202,21 @@
 
     def _start_front(self, front: FrontHandle) -> None:
         path = self.folder / f"{front.name}.kdl"
-        path.write_text(front_file(self.day, front.name, front.number, front.zone, front.port, front.watch,
-                                   self.registry.port, self.policy, self.folder, self.counting,
-                                   self.network.ways(front.name) if self.network else None))
+        path.write_text(
+            front_file(
+                self.day,
+                front.name,
+                front.number,
+                front.zone,
+                front.port,
+                front.watch,
+                self.registry.port,
+                self.policy,
+                self.folder,
+                self.counting,
+                self.network.ways(front.name) if self.network else None,
+            )
+        )
 
         def line(text: bytes) -> None:
             if self.network and b'"peers"' in text and b'"fleet"' in text:
@@ -279,8 +307,10 @@
             (self.folder / "clients.jsonl").stat().st_size if (self.folder / "clients.jsonl").exists() else 0
         )
         past = (clock.now() - self.start) / 1000
-        self.say(f"{past:5.0f} s of {self.day.length / 1000:.0f}; clients' records {size // 1024} KiB; "
-                 f"list {self.registry.serial}")
+        self.say(
+            f"{past:5.0f} s of {self.day.length / 1000:.0f}; clients' records {size // 1024} KiB; "
+            f"list {self.registry.serial}"
+        )
         self.reactor.callLater(5, self._progress)
 
     def _clients_ended(self, code: int | None) -> None:
@@ -377,8 +407,9 @@
             limit_files(child, True)
             self.reactor.callLater(trouble.length / 1000, limit_files, child, False)
         else:
-            slow_disk(self.reactor, self.folder / f"{front.name}.disk",
-                      max(1, round(trouble.length / 2000 / SLICE)))
+            slow_disk(
+                self.reactor, self.folder / f"{front.name}.disk", max(1, round(trouble.length / 2000 / SLICE))
+            )
 
     def _thaw(self, name: str, child: Child) -> None:
         self.journal.note("front goes on", front=name)
@@ -387,7 +418,7 @@
     def _front_back(self, front: FrontHandle) -> None:
         if self.ending:
             return
-        if front.child and front.child.alive:        # still finishing what is out
+        if front.child and front.child.alive:  # still finishing what is out
             self.reactor.callLater(0.1, self._front_back, front)
         else:
             self._start_front(front)
@@ -456,8 +487,9 @@
             self._start_engine(handle, cold=True)
 
 
-def play(day: Scenario, policy: str, say: Callable[[str], None], keep: Path | None = None,
-         counting: bool = True) -> dict[str, Any]:
+def play(
+    day: Scenario, policy: str, say: Callable[[str], None], keep: Path | None = None, counting: bool = True
+) -> dict[str, Any]:
     """One day with one policy; its records stay in `keep`, or are removed if all went well."""
     folder = keep or Path(tempfile.mkdtemp(prefix="worksmux-day-"))
     folder.mkdir(parents=True, exist_ok=True)
--- a/worksmux/trial/small.py
+++ b/worksmux/trial/small.py
@@ -1,5 +1,6 @@
 """A small day within one process: registry, engines, fronts and clients on loopback, on a reactor of its
 own."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -99,8 +100,14 @@
 class Rig:
     """`engines` are (kind, cell) pairs in zone north; engine k is called e<k>."""
 
-    def __init__(self, folder: Path, engines: list[tuple[str, int]], make: Maker | None = None,
-                 text: str = SETTINGS, **spec: Any) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        engines: list[tuple[str, int]],
+        make: Maker | None = None,
+        text: str = SETTINGS,
+        **spec: Any,
+    ) -> None:
         self.folder, self.make, self.text, self.spec = folder, make, text, spec
         self.reactor: Any = EPollReactor()  # type: ignore[no-untyped-call]
         self.registry = Registry(
@@ -117,8 +124,23 @@
     def add(self, kind: str, cell: int = 0, cold: bool = False, listed: bool = True) -> EngineProcess:
         role = {"prefill": "read", "decode": "write"}.get(kind, "both")
         name = f"e{len(self.engines)}"
-        spec = Spec(name, kind, role, "north", cell, 16, 16, 100_000.0, 40_000.0, 4.0, 0.1, cold=cold,
-                    warm_up=4000.0, fall_time=1000.0, journal=str(self.folder / f"engine-{name}.jsonl"))
+        spec = Spec(
+            name,
+            kind,
+            role,
+            "north",
+            cell,
+            16,
+            16,
+            100_000.0,
+            40_000.0,
+            4.0,
+            0.1,
+            cold=cold,
+            warm_up=4000.0,
+            fall_time=1000.0,
+            journal=str(self.folder / f"engine-{name}.jsonl"),
+        )
         engine = EngineProcess(msgspec.structs.replace(spec, **self.spec), self.reactor)
         engine.start()
         self.engines.append(engine)
@@ -134,7 +156,7 @@
         )
 
     def settings(self) -> FrontSettings:
-        return read_front(parse(self.text.replace("127.0.0.1:1\"", f"127.0.0.1:{self.registry.port}\"")))
+        return read_front(parse(self.text.replace('127.0.0.1:1"', f'127.0.0.1:{self.registry.port}"')))
 
     def front(self) -> FrontProcess:
         front = FrontProcess(self.settings(), self.reactor, self.make)
@@ -207,6 +229,7 @@
 
     def run(self, within: float = 30.0) -> None:
         """Runs until something stops the reactor; fails after `within` seconds."""
+
         def late() -> None:
             self.failed = TimeoutError(f"not over within {within} s")
             self.reactor.crash()
--- a/worksmux/versions/account.py
+++ b/worksmux/versions/account.py
@@ -5,6 +5,7 @@
 that a record that is missing, changed or put back from another time shows, and where.  What is kept is
 bounded: the oldest records go, and the first that is left says which digest it follows.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
@@ -13,12 +14,13 @@
 import msgspec
 import xxhash
 
-PAGE = 512               # jobs in one record, at the most
-LEAP = 1000.0            # milliseconds by which the wall clock may leave the steady one, between records
+PAGE = 512  # jobs in one record, at the most
+LEAP = 1000.0  # milliseconds by which the wall clock may leave the steady one, between records
 
 
 class Version(msgspec.Struct, frozen=True):
     """Of content; `number` is the council's, 0 where it gives none."""
+
     number: int
     mark: str
 
@@ -30,6 +32,7 @@
 
 class Decision(msgspec.Struct, frozen=True, array_like=True):
     """One of a job's decisions: `trip` counts from 0, -1 is its final answer."""
+
     job: str
     trip: int
     line: int
@@ -42,11 +45,13 @@
 
 class Start(msgspec.Struct, frozen=True, tag="start"):
     """A process of this front began."""
+
     life: int
 
 
 class Record(msgspec.Struct, frozen=True):
     """`index` counts all records of a front's disk; `wall` and `steady` are milliseconds."""
+
     index: int
     before: int
     wall: float
@@ -55,7 +60,7 @@
     digest: int = 0
 
 
-ENCODE = msgspec.msgpack.Encoder(order="sorted")     # the same bytes for the same record, in every process
+ENCODE = msgspec.msgpack.Encoder(order="sorted")  # the same bytes for the same record, in every process
 
 
 def digest_of(record: Record) -> int:
@@ -70,6 +75,7 @@
 @dataclass(frozen=True)
 class Fault:
     """Something that does not fit, and after which record."""
+
     index: int
     text: str
 
@@ -88,7 +94,7 @@
                 found.append(Fault(last.index, f"record {record.index} comes again"))
             elif record.before != last.digest:
                 found.append(Fault(last.index, "the next record follows another one"))
-            began = isinstance(record.body, Start)   # the steady clock of another process begins anew
+            began = isinstance(record.body, Start)  # the steady clock of another process begins anew
             drift = (record.wall - last.wall) - (record.steady - last.steady)
             if not began and abs(drift) > LEAP:
                 found.append(Fault(last.index, f"the wall clock stepped by {drift:.0f} ms"))
@@ -99,10 +105,11 @@
 @dataclass
 class Account:
     """`last` is the newest record on disk.  What is to be written is given out in order, each once."""
+
     last: Record | None = None
     line: Line | None = None
     pending: list[Decision] = field(default_factory=list)
-    lost: int = 0                    # decisions dropped for want of room
+    lost: int = 0  # decisions dropped for want of room
 
     def begins(self, wall: float, steady: float, life: int) -> Record:
         self.line = None
@@ -134,8 +141,10 @@
     def pages(self, wall: float, steady: float) -> list[Record]:
         """The decisions that wait, in records."""
         waiting, self.pending = self.pending, []
-        return [self._add(wall, steady, Jobs(tuple(waiting[at:at + PAGE])))
-                for at in range(0, len(waiting), PAGE)]
+        return [
+            self._add(wall, steady, Jobs(tuple(waiting[at : at + PAGE])))
+            for at in range(0, len(waiting), PAGE)
+        ]
 
     def still(self, wall: float, steady: float, every: float) -> Record | None:
         """Where nothing was written for so long: an empty page, which says that the front is there and acts
--- a/worksmux/versions/copies.py
+++ b/worksmux/versions/copies.py
@@ -4,6 +4,7 @@
 Each front's keepers are the first `KEEPERS` of all names by a hash of both, whether they are there or not, so
 that all agree on them without a word; one that is gone is asked in vain, one that comes asks anew.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -12,22 +13,23 @@
 import xxhash
 
 KEEPERS = 2
-MOST = 200               # records in one answer
+MOST = 200  # records in one answer
 MOST_BYTES = 300_000
 
 
 class Want(msgspec.Struct, tag="want"):
     """The records of a front's account after an index, as far as the one asked has them."""
+
     front: str
     after: int
-    number: int = 0                  # of a question that is waited for; 0: for a copy
+    number: int = 0  # of a question that is waited for; 0: for a copy
 
 
 class Have(msgspec.Struct, tag="have"):
     front: str
     after: int
     records: list[bytes]
-    last: int                        # the newest that the one asked has
+    last: int  # the newest that the one asked has
     number: int = 0
 
 
@@ -39,8 +41,9 @@
     >>> all(len(keepers(name, "abcd")) == 2 and name not in keepers(name, "abcd") for name in "abcd")
     True
     """
-    others = sorted(set(fronts) - {front},
-                    key=lambda name: xxhash.xxh3_64_intdigest(f"{front}\0{name}".encode()))
+    others = sorted(
+        set(fronts) - {front}, key=lambda name: xxhash.xxh3_64_intdigest(f"{front}\0{name}".encode())
+    )
     return others[:KEEPERS]
 
 
--- a/worksmux/versions/gather.py
+++ b/worksmux/versions/gather.py
@@ -4,6 +4,7 @@
 Accounts come from the fronts themselves or from copies, late, in any order and more than once.  Nothing is
 filled by guessing: a span for which a front has no record is `unknown`.
 """
+
 from __future__ import annotations
 
 from collections import defaultdict
@@ -16,6 +17,7 @@
 @dataclass(frozen=True)
 class Span:
     """A front acted on these versions from `since` to `until`; None: not known."""
+
     front: str
     since: float
     until: float
@@ -33,6 +35,7 @@
 @dataclass
 class Accounts:
     """All records that came of each front, by index."""
+
     records: dict[str, dict[int, Record]] = field(default_factory=lambda: defaultdict(dict))
     findings: list[Finding] = field(default_factory=list)
 
@@ -110,17 +113,25 @@
 
     def acted_on(self, name: str, number: int) -> list[Span]:
         """Who acted on one version, and when."""
-        return [span for front in sorted(self.records) for span in self.spans(front, 0.0)
-                if span.versions and name in span.versions and span.versions[name].number == number]
+        return [
+            span
+            for front in sorted(self.records)
+            for span in self.spans(front, 0.0)
+            if span.versions and name in span.versions and span.versions[name].number == number
+        ]
 
     def explain(self, job: str) -> list[tuple[str, Decision, dict[str, Version] | None]]:
         """Each decision on a job, with the versions of its line; None where the line is missing."""
         found: list[tuple[str, Decision, dict[str, Version] | None]] = []
         for front in self.records:
-            lines = {record.body.number: record.body.versions for record in self.of(front)
-                     if isinstance(record.body, Line)}
+            lines = {
+                record.body.number: record.body.versions
+                for record in self.of(front)
+                if isinstance(record.body, Line)
+            }
             for record in self.of(front):
                 if isinstance(record.body, Jobs):
-                    found += [(front, one, lines.get(one.line)) for one in record.body.decisions
-                              if one.job == job]
+                    found += [
+                        (front, one, lines.get(one.line)) for one in record.body.decisions if one.job == job
+                    ]
         return sorted(found, key=lambda entry: entry[1].at)
