Decode engines that are all cold earn their share by first requests

Cause, by a log line at each refusal on a scratch copy: 214 of 231 refusals from 15 to 27 s lacked a decode engine and nothing else. Ruled out: prefill (46 to 87 were usable), memory and windows of writers (none skipped), asking, the budget itself (some four requests in two seconds reached an engine of which the settings allow several times that).

Change: where all decode engines are cold a first request earns the whole share.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,8 +1,10 @@
 """The five rules and the mechanism, each on a state built by hand."""
 
+import pytest
 from helpers import NOW, ended, fleet, job, kinds, settings
 
 from worksmux import interface as i
+from worksmux.rules import PRUDENCE
 
 PAIR = ((0, 0, 0), (1, 0, 0))
 TWO_WRITERS = (*PAIR, (1, 0, 0))
@@ -207,6 +209,24 @@
     assert jobs[2].writer is cold and cold.credit < 0.1
 
 
+@pytest.mark.parametrize(
+    "cold, repeat, share", [((1, 2), False, 1.0), ((1, 2), True, 0.25), ((2,), False, 0.5)]
+)
+def test_decode_engines_that_are_all_cold_earn_their_share_by_first_requests(cold, repeat, share):
+    """Guards against a fleet whose decode engines were all replaced: a front that meets a request in seconds
+    has no serve to earn by, and refuses what they could do."""
+    front, engines = fleet(*TWO_WRITERS)
+    entries = [i.Entry(engines[at], "ready", NOW - 1, 0, 0, 1, 1.0) for at in cold]
+    front.decide(NOW, [i.Listed("delta", entries)])
+    before = engines[2].credit = 0.1
+    one = job(1)
+    one.repeat = repeat
+    front.decide(NOW + 1, [i.Arrived(one)])
+    rules = front.settings
+    earned = rules["cold_share"] * rules["fall_multiple"] * PRUDENCE * share * engines[2].part
+    assert engines[2].credit == pytest.approx(before + earned)
+
+
 def cold_readers(seed=1):
     """A front with one warm reader and four cold ones."""
     front, engines = fleet((1, 0, 0), *[(0, 0, 0)] * 5, seed=seed)
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -105,6 +105,8 @@
                 self.waiting[job] = None
                 # A part, so that a fleet all cold is not left alone; the least for repeats, which can storm.
                 self._earn(self.cold, 0.25 if job.repeat else 0.5)
+                if not job.repeat and all(map(self._cold, self.writers)):
+                    self._earn(self.writers, 0.5)    # who meets few requests has no serve to wait for
             case Began(trip, elapsed):
                 trip.began, trip.job.began, trip.job.holder = self.now, True, None
                 wait = max(0.0, elapsed - self._reads(trip))
