Fleet: the council's seat and the cores' timers have modules of their own

front/peering.py held the shells of three cores; the seat's (log, disk, messages that wait for writes, founding) is front/council_seat.py now, one timer a core front/core_timers.py.

--- a/worksmux/front/peering.py
+++ b/worksmux/front/peering.py
@@ -20,10 +20,8 @@
 
 from .. import interface as i
 from ..council import following as follow
-from ..council import raft as council
 from ..council import steps
-from ..council.book import PLAN, Book, Chapter, Put
-from ..council.entries import CHANGE, Base, Seats, front_of
+from ..council.book import PLAN, Chapter, Put
 from ..council.seating import Able, founds, next_seats
 from ..failover import acting
 from ..failover.plan import Plan, decode, encode
@@ -36,16 +34,17 @@
 from ..peers import swim as peers
 from ..peers.members import Rumour, State
 from ..settings.front import FrontSettings
+from .account_keeper import AccountKeeper
+from .core_timers import CoreTimers
 from .council_disk import CouncilDisk
+from .council_seat import CouncilSeat
 from .holding import Holding
-from .account_keeper import AccountKeeper
 from .peers_link import Envelope, PeersLink, ToAccount, ToFollower, ToPeer, ToSeat
 from .published import PublishedCore
 
 LOG = structlog.get_logger()
 COUNCIL = "council"  # the chapter with the council's own mark
 SEAT, VOTES = "seat", "votes"  # what a front carries along: its seat, and whether it votes
-LONG = 1000  # entries, from which the log is cut
 KEPT = 200  # plans remembered for who asks
 READ_TALLY = msgspec.msgpack.Decoder(Tally)
 
@@ -58,16 +57,13 @@
         assert fleet is not None
         self.settings, self.fleet, self.core, self.reactor, self.seed = settings, fleet, core, reactor, seed
         self.link = PeersLink(fleet, reactor, settings.name, self._came)
-        self.disk = CouncilDisk(Path(fleet.disk), reactor.callFromThread)
-        for note in self.disk.notes:
+        disk = CouncilDisk(Path(fleet.disk), reactor.callFromThread)
+        for note in disk.notes:
             LOG.warning("the council's disk", note=note)
-        self.life, self.mark = self.disk.own.life, self.disk.own.mark
-        self.seat = f"{settings.name}#{self.mark}"
-        self.raft = council.Raft(
-            self.seat, self.disk.saved, steps.Figures(fleet.beat, fleet.patience), mix(seed, 1), clock.now()
-        )
-        self.book = Book()
-        self.book.take_whole(self.disk.saved.base)
+        self.life = disk.own.life
+        self.timers = CoreTimers(reactor)
+        self.council = CouncilSeat(settings.name, fleet, reactor, seed, disk, self.timers, self._send_to_seat)
+        self.council.on_step, self.council.on_leader = self._tell_follower, self._forget_planner
         self.swim: peers.Swim | None = None
         self.follower = follow.Follower(settings.name, fleet.lease, mix(seed, 2), clock.now(), self._report)
         self.watcher = Watcher(settings.zones, [one.name for one in settings.offerings], settings.module)
@@ -85,13 +81,9 @@
         self.alone = True
         self.told: i.Planned | None = None
         self.history: deque[dict[str, Any]] = deque(maxlen=KEPT)
-        self.timers: dict[str, tuple[float, Any]] = {}
         self.own = Tally(zones={}, asked={})  # this front's latest report
-        self.synced = 0  # the last write of the council that is on disk
-        self.held: deque[tuple[int, list[tuple[str, Any]]]] = deque()  # messages that wait for one
-        self.marked = -1, 0  # of the book: index and mark
-        self.led_since = self.proposed_at = -inf
-        self.contradictions = 0
+        self.proposed_at = -inf
+        self.contradictions = 0  # of followers; the seat counts its own
         self.ended = False
         self.on_outlived: Callable[[], None] = lambda: None
 
@@ -109,7 +101,7 @@
             self.link.address,
             zone,
             self.settings.regions.get(zone, ""),
-            {SEAT: self.seat, COUNCIL: self._council()},
+            {SEAT: self.council.name, COUNCIL: self._council()},
         )
         self.swim = peers.Swim(me, self.fleet.seeds, self.fleet.period, mix(self.seed, 3), clock.now())
         before = self.core.on_event
@@ -119,13 +111,13 @@
         LOG.info(
             "fleet",
             peers=self.link.address,
-            seat=self.seat,
+            seat=self.council.name,
             life=self.life,
-            seats=list(self.raft.seats.voters),
+            seats=list(self.council.voters),
         )
         self.keeper.start(self.life)
         self._swim(peers.Tick())
-        self._raft(steps.Tick())
+        self.council.step(steps.Tick())
         self._follow(follow.Tick())
         self._look()
 
@@ -139,29 +131,15 @@
     def leave(self) -> None:
         """This front ends in order: another seat leads, and nobody calls it dead."""
         if not self.ended:
-            self._raft(steps.HandOver())
+            self.council.step(steps.HandOver())
             self._swim(peers.Leave())
 
     def close(self) -> None:
         self.ended = True
-        for _, timer in self.timers.values():
-            if timer.active():
-                timer.cancel()
+        self.timers.close()
         self.link.close()
         self.keeper.close()
-        self.disk.close()
-
-    # Timers: one for each core, for when it wants to be looked at.
-
-    def _rest(self, core: str, due: float, ring: Callable[[], None]) -> None:
-        at, timer = self.timers.get(core, (inf, None))
-        if timer is not None and timer.active():
-            if at == due:
-                return
-            timer.cancel()
-        if due < inf and not self.ended:
-            timer = self.reactor.callLater(max(0.0, due - clock.now()) / 1000, ring)
-            self.timers[core] = due, timer
+        self.council.close()
 
     # Peers.
 
@@ -174,7 +152,7 @@
             self._peer_fact(fact)
         if out.facts:
             self._follow(follow.Fronts(frozenset(self.swim.members.there), self._seat_fronts()))
-        self._rest("swim", self.swim.due, lambda: self._swim(peers.Tick()))
+        self.timers.ring_at("swim", self.swim.due, lambda: self._swim(peers.Tick()))
 
     def _peer_fact(self, fact: peers.Fact) -> None:
         match fact:
@@ -219,14 +197,14 @@
         return frozenset(one.name for one in there if one.facts.get(VOTES))
 
     def _council(self) -> str:
-        told = self.book.chapters.get(COUNCIL) or self.follower.chapters.get(COUNCIL)
+        told = self.council.book.chapters.get(COUNCIL) or self.follower.chapters.get(COUNCIL)
         # A seat that has not applied anything yet knows that there is one.
-        return told.value.decode() if told else "?" if self.raft.seats.voters else ""
+        return told.value.decode() if told else "?" if self.council.voters else ""
 
     def _carry(self) -> None:
         """What others are told of this front."""
-        facts = {SEAT: self.seat, COUNCIL: self._council()}
-        if self.seat in self.raft.seats.voters:
+        facts = {SEAT: self.council.name, COUNCIL: self._council()}
+        if self.council.name in self.council.voters:
             facts[VOTES] = "yes"
         if self.swim is not None and facts != self.swim.me.facts:
             self._swim(peers.Carry(facts))
@@ -250,9 +228,11 @@
             case ToAccount(message):
                 self.keeper.heard(envelope.name, message)
             case ToSeat(seat, to, message):
-                if to != self.seat:
-                    return self.link.refuse("seat", envelope.name, f"it is for {to}; this is {self.seat}")
-                self._raft(steps.Heard(seat, message))
+                if to != self.council.name:
+                    return self.link.refuse(
+                        "seat", envelope.name, f"it is for {to}; this is {self.council.name}"
+                    )
+                self.council.step(steps.Heard(seat, message))
 
     def _address(self, name: str) -> str:
         assert self.swim is not None
@@ -268,69 +248,15 @@
 
     # The council.
 
-    def _raft(self, what: steps.What) -> None:
-        """One step.  Its messages leave once its writes, and all before them, are on disk."""
-        if self.ended:
-            return
-        out = self.raft.step(clock.now(), what)
-        for write in out.writes:
-            self.disk.put(write, self._synced)
-        if out.messages and self.raft.number > self.synced:
-            self.held.append((self.raft.number, out.messages))
-        else:
-            self._post(out.messages)
-        for fact in out.facts:
-            self._council_fact(fact)
-        self._tell_follower()
-        self._rest("raft", self.raft.due, lambda: self._raft(steps.Tick()))
-
-    def _synced(self, number: int) -> None:
-        if self.ended:
-            return
-        self.synced = max(self.synced, number)
-        while self.held and self.held[0][0] <= self.synced:
-            self._post(self.held.popleft()[1])
-        self._raft(steps.Written(number))
+    def _send_to_seat(self, name: str, message: ToSeat) -> None:
+        self.link.post(name, self._address(name), message)
 
-    def _post(self, messages: list[tuple[str, Any]]) -> None:
-        for seat, message in messages:
-            name = front_of(seat)
-            self.link.post(name, self._address(name), ToSeat(self.seat, seat, message))
-
-    def _council_fact(self, fact: steps.Fact) -> None:
-        match fact:
-            case steps.Committed(entries):
-                for entry in entries:
-                    self.book.apply(entry)
-                if self.book.index - self.raft.log.base.index > LONG:
-                    self.reactor.callLater(0, self._raft, steps.Compact(self.book.index, self.book.whole()))
-            case steps.Rebased(base):
-                self.book.take_whole(base)
-            case steps.Leads(term, seat):
-                LOG.info("council", term=term, leader=front_of(seat), seats=list(self.raft.seats.voters))
-                self.planner, self.led_since = None, clock.now()
-            case steps.Odd(text):
-                LOG.error("the council contradicts itself", what=text)
-                self.contradictions += 1
-            case _:
-                pass
-
-    def _leads(self) -> bool:
-        """Surely, and with all that was agreed before it applied."""
-        raft = self.raft
-        return raft.leads_surely(clock.now()) and raft.commit >= raft.began
+    def _forget_planner(self) -> None:
+        self.planner = None
 
     def _tell_follower(self) -> None:
-        if not self.raft.seats.voters:
-            return
-        if self.book.index != self.marked[0]:
-            self.marked = self.book.index, self.book.mark()
-        age = self.raft.quorum_age(clock.now()) if self._leads() else -1.0
-        self._follow(
-            follow.Agreed(
-                self.book.index, self.marked[1], self.book.chapters, age, front_of(self.raft.leader)
-            )
-        )
+        if self.council.voters:
+            self._follow(self.council.agreed())
 
     # What all follow.
 
@@ -350,7 +276,7 @@
                         "another front holds something else under the same number", name=name, index=index
                     )
                     self.contradictions += 1
-        self._rest("follow", self.follower.due, lambda: self._follow(follow.Tick()))
+        self.timers.ring_at("follow", self.follower.due, lambda: self._follow(follow.Tick()))
 
     def _take_plan(self, chapter: Chapter) -> None:
         try:
@@ -400,53 +326,42 @@
         self.own = self.watcher.report(now)
         self._carry()
         self._found()
-        if self._leads():
+        if self.council.leads:
             self._seat(now)
             self._plan()
         if self.alone:
             self.check(now)
 
     def _found(self) -> None:
-        able = self.able()
-        if self.raft.seats.voters or not founds(
-            self.settings.name, list(self.fleet.founders), able, self._council()
-        ):
-            return
-        base = Base(seats=Seats((self.seat,)))
-        LOG.info("the council is founded", by=self.seat)
-        self.disk.found(base)
-        self.raft = council.Raft(
-            self.seat,
-            self.disk.saved,
-            steps.Figures(self.fleet.beat, self.fleet.patience),
-            mix(self.seed, 4),
-            clock.now(),
-        )
-        self.synced = 0
-        self.held.clear()
-        self._raft(steps.Tick())
+        founders = list(self.fleet.founders)
+        if not self.council.voters and founds(self.settings.name, founders, self.able(), self._council()):
+            self.council.found()
 
     def _seat(self, now: float) -> None:
         """Brings the council to its size; names it once."""
-        if COUNCIL not in self.book.chapters:
-            return self._propose(Put(COUNCIL, secrets.token_hex(8).encode(), 0))
+        if COUNCIL not in self.council.book.chapters:
+            return self.council.propose(Put(COUNCIL, secrets.token_hex(8).encode(), 0))
         swim = self.swim
         assert swim is not None
 
         def gone(name: str) -> bool:
             known = swim.members.known.get(name)
-            since = known.since if known is not None and not known.there else self.led_since
-            return (known is None or not known.there) and now - max(since, self.led_since) > self.fleet.gone
-
-        if self.raft.seats_at <= self.raft.commit:
-            seats = next_seats(self.raft.seats, self.able(), self.fleet.seats, gone, self.raft.caught_up)
+            since = known.since if known is not None and not known.there else self.council.led_since
+            return (known is None or not known.there) and now - max(
+                since, self.council.led_since
+            ) > self.fleet.gone
+
+        if self.council.raft.seats_at <= self.council.raft.commit:
+            seats = next_seats(
+                self.council.raft.seats, self.able(), self.fleet.seats, gone, self.council.raft.caught_up
+            )
             if seats is not None:
                 LOG.info("seats", voters=list(seats.voters), learners=list(seats.learners))
-                self._raft(steps.Change(seats))
+                self.council.step(steps.Change(seats))
 
     def _plan(self) -> None:
         """One look of the planner; no other while what it proposed is not agreed."""
-        now, held = clock.now(), self.book.chapters.get(PLAN)
+        now, held = clock.now(), self.council.book.chapters.get(PLAN)
         in_force = decode(held.value) if held else Plan()
         if (
             self.planner is not None
@@ -459,10 +374,7 @@
         plan = self.planner.look(self._tally(self.follower.reports()))
         if plan is not None:
             self.proposed_at = now
-            self._propose(Put(PLAN, encode(plan), held.index if held else 0))
-
-    def _propose(self, put: Put) -> None:
-        self._raft(steps.Propose(CHANGE, msgspec.msgpack.encode(put)))
+            self.council.propose(Put(PLAN, encode(plan), held.index if held else 0))
 
     # What the module acts on.
 
@@ -511,17 +423,17 @@
             "front": self.settings.name,
             "fleet": self.fleet.name,
             "life": self.life,
-            "seat": self.seat,
+            "seat": self.council.name,
             "alone": self.alone,
             "lease_ms": round(max(0.0, self.follower.until() - now)),
             "doubts_itself": swim.health.level,
             "council": {
-                "term": self.raft.term,
-                "role": self.raft.role.value,
+                "term": self.council.raft.term,
+                "role": self.council.raft.role.value,
                 "leader": self.follower.leader,
-                "voters": list(self.raft.seats.voters),
-                "learners": list(self.raft.seats.learners),
-                "agreed": self.book.index,
+                "voters": list(self.council.voters),
+                "learners": list(self.council.raft.seats.learners),
+                "agreed": self.council.book.index,
                 "known": self.follower.index,
             },
             "fronts": [
@@ -546,12 +458,12 @@
                 "dropped": self.link.dropped,
                 "refused": dict(self.link.refused),
             },
-            "contradictions": self.contradictions,
+            "contradictions": self.contradictions + self.council.contradictions,
         }
 
     def _views(self) -> dict[str, Any]:
         """How each zone is, where this front's seat leads and plans."""
-        if self.planner is None or not self._leads():
+        if self.planner is None or not self.council.leads:
             return {}
         return {
             name: {
