--- a/worksmux/front/council_seat.py
+++ b/worksmux/front/council_seat.py
@@ -33,8 +33,8 @@
 
 
 class CouncilSeat:
-    """`send(front, message)` goes to another front; `on_step` is called after each step, `on_leader` as a seat
-    begins to lead, this one or another."""
+    """`send(front, message)` goes to another front; `on_step` is called after each step, `on_leader` as a
+    seat begins to lead, this one or another."""
 
     def __init__(
         self,
