Names: trip becomes attempt in node/, reading and writing become prefill and decode attempts

A rename and nothing else: node/trips.py is node/attempts.py, Trip, Reading and Writing are Attempt, PrefillAttempt and DecodeAttempt, a carrier in node/core.py an attempt. The module's own Trip (interface.py) keeps its name until its turn.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -31,7 +31,7 @@
 from worksmux.node import config, protocol
 from worksmux.node.listing import Endpoint, HostList, listing
 from worksmux.node.serve import Node
-from worksmux.node.trips import Reading
+from worksmux.node.attempts import PrefillAttempt
 
 FULL = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 LOST = b"HTTP/1.1 410 Gone\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -325,7 +325,7 @@
     ends: list[i.Outcome] = []
     told: Any = type("Listener", (), {"ended": lambda self, trip, outcome, *_: ends.append(outcome)})()
     trip = i.Trip(i.Job(1, 0, 0, 0, 1.0, 0.0, 1.0, 0.0, 1.0), i.Engine(b"e", 1), 0, 0.0, True)
-    one = Reading(Slow(), None, trip, told, 100.0, 50.0, 300)  # type: ignore[arg-type]
+    one = PrefillAttempt(Slow(), None, trip, told, 100.0, 50.0, 300)  # type: ignore[arg-type]
     later.pop()()  # its time is up, and a reply waits at the socket
     assert not ends
     one.head(202, {})
--- a/tests/test_node_ends.py
+++ b/tests/test_node_ends.py
@@ -18,7 +18,7 @@
 from worksmux.net.loop import listen
 from worksmux.net.server import BEHIND, Server
 from worksmux.node import serve
-from worksmux.node.trips import Reading
+from worksmux.node.attempts import PrefillAttempt
 
 
 ALIVE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -117,7 +117,7 @@
         ends: list[i.Outcome] = []
         told: Any = SimpleNamespace(ended=lambda trip, outcome, *_, ends=ends: ends.append(outcome))
         trip = i.Trip(i.Job(1, 0, 0, 0, 1.0, 0.0, 1.0, 0.0, 1.0), i.Engine(b"e", 1), 0, 0.0, False)
-        one = Reading(Clock(), None, trip, told, 100.0, 50.0, 300)  # type: ignore[arg-type]
+        one = PrefillAttempt(Clock(), None, trip, told, 100.0, 50.0, 300)  # type: ignore[arg-type]
         one.call = Call(written)  # type: ignore[assignment]
         getattr(one, end)()
         assert ends == [outcome if written else i.Outcome.MOOT]
--- a/worksmux/node/trips.py
+++ b/worksmux/node/attempts.py
@@ -1,4 +1,4 @@
-"""Carries trips by the platform's protocol; `docs/node.md` has the table of outcomes."""
+"""Carries attempts by the platform's protocol; `docs/node.md` has the table of outcomes."""
 from __future__ import annotations
 
 from typing import Any
@@ -12,8 +12,8 @@
 TOLD_EARLY = 20.0        # milliseconds that the time told may be older than the attempt
 
 
-class Trip(Carriage):
-    """A trip whose reply may be a refusal; `fields` are the names of the load report's figures."""
+class Attempt(Carriage):
+    """An attempt whose reply may be a refusal; `fields` are the names of the load report's figures."""
 
     fields: list[str] = []
     asked: protocol.Asked
@@ -69,14 +69,14 @@
         return protocol.load_report(self.headers.get(protocol.LOAD), self.fields)
 
 
-class Reading(Trip):
+class PrefillAttempt(Attempt):
     def done(self) -> None:
         if self.status != 202:
             return super().done()
         self._end(i.Outcome.READ, protocol.cached_tokens(bytes(self.body)))
 
 
-class Writing(Streaming, Trip):
+class DecodeAttempt(Streaming, Attempt):
     """A stream of events goes to the client as it comes; it is whole with its last chunk."""
 
     def __init__(self, *args: Any) -> None:
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -1,4 +1,4 @@
-"""The life of jobs on the platform's protocol: trips to engines, releases and probes."""
+"""The life of requests on the platform's protocol: attempts at engines, releases and probes."""
 from __future__ import annotations
 
 from collections import deque
@@ -16,17 +16,17 @@
 from .in_doubt import DoubtWatch
 from .limits import Shares
 from .releases import Release, Releases
-from .trips import Reading, Trip, Writing
+from .attempts import Attempt, DecodeAttempt, PrefillAttempt
 
 HOST = "app.svc"
 HEAD, BODY = 2**14, 2**18            # bytes: an engine's head; a body, by the platform's page
 SILENCE = 4000.0                     # between two events of a stream: its client may wait 5 s at most
 # Each call opens a connection of its own.  On a day when engines closed or reset connections that they had
-# kept, 50 of 70 broken trips were on reused ones, idle for as little as 11 ms; a broken trip may have run,
+# kept, 50 of 70 broken attempts were on reused ones, idle for as little as 11 ms; a broken one may have run,
 # while a connection that can't be opened proves that it has not.  Opening one costs an engine 2 ms at most.
 MOST_IDLE = 0
 MARGIN = 10.0                        # off a client's time for both ways; 99 of 100 took under 6 on the bench
-SETTLING = 20.0                      # for the close of a trip's connection to be seen, before a deferral is
+SETTLING = 20.0                      # for the close of an attempt's connection to be seen, before a refusal
 ENGINE_LATE = 150.0                  # for an engine to end what it was told to end
 READS = 32                           # the latest, of which the slowest tells how long an engine may go on
 SLOWER = 3.0                         # times the slowest of them
@@ -96,60 +96,60 @@
     def _let_all_go(self, case: Case) -> None:
         """Nothing is to be kept for a next attempt; what is out now has it until its end."""
         held = self.held.get(case.job)
-        if held is None or any(carrier.call.up for carrier in case.out.values()):
+        if held is None or any(attempt.call.up for attempt in case.out.values()):
             return
         if not held.claims:
             return self.releases.drop_if_over(held)
         self.releases.start(held)
         self.metrics.release()
 
-    def _arrives(self, case: Case, carrier: Trip) -> None:
+    def _arrives(self, case: Case, attempt: Attempt) -> None:
         """An attempt is about to be written: nothing may be let go from under it."""
         held = self.held[case.job]
         self.releases.rest(held)
-        carrier.written_at = clock.now()
-        self._watch(case, carrier)
+        attempt.written_at = clock.now()
+        self._watch(case, attempt)
 
-    def _watch(self, case: Case, carrier: Trip) -> None:
+    def _watch(self, case: Case, attempt: Attempt) -> None:
         """Looks at an attempt where something may be held for its request beside it."""
         held = self.held[case.job]
-        if held.claims and not carrier.watched:
-            carrier.watched = True
-            self.doubts.watch(held, carrier, lambda: self._let_all_go(case))
+        if held.claims and not attempt.watched:
+            attempt.watched = True
+            self.doubts.watch(held, attempt, lambda: self._let_all_go(case))
 
     def _seek_sign(self, engine: i.Engine) -> None:
         """Probes an engine for a sign of life, of which the module is told nothing."""
         self.probe(engine, lambda _: None)
 
-    def _may_hold(self, case: Case, trip: i.Trip, outcome: i.Outcome, carrier: Trip) -> None:
+    def _may_hold(self, case: Case, trip: i.Trip, outcome: i.Outcome, attempt: Attempt) -> None:
         held = self.held[case.job]
-        if carrier is None or outcome in (i.Outcome.UNREACHABLE, i.Outcome.MOOT):
+        if attempt is None or outcome in (i.Outcome.UNREACHABLE, i.Outcome.MOOT):
             return                                   # it never arrived: the time to let go runs on
         now = clock.now()
         self.releases.stop_beside(held)
         unseen = outcome in NOT_SEEN and not trip.began
-        held.outcome(now, not unseen or carrier.pool.answered >= carrier.written_at)
+        held.outcome(now, not unseen or attempt.pool.answered >= attempt.written_at)
         if outcome is i.Outcome.READ:
-            self.read_times.append((case.job.prompt, now - carrier.written_at))
+            self.read_times.append((case.job.prompt, now - attempt.written_at))
         if unseen:
-            held.ended_unseen(trip.engine, now, self._work_left(case, carrier, now))
+            held.ended_unseen(trip.engine, now, self._work_left(case, attempt, now))
         elif trip.reading and outcome is not i.Outcome.FULL:
             held.read(trip.engine, now)
         for other in case.out.values():              # this one is no longer among them
             self._watch(case, other)
 
-    def _work_left(self, case: Case, carrier: Trip, now: float) -> float:
+    def _work_left(self, case: Case, attempt: Attempt, now: float) -> float:
         """How long an engine that runs may go on with a read that was given up: at least for what is left of
         the time that it was told.  One that was silent may begin only when it runs again: by the slowest of
         the latest reads, or for all of the time told, where none was as long.  What waits for state ends at
         once."""
-        if not carrier.trip.reading:
+        if not attempt.trip.reading:
             return 0.0
-        ends = carrier.expires + ENGINE_LATE
+        ends = attempt.expires + ENGINE_LATE
         longest = max((time for _, time in self.read_times), default=0.0)
         most = max((tokens for tokens, _ in self.read_times), default=0.0)
-        unknown = case.job.prompt > most or now - carrier.written_at > longest
-        takes = ends - carrier.written_at if unknown else SLOWER * longest
+        unknown = case.job.prompt > most or now - attempt.written_at > longest
+        takes = ends - attempt.written_at if unknown else SLOWER * longest
         return max(self.releases.within, ends - now, takes)
 
     def _release(self, job: i.Job) -> None:
@@ -162,46 +162,46 @@
         if case.job.holder is not None:
             self.held[case.job].taken(case.job.holder)
 
-    # Trips.
+    # Attempts.
 
-    def _carry(self, case: Case, trip: i.Trip, pool: client.Pool, time_out: float) -> Trip:
-        make = Reading if trip.reading else Writing
-        carrier = make(self.reactor, pool, trip, self, time_out, SILENCE, BODY)
-        carrier.fields = self.module_settings["report_fields"]
-        call = carrier.send(case.asked, time_out)
+    def _carry(self, case: Case, trip: i.Trip, pool: client.Pool, time_out: float) -> Attempt:
+        make = PrefillAttempt if trip.reading else DecodeAttempt
+        attempt = make(self.reactor, pool, trip, self, time_out, SILENCE, BODY)
+        attempt.fields = self.module_settings["report_fields"]
+        call = attempt.send(case.asked, time_out)
         if call.up:
-            self._arrives(case, carrier)
+            self._arrives(case, attempt)
         else:
-            call.on_up = lambda: self._came_up(case, carrier)
-            self._watch(case, carrier)
-        return carrier
+            call.on_up = lambda: self._came_up(case, attempt)
+            self._watch(case, attempt)
+        return attempt
 
-    def _came_up(self, case: Case, carrier: Trip) -> None:
+    def _came_up(self, case: Case, attempt: Attempt) -> None:
         """Guards against a trip that is written late, as its connection took time: its client may have left,
         its job been answered, its engine begun to drain.  It was never sent then."""
         if not case.answered and case.client.gone():
             self.left(case)
-        if case.answered or carrier.trip.engine.state != "ready":
-            return carrier.withdraw()
+        if case.answered or attempt.trip.engine.state != "ready":
+            return attempt.withdraw()
         release = self.releases.seeking(self.held[case.job])
-        if release is not None and not carrier.held_back:
-            return self._hold_back(case, carrier, release)
-        carrier.came_up()
-        self._arrives(case, carrier)
+        if release is not None and not attempt.held_back:
+            return self._hold_back(case, attempt, release)
+        attempt.came_up()
+        self._arrives(case, attempt)
 
-    def _hold_back(self, case: Case, carrier: Trip, release: Release) -> None:
+    def _hold_back(self, case: Case, attempt: Attempt, release: Release) -> None:
         """Guards against an attempt that puts a release off, or is harmed by it: an engine hears the release
         first, or has had the time of some steps to do so."""
-        assert carrier.call is not None
-        carrier.held_back = carrier.call.held_back = True
+        assert attempt.call is not None
+        attempt.held_back = attempt.call.held_back = True
 
         def go() -> None:
             if timer.active():
                 timer.cancel()
             release.on_heard = None
-            if not carrier.over:
-                self._came_up(case, carrier)
-                carrier.go()
+            if not attempt.over:
+                self._came_up(case, attempt)
+                attempt.go()
 
         timer = TimeOut(self.reactor, HELD_BACK_STEPS * self.releases.step / 1000, go)
         release.on_heard = go
