--- a/worksmux/node/attempts.py
+++ b/worksmux/node/attempts.py
@@ -1,4 +1,5 @@
 """Carries attempts by the platform's protocol; `docs/node.md` has the table of outcomes."""
+
 from __future__ import annotations
 
 from typing import Any
@@ -9,7 +10,7 @@
 from . import protocol
 
 
-TOLD_EARLY = 20.0        # milliseconds that the time told may be older than the attempt
+TOLD_EARLY = 20.0  # milliseconds that the time told may be older than the attempt
 
 
 class Attempt(Carriage):
@@ -17,12 +18,12 @@
 
     fields: list[str] = []
     asked: protocol.Asked
-    made_at = 0.0                    # when its head was written
-    expires = 0.0                    # when the time told to its engine is over
-    written_at = 0.0                 # when its connection was up and its bytes were handed over
-    held_back = False                # it has waited for a release
-    watched = False                  # it is looked at for signs of life
-    last = 0.0                       # when the latest piece of its stream came
+    made_at = 0.0  # when its head was written
+    expires = 0.0  # when the time told to its engine is over
+    written_at = 0.0  # when its connection was up and its bytes were handed over
+    held_back = False  # it has waited for a release
+    watched = False  # it is looked at for signs of life
+    last = 0.0  # when the latest piece of its stream came
 
     def send(self, asked: protocol.Asked, time_out: float) -> client.Call:
         self.asked, self.made_at = asked, clock.now()
@@ -40,8 +41,9 @@
     def came_up(self) -> None:
         """Its connection has come up: the engine is told the time that is left now."""
         if self.call is not None and clock.now() - self.made_at > TOLD_EARLY:
-            self.call.data = client.request("POST", self.asked.path, self.pool.name, self._headers(),
-                                            self.asked.body)
+            self.call.data = client.request(
+                "POST", self.asked.path, self.pool.name, self._headers(), self.asked.body
+            )
 
     def go(self) -> None:
         """Its wait for a release is over."""
--- a/worksmux/node/clients.py
+++ b/worksmux/node/clients.py
@@ -1,4 +1,5 @@
 """The clients' side of a node: heads checked, streams passed on unchanged, one answer to each job."""
+
 from __future__ import annotations
 
 from ..api import errors
@@ -31,7 +32,7 @@
     def _refused(self, status: int, message: str, headers: tuple[tuple[str, str], ...] = ()) -> None:
         if self.begun:
             self._unlink()
-            self.exchange.cut()                      # without the last chunk
+            self.exchange.cut()  # without the last chunk
         else:
             self.exchange.answer(status, errors.error(message, "server_error"), headers=headers)
 
@@ -65,15 +66,16 @@
 
     def _chat(self, exchange: Exchange) -> None:
         try:
-            asked = protocol.asked(exchange.values, exchange.uri.decode("latin-1"), exchange.body(),
-                                   self.offerings)
+            asked = protocol.asked(
+                exchange.values, exchange.uri.decode("latin-1"), exchange.body(), self.offerings
+            )
         except protocol.Refused as fault:
             return self._no(exchange, fault.status, fault.why)
         asked.headers = protocol.forwarded(exchange.fields())
         if asked.key in self.core.keys:
             return self._no(exchange, 409, "a job with this id is open")
         side = StreamClient(exchange)
-        if self.core.failed:                         # the module has: nothing would decide on it
+        if self.core.failed:  # the module has: nothing would decide on it
             self.core.metrics.turned_away("module failed")
             return side.deferred(0.0)
         if len(self.core.cases) >= self.core.share.jobs:
--- a/worksmux/node/config.py
+++ b/worksmux/node/config.py
@@ -1,4 +1,5 @@
 """What the platform tells a front node at its start: the file that LB_CONFIG names, or single variables."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -46,11 +47,11 @@
     listen: Address
     discovery: Address
     seed: int
-    cores: float                     # the part of one core that the node gets
-    memory: float                    # bytes; 0: no limit is told
-    sockets: int                     # descriptors in all
-    known: HostList                  # the list as this node last had it
-    settings: Settings               # what the module is given
+    cores: float  # the part of one core that the node gets
+    memory: float  # bytes; 0: no limit is told
+    sockets: int  # descriptors in all
+    known: HostList  # the list as this node last had it
+    settings: Settings  # what the module is given
     offerings: list[str]
     kinds: list[str]
     zones: list[str]
@@ -85,10 +86,12 @@
         told = READ.decode(data)
         settings = settings_from(told.settings, "$.settings")
         root = Place(told.settings, "$.settings")
-        offerings = [Place(one, f"$.settings.services[{at}]").text("name")
-                     for at, one in enumerate(told.settings["services"])]
+        offerings = [
+            Place(one, f"$.settings.services[{at}]").text("name")
+            for at, one in enumerate(told.settings["services"])
+        ]
         kinds, zones = root.texts("kinds"), root.texts("zones", [])
-    except (Untold, msgspec.ValidationError) as error:       # they name the place themselves
+    except (Untold, msgspec.ValidationError) as error:  # they name the place themselves
         raise BadConfig(f"{place}: {error}") from None
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise BadConfig(f"{place}: {len(data)} bytes: whole JSON was expected: {error}") from None
@@ -102,8 +105,16 @@
         name,
         address(told.listen or variables.get(LISTEN), f"{place}: $.listen"),
         address(told.discovery or variables.get(DISCOVERY), f"{place}: $.discovery"),
-        _seed(told.seed, f"{place}: $.seed"), limits.cores, limits.memory_mb * 2**20, limits.sockets,
-        told.known, settings, offerings, kinds, zones)
+        _seed(told.seed, f"{place}: $.seed"),
+        limits.cores,
+        limits.memory_mb * 2**20,
+        limits.sockets,
+        told.known,
+        settings,
+        offerings,
+        kinds,
+        zones,
+    )
 
 
 def load(variables: Mapping[str, str]) -> Config:
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -1,4 +1,5 @@
 """The life of requests on the platform's protocol: attempts at engines, releases and probes."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -19,47 +20,60 @@
 from .attempts import Attempt, DecodeAttempt, PrefillAttempt
 
 HOST = "app.svc"
-HEAD, BODY = 2**14, 2**18            # bytes: an engine's head; a body, by the platform's page
-SILENCE = 4000.0                     # between two events of a stream: its client may wait 5 s at most
+HEAD, BODY = 2**14, 2**18  # bytes: an engine's head; a body, by the platform's page
+SILENCE = 4000.0  # between two events of a stream: its client may wait 5 s at most
 # Each call opens a connection of its own.  On a day when engines closed or reset connections that they had
 # kept, 50 of 70 broken attempts were on reused ones, idle for as little as 11 ms; a broken one may have run,
 # while a connection that can't be opened proves that it has not.  Opening one costs an engine 2 ms at most.
 MOST_IDLE = 0
-MARGIN = 10.0                        # off a client's time for both ways; 99 of 100 took under 6 on the bench
-SETTLING = 20.0                      # for the close of an attempt's connection to be seen, before a refusal
-ENGINE_LATE = 150.0                  # for an engine to end what it was told to end
-READS = 32                           # the latest, of which the slowest tells how long an engine may go on
-SLOWER = 3.0                         # times the slowest of them
-HELD_BACK_STEPS = 2                  # of a release: so long an attempt waits for it to be heard
-SECOND = 1000.0                      # to let go in, where the settings know no time for it
-CONNECTING = 250.0                   # for a connection to come up, where the settings do not say
+MARGIN = 10.0  # off a client's time for both ways; 99 of 100 took under 6 on the bench
+SETTLING = 20.0  # for the close of an attempt's connection to be seen, before a refusal
+ENGINE_LATE = 150.0  # for an engine to end what it was told to end
+READS = 32  # the latest, of which the slowest tells how long an engine may go on
+SLOWER = 3.0  # times the slowest of them
+HELD_BACK_STEPS = 2  # of a release: so long an attempt waits for it to be heard
+SECOND = 1000.0  # to let go in, where the settings know no time for it
+CONNECTING = 250.0  # for a connection to come up, where the settings do not say
 NOT_SEEN = frozenset({i.Outcome.CANCELLED, i.Outcome.TIMED_OUT, i.Outcome.RESET})
 
 
 class NodeCore(Core):
     metrics: NodeCounts
 
-    def __init__(self, door: Door, reactor: Reactor, counts: NodeCounts, offerings: list[str],
-                 share: Shares) -> None:
+    def __init__(
+        self, door: Door, reactor: Reactor, counts: NodeCounts, offerings: list[str], share: Shares
+    ) -> None:
         super().__init__(door, reactor, counts)
         self.offerings = offerings
         self.share = share
         self.connect_time_out = float(door.settings["connect_time_out"]) or CONNECTING
-        self.keys: dict[str, Case] = {}              # of the jobs that are open
-        self.releases = Releases(reactor, self._small, self._other,
-                                 float(door.settings["release_within"]) or SECOND)
-        self.doubts = DoubtWatch(reactor, self.releases,
-                                 self._seek_sign if door.settings["may_probe"] else None)
-        self.held: dict[i.Job, HeldState] = {}       # what engines may hold for the jobs that are open
-        self.read_times: deque[tuple[float, float]] = deque(maxlen=READS)    # tokens, milliseconds
+        self.keys: dict[str, Case] = {}  # of the jobs that are open
+        self.releases = Releases(
+            reactor, self._small, self._other, float(door.settings["release_within"]) or SECOND
+        )
+        self.doubts = DoubtWatch(
+            reactor, self.releases, self._seek_sign if door.settings["may_probe"] else None
+        )
+        self.held: dict[i.Job, HeldState] = {}  # what engines may hold for the jobs that are open
+        self.read_times: deque[tuple[float, float]] = deque(maxlen=READS)  # tokens, milliseconds
         self._letting_go: list[Case] = []
 
     def arrived(self, asked: protocol.Asked, client_side: Client, arrived: float) -> Case:
         """A job that came at `arrived` is told to the module; from here on it is owed one answer."""
         self.number += 1
-        job = i.Job(self.number, asked.offering, asked.session, asked.prefix, asked.prompt,
-                    asked.prefix_tokens, asked.most, arrived, arrived + max(0.0, asked.time_left - MARGIN),
-                    repeat=asked.repeat, resumed=asked.resumed)
+        job = i.Job(
+            self.number,
+            asked.offering,
+            asked.session,
+            asked.prefix,
+            asked.prompt,
+            asked.prefix_tokens,
+            asked.most,
+            arrived,
+            arrived + max(0.0, asked.time_left - MARGIN),
+            repeat=asked.repeat,
+            resumed=asked.resumed,
+        )
         case = Case(job, asked, client_side, asked.key, self.offerings[asked.offering])
         self.keys[case.key] = case
         self.held[job] = self.releases.held(case.key)
@@ -69,7 +83,7 @@
         """Guards against a node that ends with its last job before what is held for that is released: the
         release begins first."""
         if not case.out and case.job in self.cases:
-            self._let_all_go(case)                   # what a broken read may have left, and nobody took
+            self._let_all_go(case)  # what a broken read may have left, and nobody took
             del self.keys[case.key], self.held[case.job]
         super()._close(case)
 
@@ -77,11 +91,15 @@
         """Guards against a deferral that overtakes the end of a trip: until the engine has seen its
         connection close, the job is still out there, and to ask again is not known to be harmless."""
         case = self.cases.get(job)
-        if case is not None and how == "deferred" and not case.answered and (
-                self.module_settings["offerings"][job.offering]["effect"] != "redoable"):
+        if (
+            case is not None
+            and how == "deferred"
+            and not case.answered
+            and (self.module_settings["offerings"][job.offering]["effect"] != "redoable")
+        ):
             left = SETTLING if case.out else case.called_off + SETTLING - clock.now()
             if left > 0:
-                if case.guard.active():              # it is decided
+                if case.guard.active():  # it is decided
                     case.guard.cancel()
                 self.reactor.callLater(left / 1000, super()._final, job, how, stay_away)
                 return
@@ -124,7 +142,7 @@
     def _may_hold(self, case: Case, trip: i.Trip, outcome: i.Outcome, attempt: Attempt) -> None:
         held = self.held[case.job]
         if attempt is None or outcome in (i.Outcome.UNREACHABLE, i.Outcome.MOOT):
-            return                                   # it never arrived: the time to let go runs on
+            return  # it never arrived: the time to let go runs on
         now = clock.now()
         self.releases.stop_beside(held)
         unseen = outcome in NOT_SEEN and not trip.began
@@ -135,7 +153,7 @@
             held.ended_unseen(trip.engine, now, self._work_left(case, attempt, now))
         elif trip.reading and outcome is not i.Outcome.FULL:
             held.read(trip.engine, now)
-        for other in case.out.values():              # this one is no longer among them
+        for other in case.out.values():  # this one is no longer among them
             self._watch(case, other)
 
     def _work_left(self, case: Case, attempt: Attempt, now: float) -> float:
@@ -155,7 +173,7 @@
     def _release(self, job: i.Job) -> None:
         case = self.cases.get(job)
         if case is not None:
-            self._letting_go.append(case)            # after the turn: a trip may be sent in the same one
+            self._letting_go.append(case)  # after the turn: a trip may be sent in the same one
 
     def _taken(self, case: Case) -> None:
         """The state went with the trip; what earlier reads may have left is let go at the end."""
@@ -217,14 +235,23 @@
         were heard lately may lie on the other side."""
         asked, here = {engine.zone for engine in known}, self.module_settings["zone"]
         able = [engine for engine in self.pools if engine.state != "gone" and engine not in known]
-        return max(able, default=None, key=lambda engine: (
-            engine.state == "ready", engine.zone not in asked, engine.zone == here, self.pools[engine].heard))
+        return max(
+            able,
+            default=None,
+            key=lambda engine: (
+                engine.state == "ready",
+                engine.zone not in asked,
+                engine.zone == here,
+                self.pools[engine].heard,
+            ),
+        )
 
     def _probe_path(self) -> str:
         return protocol.ALIVE if self.module_settings["reports"] == "off" else protocol.LOAD_PATH
 
-    def _probed(self, status: int, headers: dict[str, str], reply: bytes
-                ) -> tuple[i.Outcome, dict[str, float] | None]:
+    def _probed(
+        self, status: int, headers: dict[str, str], reply: bytes
+    ) -> tuple[i.Outcome, dict[str, float] | None]:
         if status != 200:
             return protocol.refusal(status, headers)[0], None
         text = headers.get(protocol.LOAD) or reply[:1000].decode("latin-1")
--- a/worksmux/node/counts.py
+++ b/worksmux/node/counts.py
@@ -1,4 +1,5 @@
 """What a node counts of itself, for its log: there is no listener for metrics on the platform."""
+
 from __future__ import annotations
 
 from collections import Counter
--- a/worksmux/node/discovery.py
+++ b/worksmux/node/discovery.py
@@ -1,4 +1,5 @@
 """The watch on the platform's discovery: a reply that stays open and brings a line for each change."""
+
 from __future__ import annotations
 
 import math
@@ -22,13 +23,13 @@
 # A change counts as told 6 s after discovery had it and could be reached, whatever became of a call.  In that
 # time fit: the silence after which a watch is not trusted, and three more watches opened one after the other,
 # each of which may come up and say nothing; what is left is for a node that is late itself.
-BEAT = 2000.0            # an empty line comes at least as often, by the platform's page
-SILENCE = 1.25 * BEAT    # without any line: another watch is opened beside it
-ANSWER = 0.4 * BEAT      # without a first word, about: another one is opened beside it too
-GIVEN_UP = 1.5 * BEAT    # a watch that has not spoken by then is closed
-LOOK = BEAT / 16         # between two looks at the clock
+BEAT = 2000.0  # an empty line comes at least as often, by the platform's page
+SILENCE = 1.25 * BEAT  # without any line: another watch is opened beside it
+ANSWER = 0.4 * BEAT  # without a first word, about: another one is opened beside it too
+GIVEN_UP = 1.5 * BEAT  # a watch that has not spoken by then is closed
+LOOK = BEAT / 16  # between two looks at the clock
 PAUSES = (50.0, 1000.0)  # before the next attempt after a failed one; they grow, and are spread by chance
-LINE = 2**20             # bytes of one object at most; a body has at most a quarter of that
+LINE = 2**20  # bytes of one object at most; a body has at most a quarter of that
 
 
 class Watching:
@@ -37,7 +38,7 @@
     def __init__(self, discovery: Discovery, now: float) -> None:
         self.discovery, self.asked, self.address = discovery, now, discovery.address
         self.rest = b""
-        self.begun: list[bytes] = []                 # lines of an object that is not whole yet
+        self.begun: list[bytes] = []  # lines of an object that is not whole yet
         self.size = 0
         self.call: client.Call | None = None
         self.over = False
@@ -60,7 +61,7 @@
             return self.discovery.heard_from(self, None)
         self.begun.append(line)
         self.size += len(line)
-        if not text.endswith(b"}"):                  # it can't end here
+        if not text.endswith(b"}"):  # it can't end here
             return None if text and self.begun[0].lstrip().startswith(b"{") else self._no("no object")
         try:
             told = READ_HOSTS.decode(b"\n".join(self.begun))
@@ -97,19 +98,20 @@
     while the old one still speaks, and a watch that has fallen silent may still turn out to be alive.
     """
 
-    def __init__(self, address: tuple[str, int], core: NodeCore, reactor: Reactor, kinds: list[str],
-                 zones: list[str]) -> None:
+    def __init__(
+        self, address: tuple[str, int], core: NodeCore, reactor: Reactor, kinds: list[str], zones: list[str]
+    ) -> None:
         self.address, self.core, self.reactor = address, core, reactor
         self.keeper = ListKeeper(kinds, zones, self.engine)
         self.index = 0
         self.watching: Watching | None = None
-        self.coming: list[Watching] = []             # that have not spoken yet, oldest first
-        self.heard = 0.0                             # from the watch at work
-        self.not_before = 0.0                        # when the next one may be opened
+        self.coming: list[Watching] = []  # that have not spoken yet, oldest first
+        self.heard = 0.0  # from the watch at work
+        self.not_before = 0.0  # when the next one may be opened
         self.pause = PAUSES[0]
         self.timer: Any = None
         self.stopped = False
-        self.on_word: Callable[[], None] | None = None       # called once, with discovery's first word
+        self.on_word: Callable[[], None] | None = None  # called once, with discovery's first word
 
     def engine(self, name: str) -> i.Engine:
         address = name.encode()
@@ -179,7 +181,7 @@
         planned = math.inf
         if watching in self.coming:
             self.coming.remove(watching)
-            planned = self.not_before                # guards against waits that add up
+            planned = self.not_before  # guards against waits that add up
         elif watching is self.watching:
             self.watching = None
         else:
@@ -227,8 +229,12 @@
             self.keeper.known.pop(engine.id.decode(), None)
         for note in (*notes, *made.notes):
             LOG.warning("list of engines", note=note)
-        LOG.info("list of engines", index=told.index, whole=told.snapshot,
-                 leaving=[line.id for line in lines.engines if line.state != "ready"])
+        LOG.info(
+            "list of engines",
+            index=told.index,
+            whole=told.snapshot,
+            leaving=[line.id for line in lines.engines if line.state != "ready"],
+        )
         for known in made.moved:
             self.core.moved(known.engine, known.line.host, known.line.port)
         if made.event is not None:
--- a/worksmux/node/listing.py
+++ b/worksmux/node/listing.py
@@ -1,4 +1,5 @@
 """The platform's list of engines in JSON, turned into lines that the list's keeper knows.  Free of I/O."""
+
 from __future__ import annotations
 
 from typing import Literal
@@ -9,11 +10,15 @@
 from ..settings import units
 
 STATES: dict[str, Literal["ready", "draining", "gone"]] = {
-    "SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
+    "SERVING": "ready",
+    "DRAINING": "draining",
+    "DELETED": "gone",
+}
 
 
 class Endpoint(msgspec.Struct):
     """One engine; `since_ms` is its latest start in Unix time, 0 for long ago."""
+
     name: str
     address: str = ""
     zone: str = ""
@@ -26,6 +31,7 @@
 
 class HostList(msgspec.Struct):
     """The whole list (a snapshot) or the entries that changed."""
+
     index: int = 0
     snapshot: bool = True
     endpoints: list[Endpoint] = []
@@ -53,6 +59,7 @@
                 notes.append(f"engine {one.name}: no address host:port: {one.address[:60]}")
                 continue
             host, port = "", 0
-        lines.append(Line(one.name, host, port, one.type, state, one.zone, one.group, one.weight,
-                          one.since_ms))
+        lines.append(
+            Line(one.name, host, port, one.type, state, one.zone, one.group, one.weight, one.since_ms)
+        )
     return Listing("full" if told.snapshot else "delta", told.index, previous, wall, lines), notes
--- a/worksmux/node/protocol.py
+++ b/worksmux/node/protocol.py
@@ -1,5 +1,6 @@
 """The platform's protocol, without sockets: what a client's head asks for, what an engine's reply means, and
 which pieces of a stream are whole events."""
+
 from __future__ import annotations
 
 import re
@@ -15,15 +16,30 @@
 CHAT, READY, HOLDS, ALIVE, LOAD_PATH = "/v1/chat/completions", "/up", "/v1/holds/", "/alive", "/metrics/load"
 ID, OFFERING, SESSION, TIME_LEFT = "X-Request-ID", "X-Priority-Class", "X-Route-Key", "X-Timeout-Ms"
 ATTRS, RETRIED, LOAD, NOT_RUN = "X-Attrs", "X-Retried", "x-server-load", "x-not-processed"
-LONGEST_ID = 128                     # characters
-LONGEST_WAIT = 3_600_000             # milliseconds that a client may name
+LONGEST_ID = 128  # characters
+LONGEST_WAIT = 3_600_000  # milliseconds that a client may name
 MOST_TOKENS = 10_000_000
 # Of one connection alone (RFC 9110, 7.6.1), or written anew for each attempt.
-NOT_FORWARDED = frozenset({
-    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te",
-    "trailer", "transfer-encoding", "upgrade", "content-length", "expect", "host", "accept-encoding",
-    ID.lower(), TIME_LEFT.lower()})
-TOKEN = frozenset("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz")      # RFC 9110, 5.6.2
+NOT_FORWARDED = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+        "host",
+        "accept-encoding",
+        ID.lower(),
+        TIME_LEFT.lower(),
+    }
+)
+TOKEN = frozenset("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz")  # RFC 9110, 5.6.2
 
 
 class Refused(Exception):
@@ -37,7 +53,8 @@
 @dataclass(slots=True)
 class Asked:
     """One client's job; lengths in tokens, the time left in milliseconds."""
-    key: str                         # the client's id of it
+
+    key: str  # the client's id of it
     offering: int
     session: int
     prefix: int
@@ -47,13 +64,14 @@
     time_left: float
     repeat: bool
     resumed: bool
-    path: str                        # with its query
+    path: str  # with its query
     body: bytes
-    headers: list[tuple[str, str]] = field(default_factory=list)      # the client's, for each attempt
+    headers: list[tuple[str, str]] = field(default_factory=list)  # the client's, for each attempt
 
 
 class _Body(msgspec.Struct):
     """What a body needs to be asked of an engine; the rest is the engine's."""
+
     messages: list[msgspec.Raw]
     stream: bool = False
 
@@ -107,12 +125,20 @@
     [('Idempotency-Key', '9e')]
     """
     fields = [(name, value) for name, values in headers for value in values]
-    hops = {option.strip().lower() for name, value in fields if name.lower() == "connection"
-            for option in value.split(",")}
+    hops = {
+        option.strip().lower()
+        for name, value in fields
+        if name.lower() == "connection"
+        for option in value.split(",")
+    }
     dropped = NOT_FORWARDED | hops
-    return [(name, value) for name, value in fields
-            if name.lower() not in dropped and TOKEN.issuperset(name.lower())
-            and not any(character < " " and character != "\t" or character == "\x7f" for character in value)]
+    return [
+        (name, value)
+        for name, value in fields
+        if name.lower() not in dropped
+        and TOKEN.issuperset(name.lower())
+        and not any(character < " " and character != "\t" or character == "\x7f" for character in value)
+    ]
 
 
 def asked(header: Callable[[str], list[str]], path: str, body: bytes, offerings: dict[str, int]) -> Asked:
@@ -138,8 +164,9 @@
     if not left:
         raise Refused(400, f"{TIME_LEFT}: whole milliseconds above 0 were expected")
     attrs = attributes(one(ATTRS, needed=False))
-    prompt, shared, most = (whole_number(attrs.get(each, "0"), MOST_TOKENS)
-                            for each in ("prompt_len", "prefix_len", "max_out"))
+    prompt, shared, most = (
+        whole_number(attrs.get(each, "0"), MOST_TOKENS) for each in ("prompt_len", "prefix_len", "max_out")
+    )
     if prompt is None or shared is None or most is None:
         raise Refused(400, f"{ATTRS}: lengths in whole tokens were expected")
     try:
@@ -149,12 +176,25 @@
         raise Refused(400, f"the body is no chat completion: {error}") from None
     retried = one(RETRIED, needed=False)
     session = number_of(one(SESSION, needed=False))
-    return Asked(key, offerings[name], session, number_of(attrs.get("prefix", "")), float(max(1, prompt)),
-                 float(shared), float(most), float(left), retried == "1", retried == "again", path, body)
+    return Asked(
+        key,
+        offerings[name],
+        session,
+        number_of(attrs.get("prefix", "")),
+        float(max(1, prompt)),
+        float(shared),
+        float(most),
+        float(left),
+        retried == "1",
+        retried == "again",
+        path,
+        body,
+    )
 
 
 # Engines.
 
+
 def load_report(text: str | None, fields: list[str]) -> dict[str, float] | None:
     """The figures that the settings name; None where there are none or they can't be read.
 
@@ -184,6 +224,7 @@
 
 class _Found(msgspec.Struct):
     """What of a prompt was found kept."""
+
     cached_tokens: int = 0
 
 
@@ -229,7 +270,7 @@
 
     def __init__(self, bound: int) -> None:
         self.bound = bound
-        self.done = False                # the closing event has come
+        self.done = False  # the closing event has come
         self.cached = 0
         self.report: str | None = None
         self._rest = b""
@@ -240,7 +281,7 @@
         whole, good, begin = self._rest + data, [], 0  # type: bytes, list[bytes], int
         for blank in EVENT_END.finditer(whole):
             try:
-                kept = self._event(whole[begin:blank.start()])
+                kept = self._event(whole[begin : blank.start()])
             except Spoilt as fault:
                 raise Spoilt(str(fault), b"".join(good)) from None
             if kept:
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -1,4 +1,5 @@
 """Starts a front node and ends it in order: sockets, signals."""
+
 from __future__ import annotations
 
 import signal
@@ -27,12 +28,12 @@
 
 LOG = structlog.get_logger()
 BAD_CONFIG = 2
-IDLE = 2000.0            # a client's connection without an open job, milliseconds
-PATIENCE = 2600.0        # for a request to come whole: who sends none is owed an end within 3 s
-ACCEPTING = 700.0        # after SIGTERM: connections may still come
-LAST_TURNS = 3           # of the reactor after that: a connection is accepted, read and taken
-TELL = 1000.0            # between two lines of counts
-FIRST_WORD = 250.0       # what discovery's agent has it tells at once; a silent one has nothing to tell
+IDLE = 2000.0  # a client's connection without an open job, milliseconds
+PATIENCE = 2600.0  # for a request to come whole: who sends none is owed an end within 3 s
+ACCEPTING = 700.0  # after SIGTERM: connections may still come
+LAST_TURNS = 3  # of the reactor after that: a connection is accepted, read and taken
+TELL = 1000.0  # between two lines of counts
+FIRST_WORD = 250.0  # what discovery's agent has it tells at once; a silent one has nothing to tell
 
 
 class Node:
@@ -56,9 +57,9 @@
         self.stopping = False
         self.accepting = True
         self.ended = False
-        self.failed = False                          # it could not listen
+        self.failed = False  # it could not listen
         self.timer: Any = None
-        self.waiting: Any = None                     # for discovery's first word
+        self.waiting: Any = None  # for discovery's first word
 
     def start(self) -> None:
         self.discovery.remember(self.config.known)
@@ -82,8 +83,13 @@
             self.failed = True
             return self._over()
         self.clients.ready = True
-        LOG.info("serving", port=self.port, cores=self.config.cores, sockets=self.config.sockets,
-                 memory=round(self.config.memory))
+        LOG.info(
+            "serving",
+            port=self.port,
+            cores=self.config.cores,
+            sockets=self.config.sockets,
+            memory=round(self.config.memory),
+        )
 
     def _tell_counts(self) -> None:
         if counts := self.counts.take():
@@ -98,8 +104,11 @@
             LOG.error("the configuration was not taken up; the old one holds", why=str(error))
             return
         old = self.config
-        fixed = [name for name in ("name", "listen", "settings", "offerings", "kinds", "zones")
-                 if getattr(old, name) != getattr(fresh, name)]
+        fixed = [
+            name
+            for name in ("name", "listen", "settings", "offerings", "kinds", "zones")
+            if getattr(old, name) != getattr(fresh, name)
+        ]
         if fixed:
             LOG.warning("parts of the configuration need a restart and stay as they were", parts=fixed)
         self.config = replace(old, discovery=fresh.discovery)
@@ -158,7 +167,7 @@
     except BadConfig as error:
         print(f"worksmux node: {error}", file=sys.stderr)
         return BAD_CONFIG
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)     # until it can be acted on
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be acted on
     reactor = the_reactor()
     writer = set_up("json", "info", node=config.name)
     node = Node(config, reactor)
