Attempts in doubt: a prefill's two flags for two questions; comments follow what is done

Read once more: one flag meant 'probed' with probes and 'harmed once' without, and the first lines of in_doubt.py and releases.py told an earlier state (free of I/O, only attempts that state waits for, once without a connection).

--- a/worksmux/node/in_doubt.py
+++ b/worksmux/node/in_doubt.py
@@ -1,4 +1,4 @@
-"""Attempts whose engine gives no sign of life, while KV cache may be held for their request.  Free of I/O.
+"""Attempts whose engine gives no sign of life, while KV cache may be held for their request.
 
 An attempt that was written into a cut, or to an engine that hangs, has not arrived; one at a machine that has
 vanished is over, though its connection stays open.  To the engines none is out then, and the time to let go
@@ -6,7 +6,7 @@
 most of that time, a release is sought beside it:
 
     attempt             a release beside it             sought
-    has no connection   loses what it is sent for       once, where something is owed for sure
+    has no connection   loses what it is sent for       while something is owed for sure
     a stream            does it no harm                 while its engine is silent
     waiting for state   spares that state, if it has    while its engine is silent
                         arrived
@@ -71,7 +71,8 @@
         self, watch: DoubtWatch, held: HeldState, attempt: Attempt, let_go: Callable[[], None]
     ) -> None:
         self._watch, self._held, self._attempt, self._let_go = watch, held, attempt, let_go
-        self._asked = False  # a prefill was probed, or a release sought beside it
+        self._probed = False  # a prefill, which has still to show a sign of life
+        self._harmed = False  # a prefill, by a release sought beside it without a probe
         self._next_release = 0.0  # not before it, while there is no connection
 
     def look_when_due(self) -> None:
@@ -113,16 +114,23 @@
         self._look_in(0.0)  # its connection may come up at any moment
 
     def _doubt_prefill(self) -> None:
-        probe, asked = self._watch.probe, self._asked
-        self._asked = True
-        if probe is not None and not asked:
-            probe(self._attempt.engine)
-            self._look_in(PROBE_STEPS * self._watch.releases.step)
-        elif probe is not None or not asked or self._held.owed:
+        probe = self._watch.probe
+        if probe is None:
+            self._doubt_prefill_without_probe()
+        elif self._probed:
+            self._probed = False
             self._release_beside()
-            self._asked = probe is None
         else:
+            self._probed = True
+            probe(self._attempt.engine)
+            self._look_in(PROBE_STEPS * self._watch.releases.step)
+
+    def _doubt_prefill_without_probe(self) -> None:
+        if self._harmed and not self._held.owed:
             self._look_in(self._watch.releases.within)
+        else:
+            self._harmed = True
+            self._release_beside()
 
     def _release_beside(self) -> None:
         self._watch.releases.start_beside(self._held)
--- a/worksmux/node/releases.py
+++ b/worksmux/node/releases.py
@@ -8,9 +8,8 @@
 another release is sought when it has finished by rights, and each time that the time to let go has passed,
 until that is ruled out.
 
-No release is sent while an attempt is out, which would lose what it brings.  The exception is an attempt that
-may never have arrived, while state waits for it: to the engines none is out then, and the time runs.  An
-engine spares state that an attempt waits for, so such a release costs nothing where the attempt has arrived.
+No release is sent while an attempt is out, which would lose what it brings.  The exception is one whose
+engine is silent (`in_doubt`): to the engines it may not be out, and the time runs.
 """
 
 from __future__ import annotations
@@ -65,7 +64,7 @@
     RESTING = "an attempt is out"
     SEEKING = "engines are asked until one has heard"
     WATCHING = "one has heard; state may still appear, so that others are sought later"
-    BESIDE = "as SEEKING, while an attempt is out that may not have arrived"
+    BESIDE = "as SEEKING, beside an attempt whose engine is silent"
 
 
 class Release:
@@ -281,13 +280,13 @@
             release.start()
 
     def start_beside(self, held: HeldState) -> None:
-        """State waits for an attempt that may not have arrived: it is let go beside it."""
+        """To the engines the attempt that is out may not be: what is held is let go beside it."""
         release = self._of(held)
         if release.phase is Phase.RESTING:
             release.start(beside=True)
 
     def stop_beside(self, held: HeldState) -> None:
-        """The attempt that may not have arrived is over."""
+        """The attempt that was in doubt is over."""
         release = self.running.get(held.key)
         if release is not None and release.phase is Phase.BESIDE:
             release.rest()
