One request class for both rigs, by its fields' names; a front's vote on a zone is a type

trial/fleet.py and trial/small.py had the same seventeen figures in a row without names; the watcher gave three flags in a tuple.

--- a/worksmux/failover/watcher.py
+++ b/worksmux/failover/watcher.py
@@ -38,6 +38,14 @@
     started: float  # 0: long ago
 
 
+class Vote(NamedTuple):
+    """What this front has to say of a zone."""
+
+    spoke: bool  # whether it has anything to say
+    lost: bool
+    grey: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Waiting:
     """Requests whose answer has not begun."""
@@ -170,11 +178,11 @@
         pressure = record.pressure.mean(now) * begun + open_.pressure
         wait = pressure / (begun + open_.count) if begun + open_.count else 0.0
         record.forget_old_findings(now)
-        spoke, lost, grey = self._votes(now, record, ready, wait)
+        vote = self._vote(now, record, ready, wait)
         return ZoneTally(
-            spoke=int(spoke),
-            lost=int(lost),
-            grey=int(grey),
+            spoke=int(vote.spoke),
+            lost=int(vote.lost),
+            grey=int(vote.grey),
             listed=int(bool(ready)),
             ready=size,
             had=record.remembered_size(now, size),
@@ -185,11 +193,8 @@
             vain=record.faults.count(now) / seconds,
         )
 
-    def _votes(
-        self, now: float, record: ZoneRecord, ready: list[i.Engine], wait: float
-    ) -> tuple[bool, bool, bool]:
-        """Whether this front has something to say of a zone; that it is lost; that it is grey.  Where nothing
-        was sent, the list alone is told."""
+    def _vote(self, now: float, record: ZoneRecord, ready: list[i.Engine], wait: float) -> Vote:
+        """Where nothing was sent, the list alone is told."""
         successes, faults = record.successes.count(now), record.faults.count(now)
         lacks_stage = record.lacks_stage(ready)
         found = len(record.faulty) + len(record.healthy)
@@ -201,7 +206,7 @@
         lost = spoke and quiet and (mostly_faults or engines_faulty or lacks_stage)
         late = record.pressure.count(now) >= MIN_ATTEMPTS and wait > GREY_WAIT
         grey = spoke and not lost and (faults > GREY_FAULTS * (successes + faults) or late)
-        return spoke, lost, grey
+        return Vote(spoke, lost, grey)
 
     def _cold_size(self, now: float, engine: i.Engine) -> float:
         """The part of an engine's size that has still to warm up."""
--- a/worksmux/trial/fleet.py
+++ b/worksmux/trial/fleet.py
@@ -22,7 +22,7 @@
 from ..api.listing import Line
 from ..audit.records import Records, load
 from ..net import client, clock
-from ..standins.clients import Clients, ClientsSpec, FrontSpec, OfferingSpec
+from ..standins.clients import Clients, ClientsSpec, FrontSpec
 from ..standins.engine import EngineProcess
 from ..standins.journal import Journal
 from ..standins.model import Spec
@@ -30,7 +30,7 @@
 from .faults import go_on, hold_lock, limit_files
 from .processes import Child
 from .relays import Network
-from .small import SETTINGS
+from .small import SETTINGS, plain_offering
 
 ZONES = ("north", "south", "east")
 WITHIN = 40.0  # seconds that a test waits for what it expects to see
@@ -362,25 +362,7 @@
         retries: float = 2.0,
     ) -> None:
         """Clients ask all fronts from now on."""
-        one = OfferingSpec(
-            offering,
-            1.0,
-            1000.0,
-            0.0,
-            3000.0,
-            60.0,
-            60,
-            1.0,
-            0.1,
-            effect,
-            (20, 60),
-            (5, 15),
-            (1, 1),
-            (100, 200),
-            6,
-            (100, 200),
-            0.8,
-        )
+        one = plain_offering(offering, effect, (5, 15), beginnings=6)
         spec = ClientsSpec(
             str(self.folder / "clients.jsonl"),
             3,
--- a/worksmux/trial/small.py
+++ b/worksmux/trial/small.py
@@ -97,6 +97,31 @@
 FIGURES = Figures(8.0, 250.0, 300.0, 1000.0, {"note": "cell"}, {"note": 2000.0}, slack=400.0)
 
 
+def plain_offering(
+    name: str, effect: str, answer_tokens: tuple[float, float], beginnings: int
+) -> OfferingSpec:
+    """Small prompts and short answers, as the rigs' clients ask them."""
+    return OfferingSpec(
+        name=name,
+        share=1.0,
+        promised_time=1000.0,
+        promised_per_k=0.0,
+        outer_limit=3000.0,
+        token_time=60.0,
+        most_answer=60,
+        credit=1.0,
+        late_credit=0.1,
+        effect=effect,
+        new_tokens=(20, 60),
+        answer_tokens=answer_tokens,
+        turns=(1, 1),
+        think=(100, 200),
+        beginnings=beginnings,
+        beginning_tokens=(100, 200),
+        beginning_share=0.8,
+    )
+
+
 class Rig:
     """`engines` are (kind, cell) pairs in zone north; engine k is called e<k>."""
 
@@ -186,25 +211,7 @@
         """Clients ask one offering until all is answered; then a second for what is held, and the records."""
         if not self.fronts:
             self.front()
-        one = OfferingSpec(
-            offering,
-            1.0,
-            1000.0,
-            0.0,
-            3000.0,
-            60.0,
-            60,
-            1.0,
-            0.1,
-            effect,
-            (20, 60),
-            answer,
-            (1, 1),
-            (100, 200),
-            3,
-            (100, 200),
-            0.8,
-        )
+        one = plain_offering(offering, effect, answer, beginnings=3)
         spec = ClientsSpec(
             str(self.folder / "clients.jsonl"),
             3,
