Log: long turns and what they were about; why each attempt ended, why each request was refused

Change: Turns logs a turn over 50 ms with its processor time, events, actions and number of engines; Lateness logs a reactor late by over 250 ms; the job line has the reason of its answer and of each attempt's end (Defer and BreakOff carry one); connections that this side ends are counted by reason. No decision is changed.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+import structlog
 from hypothesis import given
 from hypothesis import strategies as st
 from node_rig import (
@@ -26,6 +27,7 @@
 
 from worksmux import interface as i
 from worksmux.door import Door
+from worksmux.front.turns import SLOW_TURN
 from worksmux.membership.listing import ListKeeper
 from worksmux.net import clock
 from worksmux.node import config, protocol
@@ -599,3 +601,31 @@
         rig.start()
         assert rig.answered(rig.client(ask("a1", "mark"))) == b"200"
         assert rig.engines[0].verbs().count(b"POST") == reads
+
+
+def test_log_tells_why_attempts_ended_why_requests_were_refused_and_what_took_long() -> None:
+    rig = Rig()
+    prefill = rig.engine("prefill", lambda _: None)  # it resets each attempt
+    rig.engine("decode")
+    rig.start()
+    decide = rig.node.core.door.module.decide
+
+    def slowly(now: float, events: list[Any]) -> list[Any]:
+        end = clock.now() + 2 * SLOW_TURN
+        while events and isinstance(events[0], i.Arrived) and clock.now() < end:
+            pass
+        return list(decide(now, events))
+
+    rig.node.core.door.module.decide = slowly
+    with structlog.testing.capture_logs() as lines:
+        client = rig.client(ask())
+        assert rig.answered(client) == b"503"
+        rig.idle()
+    (job,) = [line for line in lines if line["event"] == "job"]
+    assert job["why"]
+    assert prefill.verbs().count(b"POST") == len(job["trips"])
+    assert all("ended" in trip["why"] for trip in job["trips"])
+    (slow,) = [line for line in lines if line["event"] == "a turn took long"]
+    assert slow["events"] == {"Arrived": 1}
+    assert slow["engines"] == 2
+    assert slow["processor_ms"] > SLOW_TURN / 2
--- a/worksmux/front/carriage.py
+++ b/worksmux/front/carriage.py
@@ -41,6 +41,7 @@
         self.status, self.headers = 0, {}  # type: int, dict[str, str]
         self.body = bytearray()
         self.over = False
+        self.why = ""                                # the reason of its end, for the log
         self.timer: Timer = TimeOut(reactor, max(0.0, time_out) / 1000, self._time_is_up)
         self.call: client.Call | None = None
 
@@ -58,11 +59,13 @@
 
     def cancel(self) -> None:
         """Calls the trip off: the connection closes, by which the engine knows."""
+        self.why = self.why or "called off"
         self._end(i.Outcome.CANCELLED if self._sent else i.Outcome.MOOT)
 
     def withdraw(self) -> None:
         """Ends a trip whose last byte has not left: it was never sent."""
         if not self._sent:
+            self.why = self.why or "withdrawn before it was written"
             self._end(i.Outcome.MOOT)
 
     @property
@@ -71,6 +74,7 @@
         return bool(self.status) or self.call is not None and self.call.written
 
     def _time_is_up(self) -> None:
+        self.why = "its time is up"
         self._end(i.Outcome.TIMED_OUT if self._sent else i.Outcome.MOOT)
 
     def _end(self, outcome: i.Outcome, note: int = 0, result: Any = None) -> None:
@@ -93,9 +97,11 @@
             self.body += data
 
     def done(self) -> None:
+        self.why = f"status {self.status}"
         self._end(*self._refusal())
 
     def failed(self, trouble: client.Trouble) -> None:
+        self.why = str(trouble)
         self._end(outcome_of(trouble))
 
 
--- a/worksmux/front/case.py
+++ b/worksmux/front/case.py
@@ -25,6 +25,8 @@
 class Carrying(Protocol):
     """A trip that is out."""
 
+    why: str
+
     def cancel(self) -> None: ...
 
     def withdraw(self) -> None: ...
@@ -48,3 +50,5 @@
     called_off: float = 0.0          # when this front last ended one of its trips
     result: Any = None               # of the trip that delivered
     kept: int = 0                    # prompt tokens that its reads found kept
+    why: str = ""                    # the reason of its answer, for the log
+    reasons: dict[i.Trip, str] = field(default_factory=dict)     # of its attempts' ends, for the log
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -121,6 +121,7 @@
     def left(self, case: Case) -> None:
         """The client hung up; a stream that nobody reads ends."""
         if not case.answered:
+            case.why = "its client left"
             self._answer(case, "left")
             self.tell(i.Left(case.job))
         for trip, carrier in list(case.out.items()):
@@ -135,7 +136,7 @@
         if not case.answered and not case.first_at:
             LOG.error("a job's time passed without an answer", job=case.key)
             self.metrics.overdue()
-            case.timed_out = True
+            case.timed_out, case.why = True, "its time passed without an answer"
             self._answer(case, "broken off")
             self.tell(i.Left(case.job))
 
@@ -167,10 +168,11 @@
         self.metrics.ended(case.name, case.answered, now - case.job.arrived, first, len(case.job.trips))
         LOG.info("job", job=case.key, offering=case.name, answer=case.answered,
                  ms=round(now - case.job.arrived, 1), first_ms=round(first, 1) if first is not None else None,
-                 prompt=round(case.job.prompt), kept=case.kept, **self._ended_with(case),
+                 prompt=round(case.job.prompt), kept=case.kept, why=case.why, **self._ended_with(case),
                  trips=[{"engine": trip.engine.id.decode(), "reading": trip.reading,
                          "at": round(trip.sent - case.job.arrived, 1),
-                         "outcome": trip.outcome.value if trip.outcome else None} for trip in case.job.trips])
+                         "outcome": trip.outcome.value if trip.outcome else None,
+                         "why": case.reasons.get(trip, "")} for trip in case.job.trips])
         if self.on_empty:
             self.on_empty()
 
@@ -207,7 +209,10 @@
         case = self.cases.get(trip.job)
         if case is None:                             # the module has failed and all is broken off
             return
-        self._may_hold(case, trip, outcome, case.out.pop(trip, None))
+        carrier = case.out.pop(trip, None)
+        if carrier is not None and carrier.why:
+            case.reasons[trip] = carrier.why
+        self._may_hold(case, trip, outcome, carrier)
         if outcome in (i.Outcome.CANCELLED, i.Outcome.TIMED_OUT):
             case.called_off = clock.now()
         if self.on_trip:
@@ -221,6 +226,7 @@
             self._answer(case, "delivered", result=result)
         elif trip.began:
             case.timed_out = outcome is i.Outcome.TIMED_OUT
+            case.why = "its stream broke"
             self._answer(case, "broken off")         # the break of a begun stream ends its job
         elif outcome is i.Outcome.FULL and note == 1:
             case.state = None
@@ -235,9 +241,11 @@
         match action:
             case i.Send():
                 self._send(action)
-            case i.Defer(job, stay_away):
+            case i.Defer(job, stay_away, why):
+                self._note_reason(job, why)
                 self._final(job, "deferred", stay_away)
-            case i.BreakOff(job):
+            case i.BreakOff(job, why):
+                self._note_reason(job, why)
                 self._final(job, "broken off")
             case i.Cancel(trip):
                 case = self.cases.get(trip.job)
@@ -262,6 +270,11 @@
             case _:
                 LOG.warning("the front cannot do this", action=type(action).__name__)
 
+    def _note_reason(self, job: i.Job, why: str) -> None:
+        case = self.cases.get(job)
+        if case is not None and not case.answered:
+            case.why = why
+
     def _final(self, job: i.Job, how: str, stay_away: float = 0.0) -> None:
         case = self.cases.get(job)
         if case:
--- a/worksmux/front/turns.py
+++ b/worksmux/front/turns.py
@@ -2,6 +2,8 @@
 carried out in order."""
 from __future__ import annotations
 
+import time
+from collections import Counter
 from typing import Any
 
 import structlog
@@ -13,6 +15,7 @@
 from .counts import Counts
 
 LOG = structlog.get_logger()
+SLOW_TURN = 50.0         # milliseconds: a longer one is logged, with what it was about
 
 
 class Turns:
@@ -46,21 +49,33 @@
         events, self._events = self._events, []
         if self.failed:
             return self._turned()                    # what is still out ends, and is tidied up
-        start = clock.now()
+        start, used = clock.now(), time.thread_time()
         if self.on_event:
             for event in events:
                 self.on_event(start, event)
         try:
             actions = self.door.decide(start, events)
             self.metrics.turn(clock.now() - start, len(events))
+            decided = clock.now()
             for action in actions:
                 self._carry_out(action)
+            if clock.now() - start > SLOW_TURN:
+                self._log_slow_turn(start, decided, used, events, actions)
         except Exception:
             LOG.exception("a module has failed; its open jobs are broken off", module=self._called())
             self.failed = True
             self._break_off()
         self._turned()
 
+    def _log_slow_turn(self, start: float, decided: float, used: float, events: list[i.Event],
+                       actions: list[i.Action]) -> None:
+        """`start` and `decided` are times of the clock, `used` is the processor time of this thread at the
+        start, in seconds."""
+        LOG.warning("a turn took long", ms=round(clock.now() - start), deciding_ms=round(decided - start),
+                    processor_ms=round(1000 * (time.thread_time() - used)), engines=len(self.door.engines),
+                    events=Counter(type(event).__name__ for event in events),
+                    actions=Counter(type(action).__name__ for action in actions))
+
     def _called(self) -> str:
         """The module's name in the log."""
         raise NotImplementedError
--- a/worksmux/interface.py
+++ b/worksmux/interface.py
@@ -226,11 +226,13 @@
 class Defer:
     job: Job
     stay_away: float = 0.0
+    why: str = ""                    # for the log
 
 
 @dataclass(slots=True)
 class BreakOff:
     job: Job
+    why: str = ""                    # for the log
 
 
 @dataclass(slots=True)
--- a/worksmux/net/lateness.py
+++ b/worksmux/net/lateness.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import structlog
+
 from . import clock
 from .loop import Reactor, Timer
 
+LOG = structlog.get_logger()
 TICK = 40.0  # milliseconds between two looks at the clock
+VERY_LATE = 250.0  # milliseconds: such a reactor is told in the log
 USUAL = 2.0  # milliseconds that a timer is late in a reactor that keeps up
 
 
@@ -42,6 +46,8 @@
         late = clock.now() - self._due
         if late > USUAL:
             self._late = late
+            if late > VERY_LATE:
+                LOG.warning("the reactor was late", ms=round(late))
             self._reactor.callLater(0, self._turn_over)
         self._next()
 
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -2,6 +2,7 @@
 and plain methods to answer by."""
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from io import BytesIO
 from socket import MSG_PEEK
@@ -311,6 +312,7 @@
         self.answerer, self.body_bound, self.head_bound = answerer, body_bound, head_bound
         self.keep_alive, self.patience, self.most, self.late = keep_alive, patience, most, late
         self.closing = False                         # each answer closes its connection
+        self.closes: Counter[str] = Counter()        # connections that this side ended, by reason
         self.channels: dict[Any, None] = {}
         self.evictions = EvictionQueue(self.channels)
         self.channel_hook: Callable[[Any], None] | None = None     # called with each new connection
@@ -323,6 +325,7 @@
         if self.channel_hook:
             self.channel_hook(channel)
         if self.most and len(self.channels) > self.most:
+            self.closes["too many"] += 1
             self._abort(self.evictions.take(channel))
         if self.patience and self._look is None:
             self._look_later()
@@ -346,8 +349,10 @@
                 continue
             elif channel.receiving:
                 if since > self.patience * (1 - 1 / LOOKS):
+                    self.closes["request not whole in time"] += 1
                     channel.refuse(b"408 Request Timeout")
             elif since > self.keep_alive:
+                self.closes["idle"] += 1
                 channel.loseConnection()
         if self.channels:
             self._look_later()
@@ -366,6 +371,7 @@
             if channel.busy:
                 channel.persistent = False
             elif not channel.receiving and (channel.asked or unused_too):
+                self.closes["stopping"] += 1
                 channel.loseConnection()
 
     def stop(self) -> None:
--- a/worksmux/node/counts.py
+++ b/worksmux/node/counts.py
@@ -38,6 +38,11 @@
     def turned_away(self, why: str) -> None:
         self.sums[f"turned away: {why}"] += 1
 
+    def closed(self, closes: Counter[str]) -> None:
+        """Connections of clients that this side ended, by reason."""
+        for why, count in closes.items():
+            self.sums[f"closed: {why}"] += count
+
     def take(self) -> dict[str, int]:
         sums, self.sums = dict(self.sums), Counter()
         return sums
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -4,6 +4,7 @@
 
 import signal
 import sys
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
@@ -92,6 +93,8 @@
         )
 
     def _tell_counts(self) -> None:
+        closes, self.server.closes = self.server.closes, Counter()
+        self.counts.closed(closes)
         if counts := self.counts.take():
             LOG.info("counts", open=self.counts.open, **counts)
         self.timer = self.reactor.callLater(TELL / 1000, self._tell_counts)
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -141,7 +141,7 @@
         job.ended = shed is not None and straw(key, mix(job.offering, 3)) < shed[job.offering]
         if job.ended:
             stay = plan.stay_away if self.settings["stay_away"] else 0.0
-            self.actions.append(Defer(job, stay * (1 + self.chance.share())))
+            self.actions.append(Defer(job, stay * (1 + self.chance.share()), "the plan has no room for it"))
         return job.ended
 
     def _recall(self, event: Recalled) -> None:
@@ -407,9 +407,9 @@
             job.writer = None
             self.out -= 1
 
-    def _end(self, job: Job) -> None:
+    def _end(self, job: Job, why: str) -> None:
         if not job.ended:
-            self.actions.append(Defer(job) if self._may_defer(job) else BreakOff(job))
+            self.actions.append(Defer(job, why=why) if self._may_defer(job) else BreakOff(job, why))
             self._drop(job)
 
     def _drop(self, job: Job) -> None:
@@ -485,7 +485,7 @@
         self.actions.append(Release(job))            # lost state may still lie where a place was held ahead
         again = self._may_repeat(job) and self._may_read_again(job)
         if self._spent(job) or not (self._may_defer(job) or again):
-            self._end(job)
+            self._end(job, "no attempt or no time is left" if self._spent(job) else "it may have run")
         else:
             self.waiting[job] = None
 
@@ -594,7 +594,7 @@
         closed = False                               # where one new job finds no place, none does
         for job in sorted(self.waiting, key=lambda job: job.promised_at):
             if self._late(job):
-                self._end(job)                       # guards against reads that can't be answered in time
+                self._end(job, "its usual need no longer fits")    # guards against reads answered too late
             elif job.trips or not closed:
                 if self._place(job):
                     del self.waiting[job]
@@ -685,7 +685,8 @@
         """After the read the state joins its writer's queue; the next writer gets it where that one can't."""
         for job in list(self.holding):
             if self.waiting and self.now > job.promised_at:
-                self._end(job)                       # guards against late answers that make others late too
+                # Guards against late answers that make others late too.
+                self._end(job, "its prefill came too late while others wait")
                 continue
             if self._pinned(job):
                 self._read_anew(job)                 # guards against one vain connection after the other
