--- /dev/null
+++ b/tests/test_cost_by_fleet_size.py
@@ -0,0 +1,149 @@
+"""What an event costs among 3,200 engines and among 200, counted in instructions of the interpreter.
+
+Incident c5f349: one turn took seconds among thousands of engines, as the search for engines looked at all of
+them, for each of them, again and again.
+"""
+
+from __future__ import annotations
+
+import heapq
+import sys
+from collections.abc import Callable
+from itertools import count
+from random import Random
+from types import FrameType
+from typing import Any
+
+import pytest
+from helpers import NOW, settings
+
+from worksmux import interface as i
+from worksmux.rules import Front
+
+FEW, MANY = 200, 3200
+REQUESTS, PAUSE = 10, 150.0  # milliseconds between two requests
+FRONTS = 200
+TIMES = 4.0  # what an event, and a request, may cost more among so many
+RUNAWAY = 2_000_000  # instructions in one turn: it is not counted further
+
+
+class Runaway(Exception):
+    """A turn has no end in sight."""
+
+
+class Meter:
+    """Counts the interpreter's instructions in what it runs."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def _trace(self, frame: FrameType, event: str, argument: Any) -> Any:
+        frame.f_trace_opcodes, frame.f_trace_lines = True, False
+        self.count += event == "opcode"
+        if self.count > RUNAWAY:
+            raise Runaway
+        return self._trace
+
+    def run(self, call: Callable[[], Any]) -> Any:
+        self.count, before = 0, sys.gettrace()
+        sys.settrace(self._trace)
+        try:
+            return call()
+        finally:
+            sys.settrace(before)
+
+
+class Play:
+    """Requests at one of many fronts, among engines of which some are hung, cold, draining or silent."""
+
+    def __init__(self, engines: int, hung: float, answered: float, cold: float, effect: int) -> None:
+        self.chance = Random(7)
+        self.front = Front(settings(fronts=FRONTS, roles=["read", "write"]), 1)
+        self.hung, self.answered, self.effect = hung, answered, effect
+        self.engines = [i.Engine(b"%d" % at, at + 1) for at in range(engines)]
+        self.line: list[tuple[float, int, Callable[[], i.Event | None]]] = []
+        self.numbers = count()
+        self.costs: dict[str, list[int]] = {}
+        self.tell(NOW, lambda: i.Listed("full", [self.entry(at) for at in range(engines)]))
+        young = [at for at in range(engines) if self.chance.random() < cold]
+        self.tell(NOW + 600, lambda: i.Listed("delta", [self.entry(at, started=NOW + 590) for at in young]))
+        leaving = range(0, engines, 5)
+        self.tell(NOW + 900, lambda: i.Listed("delta", [self.entry(at, "draining") for at in leaving]))
+        for number in range(1, REQUESTS + 1):
+            self.tell(NOW + number * PAUSE, lambda number=number: self.arrival(number))
+
+    def entry(self, at: int, state: str = "ready", started: float = 0.0) -> i.Entry:
+        return i.Entry(self.engines[at], state, started, at // 10 % 3, at // 10, at % 2, 1.0)
+
+    def arrival(self, number: int) -> i.Event:
+        now = NOW + number * PAUSE
+        return i.Arrived(
+            i.Job(number, self.effect, number, number % 7, 1000.0, 500.0, 100.0, now, now + 4000.0)
+        )
+
+    def tell(self, at: float, event: Callable[[], i.Event | None]) -> None:
+        heapq.heappush(self.line, (at, next(self.numbers), event))
+
+    def outcome(self, trip: i.Trip, outcome: i.Outcome, at: float) -> None:
+        def ended() -> i.Event | None:
+            if trip.outcome is not None:
+                return None
+            return i.Ended(trip, outcome, at - trip.sent, trip.job.ended or outcome is i.Outcome.DELIVERED)
+
+        self.tell(at, ended)
+
+    def send(self, trip: i.Trip, now: float) -> None:
+        if trip.engine.key % 100 < 100 * self.hung:
+            return self.outcome(trip, i.Outcome.TIMED_OUT, trip.job.give_up_at)
+        if trip.reading:
+            return self.outcome(trip, i.Outcome.READ, now + 60)
+        self.tell(now + 30, lambda: i.Began(trip, 30.0) if trip.outcome is None else None)
+        self.outcome(trip, i.Outcome.DELIVERED, now + 400)
+
+    def carry_out(self, action: i.Action, now: float) -> None:
+        match action:
+            case i.Alarm(after, token):
+                self.tell(now + after, lambda: i.Rang(token))
+            case i.Probe(engine) if self.chance.random() < self.answered:
+                self.tell(now + 10, lambda: i.Probed(engine, i.Outcome.DELIVERED, 10.0))
+            case i.Send(trip):
+                self.send(trip, now)
+            case i.Cancel(trip):
+                self.outcome(trip, i.Outcome.CANCELLED, now + 1)
+
+    def run(self) -> Play:
+        meter = Meter()
+        while self.line:
+            now, _, make = heapq.heappop(self.line)
+            event = make()
+            if event is None:
+                continue
+            actions = meter.run(lambda now=now, event=event: self.front.decide(now, [event]))
+            self.costs.setdefault(type(event).__name__, []).append(meter.count)
+            for action in actions:
+                self.carry_out(action, now)
+        return self
+
+    def worst(self) -> int:
+        return max(cost for kind, costs in self.costs.items() if kind != "Listed" for cost in costs)
+
+    def a_request(self) -> float:
+        return sum(sum(costs) for kind, costs in self.costs.items() if kind != "Listed") / REQUESTS
+
+
+def days() -> list[Any]:
+    found = []
+    for effect, name in enumerate(("idempotent", "non-idempotent", "deduplicated")):
+        found.append(pytest.param(0.0, 1.0, 0.0, effect, id=f"{name}, all is well"))
+        found.append(pytest.param(0.2, 0.7, 0.6, effect, id=f"{name}, some hung, most cold"))
+        found.append(pytest.param(0.9, 0.0, 0.9, effect, id=f"{name}, nearly all hung, cold and silent"))
+    return found
+
+
+@pytest.mark.parametrize("hung, answered, cold, effect", days())
+def test_an_event_costs_no_more_among_thousands_of_engines(
+    hung: float, answered: float, cold: float, effect: int
+) -> None:
+    few, many = (Play(engines, hung, answered, cold, effect).run() for engines in (FEW, MANY))
+    assert many.worst() <= TIMES * few.worst()
+    assert many.a_request() <= TIMES * few.a_request()
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -398,7 +398,8 @@
     front, engines = fleet(*PLACES)
     front.decide(NOW, [i.Planned({}, {}, 0.0, True)])
     full = engines[0]
-    one = next(one for one in (job(number) for number in range(1, 100)) if front._ranked(one)[2][0] is full)
+    jobs = (job(number) for number in range(1, 100))
+    one = next(one for one in jobs if next(iter(front._ranked(one)[2])) is full)
     assert {engine.zone for engine, _ in front._order(one)} == {0}
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,7 @@
 from helpers import NOW, ended, fleet, job, kinds, settings
 
 from worksmux import interface as i
-from worksmux.rules import PRUDENCE
+from worksmux.slow_start import PRUDENCE
 
 PAIR = ((0, 0, 0), (1, 0, 0))
 TWO_WRITERS = (*PAIR, (1, 0, 0))
@@ -224,7 +224,7 @@
     front.decide(NOW + 1, [i.Arrived(one)])
     rules = front.settings
     earned = rules["cold_share"] * rules["fall_multiple"] * PRUDENCE * share * engines[2].part
-    assert engines[2].credit == pytest.approx(before + earned)
+    assert front.slow_start.credit(engines[2]) == pytest.approx(before + earned)
 
 
 def cold_readers(seed=1):
@@ -240,7 +240,7 @@
     # Guards against budgets that hundreds of fronts hold and never spend: each waited for a job that the hash
     # sends to the very engine that had earned it, while the few warm readers were sent all.
     front, (_, warm, *cold) = cold_readers()
-    front.read_credit = 0.0
+    front.slow_start.read_credit = 0.0
     sent = []
     for number in range(1, 41):
         one = job(number, now=NOW + 100 * number)
@@ -255,7 +255,7 @@
 
 
 def test_fronts_without_history_do_not_all_send_to_cold_readers():
-    credits = [cold_readers(seed)[0].read_credit for seed in range(8)]
+    credits = [cold_readers(seed)[0].slow_start.read_credit for seed in range(8)]
     assert max(credits) < 1 and max(credits) - min(credits) > 0.3
 
 
@@ -270,7 +270,7 @@
 
 def test_readers_of_a_cell_with_few_writers_are_read_at_less_and_send_some_away():
     front, (lean, _, rich, other, _) = fleet((0, 0, 0), (0, 0, 0), (1, 0, 0), (1, 0, 1), (1, 0, 1))
-    assert front.keeps[0] < 0.5
+    assert front.index.keeps[0] < 0.5
     far, near = job(1), job(2)
     far.luck, near.luck = 0.9, 0.1
     assert front._writer(far, lean) is not rich and front._writer(near, lean) is rich
@@ -298,6 +298,7 @@
     front, (_, *writers) = fleet((0, 0, 0), *[(1, 0, 0)] * 4)
     for writer in writers:
         writer.faults.add(NOW, 1.0, 2.0)
+        front.faulty[writer] = None
     trip = i.Trip(job(), writers[0], 0, NOW)
     front._judge(i.Ended(trip, i.Outcome.RESET, 5.0, False))
     assert front._well(writers[0], 0)
@@ -309,7 +310,7 @@
 def test_engines_known_to_serve_come_first_while_an_offering_fails():
     front, (_, *writers) = fleet((0, 0, 0), (1, 0, 0), (1, 0, 0), (1, 0, 0))
     front.fates[0].add(NOW, 1.0)
-    writers[2].good[0] = NOW
+    writers[2].good[0], front.good[0][writers[2]] = NOW, None
     writers[2].turn = 9.0
     assert front._writer(job(), None) is writers[2]
 
@@ -381,7 +382,7 @@
         one.promised_at = NOW + 1600.0
         front.now, front.shortest, front.asks = NOW, front.anew.least(NOW), fronts == 200
         assert front._late(one) is refused
-        one.asked[front.readers[0]] = NOW - 400.0  # it was asked, and nobody answered: there are lines
+        one.asked[front.index.readers[0]] = NOW - 400.0  # it was asked, and nobody answered: there are lines
         assert front._late(one)
 
 
@@ -411,14 +412,14 @@
                 )
             ],
         )
-        front.read_credit = 1.0
+        front.slow_start.read_credit = 1.0
         for engine in engines:
             engine.credit = 1.0
         front._send(job(1), engines[0], reading=True)
         late = job(2, now=NOW + 900.0)
         late.prompt, late.session = 900.0, 2
         front.decide(NOW + 900.0, [])
-        front.read_credit = 1.0
+        front.slow_start.read_credit = 1.0
         actions = front.decide(NOW + 900.0, [i.Arrived(late)])
         late.luck = 0.5
         assert kinds(actions) == answer
@@ -602,7 +603,7 @@
 def test_job_that_waits_for_an_answer_keeps_no_other_waiting():
     front, one, (reader,) = asking()
     other = job(2, session=77)
-    for known in front.readers:
+    for known in front.index.readers:
         if known is not reader:
             known.reported = NOW + 1
     front.decide(NOW + 1, [i.Arrived(other)])
--- a/worksmux/measure.py
+++ b/worksmux/measure.py
@@ -94,3 +94,12 @@
 def straw(key: int, salt: int) -> float:
     """A share above 0 and under 1 from two hashed numbers: the cheap last step of a hash over engines."""
     return (((key ^ salt) * 0xD6E8FEB86659FD93 % WHOLE >> 11) + 0.5) / 2**53
+
+
+def straws(key: int, salts: Iterable[int]) -> list[float]:
+    """`straw` of one key and many salts.
+
+    >>> straws(7, [3, 4]) == [straw(7, 3), straw(7, 4)]
+    True
+    """
+    return [(((key ^ salt) * 0xD6E8FEB86659FD93 % WHOLE >> 11) + 0.5) / 2**53 for salt in salts]
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -11,12 +11,16 @@
 
 from collections import defaultdict
 from collections.abc import Iterator
-from math import ceil, inf, log
+from itertools import chain, islice
+from math import ceil, inf
 
+from .engine_index import ANYWHERE, FURTHER_LOOKS, HEAD_LOOKS, EngineIndex, RoundRobin, Scope
 from .interface import (
     Action, Alarm, Arrived, Began, BreakOff, Cancel, Defer, Ended, Engine, Entry, Event, Hold, Job,
     Left, Listed, Outcome, Planned, Probe, Probed, Rang, Recalled, Release, Send, Settings, Trip, Watch)
 from .measure import Chance, Ring, mix, straw
+from .ranking import Ranking, rank
+from .slow_start import SlowStart
 
 MARGIN = 0.25            # of an engine's even share, added to make its first window or its room
 BACKLOG = 0.15           # of the shortest promised time: a wait for the first token that narrows no window
@@ -24,7 +28,6 @@
 BEATS = 6                # looks at the clock, while a job waits, within the time to let go of held state
 UNHEARD = 0.5            # of the shortest promised time: an engine silent for less is never suspected
 SLOWNESS = 4.0           # times the fleet's usual answer: an engine silent for longer is suspected
-PRUDENCE = 0.5           # of this front's even share of a cold engine's budget is used
 MEMORY = 16 * MARK       # how long faults, good turns and usual times are remembered
 LONGEST_ASIDE = 2        # doublings of MARK at most
 FAILING = 0.25           # of an offering's trips: above it, engines known to serve the offering come first
@@ -33,7 +36,6 @@
 REPEAT = 4.0             # the same for a client's repeat, whose promised time is partly spent
 LATELY = 3               # buckets of the newest: a trouble that is over is forgotten
 TRIAL = 0.05             # of the jobs go ahead whatever the usual need: else nothing would show its fall
-LEAN = 6.0               # times the price of moving state: what readers take beyond their even share
 SEEN = 0.1               # of the traffic: a front that gets less sees little of what the others send
 ASK = 0.02               # of the shortest promised time: a reader that takes longer to answer has a line
 ASKED = 3                # readers at most that are asked before a read
@@ -49,12 +51,16 @@
         self.quickest: float = min(offering["promised_time"] for offering in self.offerings)
         self.beat: float = max(settings["tick"], (settings["release_within"] or MARK) / BEATS)
         self.now, self.alarm_at, self.reckoned, self.asks = 0.0, -inf, -inf, False
-        self.cold: list[Engine] = []
-        self.read_credit = 0.0                       # jobs that cold readers may be sent, earned together
-        self.shared: dict[str, tuple[float, int]] = defaultdict(lambda: (0.0, 0))     # by role: faults, ready
+        self.slow_start = SlowStart(settings)
+        self.shared: dict[str, float] = defaultdict(float)     # by role: faults of those that are ready
         self.actions: list[Action] = [Watch(True)] if settings["ask_for_list"] else []
         self.engines: dict[Engine, None] = {}
         self.awaited: dict[Engine, None] = {}        # no sign of life since a send
+        self.busy: dict[Engine, None] = {}           # with a trip out
+        self.faulty: dict[Engine, None] = {}         # with faults in memory
+        self.good: list[dict[Engine, None]] = [{} for _ in self.offerings]   # known to serve it, latest last
+        self.searched: dict[Job, int] = {}           # waiting: how far its readers were looked at
+        self.none_well: dict[int, bool] = {}         # by offering, in this turn: whether no reader is
         self.waiting: dict[Job, None] = {}           # before their read
         self.holding: dict[Job, None] = {}           # read, and no trip out
         self.turns, self.out, self.reading, self.unended = 0, 0, 0.0, 0.0
@@ -66,12 +72,13 @@
         self.lines = Ring(MEMORY, BUCKETS)           # time that prompts waited to be read
         self.fates = [Ring(MEMORY, BUCKETS) for _ in self.offerings]     # 1 for each fault, else 0
         self.plan: Planned | None = None             # of all fronts; without one nothing is done for it
-        self.missed: list[Engine] = []               # of zones that it moves: where jobs belong stays known
+        self.index = EngineIndex([], None, settings, 0.0)
         self._index()
 
     def decide(self, now: float, events: list[Event]) -> list[Action]:
         """The one entry point: what happened comes in, what is to be done goes out."""
         self.now = now
+        self.none_well.clear()
         self.shortest = (self.asks and (self.anew.least(now) or self.per_k)) or self.per_token.least(now)
         self.calm = max(BACKLOG * self.quickest,
                         min(SLOWNESS * self.first.least(now), UNHEARD * self.quickest / 2))
@@ -104,9 +111,10 @@
                     return
                 self.waiting[job] = None
                 # A part, so that a fleet all cold is not left alone; the least for repeats, which can storm.
-                self._earn(self.cold, 0.25 if job.repeat else 0.5)
-                if not job.repeat and all(map(self._cold, self.writers)):
-                    self._earn(self.writers, 0.5)    # who meets few requests has no serve to wait for
+                for role in ("read", "write", "both"):
+                    self.slow_start.earn(role, 0.25 if job.repeat else 0.5)
+                if not job.repeat and self.index.all_writers_cold(self.now):
+                    self.slow_start.earn("write", 0.5)   # who meets few requests has no serve to wait for
             case Began(trip, elapsed):
                 trip.began, trip.job.began, trip.job.holder = self.now, True, None
                 wait = max(0.0, elapsed - self._reads(trip))
@@ -137,7 +145,8 @@
         if not (plan := self.plan) or not plan.shed:
             return False
         key, _, order = self._ranked(job)
-        shed = plan.shed.get(order[0].zone) if order else None
+        first = next(iter(order), None)
+        shed = plan.shed.get(first.zone) if first else None
         job.ended = shed is not None and straw(key, mix(job.offering, 3)) < shed[job.offering]
         if job.ended:
             stay = plan.stay_away if self.settings["stay_away"] else 0.0
@@ -151,8 +160,9 @@
                 ring.add(self.now, total, count)
         for engine, offering, left in event.unwell:
             engine.unwell[offering] = self.now + left
-        for engine, offering, ago in event.good:
+        for engine, offering, ago in sorted(event.good, key=lambda one: -one[2]):
             engine.good[offering] = self.now - ago
+            self.good[offering][engine] = None
         for engine, jobs in event.narrowed:
             engine.narrowed = jobs
 
@@ -170,9 +180,11 @@
         for entry in event.entries:
             self._enter(entry)
         for engine in [engine for engine in self.engines if engine.state == "gone" and not engine.trips
-                       and not engine.paired and engine not in self.missed
+                       and not engine.paired and engine not in self.index.missed
                        and self.now - engine.left > MEMORY]:
             del self.engines[engine]                 # guards against a fleet that is replaced all day
+            for known in (self.faulty, *self.good):
+                known.pop(engine, None)
         self._index()
 
     def _enter(self, entry: Entry) -> None:
@@ -182,9 +194,10 @@
             engine.salt = mix(engine.key, 0)
             engine.faults, engine.pace = Ring(MEMORY, BUCKETS), Ring(MARK, BUCKETS)
             engine.turn = self.chance.share() - 1.0  # fronts' rounds start differently
+        self.slow_start.leave(engine)
         if entry.state == "ready" and (entry.started != engine.started or engine.state == "gone"):
             engine.narrowed, engine.skip_until, engine.unwell = 0.0, 0.0, {}
-            engine.credit = self.chance.share()
+            self.slow_start.begin(engine, self.chance.share())
             self._alive(engine)
             for job in list(engine.paired):          # paired with what ran there before
                 self._unpair(job)
@@ -195,61 +208,17 @@
         engine.role = self.settings["roles"][entry.kind]
 
     def _index(self) -> None:
-        """Reckons, once a list, who reads and answers what part.
-        Readers weigh as much as their cell's writers can answer: where racks hold the two unevenly, a plain
-        hash would push a rack's few writers over, and a front that seldom meets them sees no window fill."""
-        listed = [engine for engine in self.engines if engine.state == "ready"]
-        rows = {zone: dict(row) for zone, row in self.plan.rows.items()} if self.plan else {}
-        ready = [one for one in listed if one.zone in rows.get(one.zone, {one.zone: 1})] or listed
-        self.missed = [engine for engine in self.engines if engine.zone in rows and engine not in ready
-                       and engine.role != "write" and engine.weight]
-        self.readers, self.writers, mixed = ([engine for engine in ready if engine.role == role]
-                                             for role in ("read", "write", "both"))
-        self.hosts, self.answering = self.readers + mixed, self.writers + mixed
-        before, self.cold = self.cold, [engine for engine in ready if self._cold(engine)]
+        """Reckons, once a list, who reads and answers what part."""
+        self.slow_start.settle_all()
+        before, self.index = self.index.cold, EngineIndex(self.engines, self.plan, self.settings, self.now)
         if not any(engine.role == "read" for engine in before):
-            self.read_credit = self.chance.share()
-        reads: dict[int, float] = defaultdict(float)
-        answers: dict[int, float] = defaultdict(float)
-        for engines, parts in ((self.readers, reads), (self.writers, answers), (mixed, defaultdict(float))):
-            whole = sum(engine.size for engine in engines)
-            for engine in engines:
-                parts[engine.cell] += engine.size / whole
-                engine.part = engine.size / whole
-        lean = 1 + LEAN * self.settings["far_price"]
-        flow = {cell: min(answers[cell], lean * part) for cell, part in reads.items()}
-        room = sum(lean * part - flow[cell] for cell, part in reads.items())
-        unread = 1 - sum(flow.values())
-        self.keeps: dict[int, float] = {}            # the part of a cell's reads that its own writers are due
-        for cell, part in reads.items():
-            flow[cell] += unread * (lean * part - flow[cell]) / (room or 1.0) + 1e-6
-            self.keeps[cell] = min(1.0, answers[cell] / flow[cell])
-        self.nearest: dict[int, list[Engine]] = defaultdict(list)    # writers of each cell
-        self.around: dict[int, list[Engine]] = defaultdict(list)     # writers of each zone
-        for engine in self.writers:
-            self.nearest[engine.cell].append(engine)
-            self.around[engine.zone].append(engine)
-        for engine in self.readers:
-            engine.weight = engine.part * flow[engine.cell] / reads[engine.cell] * max(1, len(self.writers))
-        for engine in mixed:                         # each takes as many jobs as a writer answers
-            engine.weight = engine.part * len(mixed)
+            self.slow_start.read_credit = self.chance.share()
+        self.slow_start.cold_are(self.index.cold)
+        self.searched.clear()
 
     def _cold(self, engine: Engine) -> bool:
         return engine.started > 0 and self.now < engine.started + self.settings["warm_up"]
 
-    def _earn(self, engines: list[Engine], part: float) -> None:
-        """Guards against pushing a cold engine over: this front's part of its budget, in any window.
-        Each serve at engines of its role, which no storm of retries can raise, earns it its even share, made
-        smaller; a job costs one. Fronts start at different parts of one: hundreds must not begin at once.
-        Cold readers earn together: the hash spreads their jobs, and a front that meets its readers seldom
-        would wait for ever for a job that falls to the very one that has earned it."""
-        budget = self.settings["cold_share"] * self.settings["fall_multiple"] * PRUDENCE * part
-        for engine in engines:
-            if engine.role == "read":
-                self.read_credit = min(1.0, self.read_credit + budget * engine.part)
-            else:
-                engine.credit = min(1.0, engine.credit + budget * engine.part)
-
     # How engines fare, judged from this front's own trips.
 
     def _alive(self, engine: Engine) -> None:
@@ -259,8 +228,11 @@
 
     def _praise(self, trip: Trip) -> None:
         trip.engine.good[trip.job.offering] = self.now
+        known = self.good[trip.job.offering]
+        known.pop(trip.engine, None)
+        known[trip.engine] = None
         self.fates[trip.job.offering].add(self.now, 0.0)
-        self._earn([other for other in self.cold if other.role == trip.engine.role], 1.0)
+        self.slow_start.earn(trip.engine.role, 1.0)
         self._alive(trip.engine)
 
     def _worse(self, engine: Engine) -> bool:
@@ -269,11 +241,12 @@
         if self.now >= self.reckoned + self.beat:
             self.reckoned = self.now
             self.shared.clear()
-            for one in self.engines:
-                if one.state == "ready":
-                    faults, peers = self.shared[one.role]
-                    self.shared[one.role] = faults + one.faults.count(self.now), peers + 1
-        faults, peers = self.shared[engine.role]
+            for one in list(self.faulty):
+                if not (count := one.faults.count(self.now)):
+                    del self.faulty[one]
+                elif one.state == "ready":
+                    self.shared[one.role] += count
+        faults, peers = self.shared[engine.role], self.index.ready_by_role[engine.role]
         own = engine.faults.count(self.now)
         return own > SHARED * max(0.0, faults - own) / max(1, peers - 1)
 
@@ -282,6 +255,7 @@
         An error or an unanswered job sets it aside for that offering alone: it may serve the others. A front
         that meets its engines seldom keeps the mark until about the next meeting."""
         engine.faults.add(self.now)
+        self.faulty[engine] = None
         if shared and not self._worse(engine):
             return
         meetings = sum(fate.count(self.now) for fate in self.fates)
@@ -343,13 +317,19 @@
         return not on_trial
 
     def _usable(self, engine: Engine, job: Job) -> bool:
-        credit = self.read_credit if engine.role == "read" else engine.credit
         return (engine.skip_until <= self.now and self._well(engine, job.offering)
-                and (credit >= 1.0 or engine not in self.cold or not self._cold(engine)))
+                and (engine not in self.index.cold or self.slow_start.credit(engine) >= 1.0
+                     or not self._cold(engine)))
 
     def _vouched(self, engine: Engine, offering: int) -> bool:
         return self.now - engine.good.get(offering, -inf) < MEMORY
 
+    def _all_vouched(self, offering: int) -> dict[Engine, None]:
+        known = self.good[offering]
+        while known and not self._vouched(oldest := next(iter(known)), offering):
+            del known[oldest]
+        return known
+
     def _failing(self, offering: int) -> bool:
         return self.fates[offering].mean(self.now) > FAILING
 
@@ -358,26 +338,36 @@
     def _trips_left(self, job: Job) -> int:
         return int(self.settings["most_trips"]) - len(job.trips)
 
-    def _may_send(self, job: Job, engine: Engine) -> bool:
-        if engine.state != "ready" or self._trips_left(job) < 1 or job.out:
-            return False
+    def _scope(self, job: Job) -> Scope | None:
+        """Where one more attempt may go; None: nowhere."""
+        if self._trips_left(job) < 1 or job.out:
+            return None
         ran, offering = job.may_have_run, self.offerings[job.offering]
         if not ran or offering["effect"] == "redoable":
-            return True
-        if offering["effect"] == "irreversible":
-            return False
-        group = offering["group"]
-        return (self.now - ran[0].sent < offering["remembered"] - self.quickest and all(
-            group == "all" or trip.engine.zone == engine.zone
-            and (group == "zone" or trip.engine.cell == engine.cell) for trip in ran))
+            return ANYWHERE
+        over = self.now - ran[0].sent >= offering["remembered"] - self.quickest
+        if offering["effect"] == "irreversible" or over:
+            return None
+        if offering["group"] == "all":
+            return ANYWHERE
+        first = ran[0].engine
+        scope = Scope(first.zone, None if offering["group"] == "zone" else first.cell)
+        return scope if all(scope.has(trip.engine) for trip in ran) else None
+
+    def _may_send(self, job: Job, engine: Engine) -> bool:
+        scope = self._scope(job)
+        return scope is not None and engine.state == "ready" and scope.has(engine)
 
     def _may_repeat(self, job: Job) -> bool:
-        return any(self._may_send(job, engine) for engine in self.answering)
+        scope = self._scope(job)
+        return scope is not None and self.index.any_in(self.index.answering, scope)
 
     def _may_read_again(self, job: Job) -> bool:
         """A read counts as a send: where a trip may have run, it too stays within the group and its time."""
-        return (not job.may_have_run or self.settings["writers_read"]
-                or any(self._may_send(job, engine) for engine in self.hosts))
+        if not job.may_have_run or self.settings["writers_read"]:
+            return True
+        scope = self._scope(job)
+        return scope is not None and self.index.any_in(self.index.hosts, scope)
 
     def _may_defer(self, job: Job) -> bool:
         offering = self.offerings[job.offering]
@@ -390,16 +380,19 @@
         self.out += not reading
         self.reading += reading * trip.work
         engine.trips[trip] = None
+        self.busy[engine] = None
         engine.quiet_since = engine.quiet_since or self.now
         self.awaited[engine] = None
         self.holding.pop(job, None)
         job.asked.clear()
+        self.searched.pop(job, None)
         self.actions.append(Send(trip, time_out))
 
     def _turn(self, engine: Engine) -> None:
         self.turns += 1
         engine.turn = self.turns
-        engine.credit -= 1.0
+        self.index.had_turn(engine)
+        self.slow_start.spend(engine)
 
     def _unpair(self, job: Job) -> None:
         if job.writer:
@@ -417,6 +410,7 @@
         self._unpair(job)
         self.holding.pop(job, None)
         self.waiting.pop(job, None)
+        self.searched.pop(job, None)
         for trip in job.out:
             self._call_off(trip)
         if job.trips and not job.out:
@@ -427,6 +421,8 @@
         job, engine = trip.job, trip.engine
         trip.outcome = outcome
         engine.trips.pop(trip, None)
+        if not engine.trips:
+            self.busy.pop(engine, None)
         self.out -= not trip.reading
         # Guards against a sum of fractions that ends under nothing: no reader would ever have room again.
         self.reading = max(0.0, self.reading - trip.reading * trip.work)
@@ -495,25 +491,55 @@
 
     # The ordinary path.
 
-    def _ranked(self, job: Job) -> tuple[int, int, list[Engine]]:
+    def _ranked(self, job: Job) -> tuple[int, int, Ranking]:
         session = mix(job.session or job.id, 1)
         key = mix(job.prefix, 0) if job.prefix else session
-        return key, session, sorted(self.hosts + self.missed,
-                                    key=lambda engine: -log(straw(key, engine.salt)) / engine.weight)
+        return key, session, self.index.ranked(key)
 
-    def _order(self, job: Job) -> list[tuple[Engine, float]]:
+    def _order(self, job: Job, scope: Scope = ANYWHERE) -> list[tuple[Engine, float]]:
         """Who may read, by hash: the shared beginning picks a few, the session one of them.
 
-        Mixed engines stand among the readers and keep what they read, for they answer it too.
+        Mixed engines stand among the readers and keep what they read, for they answer it too.  The first
+        HEAD_LOOKS are given each time, those behind them by parts, going on where the last vain look ended.
         """
-        key, session, order = self._ranked(job)
-        order, away = self._planned(order, self.plan, key) if self.plan and order else (order, False)
-        few = 1 + ceil(len(order) ** 0.5) * (not away) if job.prefix else 0
-        order[:few] = sorted(order[:few], key=lambda engine: straw(session, engine.salt))
+        key, session, ranking = self._ranked(job)
+        away = False
+        if self.plan and len(ranking):
+            planned, away = self._planned(list(ranking), self.plan, key)
+            ranking = Ranking(len(planned), iter(planned))
+        few = 1 + ceil(len(ranking) ** 0.5) * (not away) if job.prefix else 0
+        first = sorted(ranking.part(0, few), key=lambda engine: straw(session, engine.salt))
+        others = self._behind(first, key, ranking, scope)
         if self._failing(job.offering):
-            order.sort(key=lambda engine: not self._vouched(engine, job.offering))
-        return ([(engine, 0.0) for engine in order[:few]] + [(engine, job.prompt) for engine in order[:few]]
-                + [(engine, 0.0) for engine in order[few:]])
+            others = self._vouched_first(job, first, others, key, scope)
+            first = list(islice(others, few))
+        first = [engine for engine in first if scope.has(engine)]
+        looks = [*((engine, 0.0) for engine in first), *((engine, job.prompt) for engine in first),
+                 *((engine, 0.0) for engine in islice(others, max(0, HEAD_LOOKS - len(first))))]
+        start = self.searched.get(job, 0)
+        further = list(islice(others, start, start + FURTHER_LOOKS))
+        self.searched[job] = start + FURTHER_LOOKS if len(further) == FURTHER_LOOKS else 0
+        if further:
+            asked = [engine for engine in job.asked if engine in self.index.host_set and scope.has(engine)]
+            looks += [(engine, 0.0) for engine in (*asked, *further)]
+        return looks
+
+    def _behind(self, first: list[Engine], key: int, ranking: Ranking, scope: Scope) -> Iterator[Engine]:
+        """Those behind the first few, by hash."""
+        before = set(first)
+        if scope is ANYWHERE:
+            return (engine for engine in ranking if engine not in before)
+        return iter(rank(key, [engine for engine in self.index.hosts_in(scope) if engine not in before]))
+
+    def _vouched_first(self, job: Job, first: list[Engine], others: Iterator[Engine], key: int, scope: Scope
+                       ) -> Iterator[Engine]:
+        """All of them again, those known to serve the offering before the rest."""
+        known, before = self._all_vouched(job.offering), set(first)
+        behind = rank(key, [engine for engine in known if engine in self.index.host_set
+                            and scope.has(engine) and engine not in before])
+        return chain((engine for engine in first if engine in known), behind,
+                     (engine for engine in first if engine not in known),
+                     (engine for engine in others if engine not in known))
 
     def _planned(self, order: list[Engine], plan: Planned, key: int) -> tuple[list[Engine], bool]:
         """The zone that the hash gives keeps the job, or the one that the plan draws for its beginning. Away
@@ -524,14 +550,15 @@
             zone, luck = other, luck - share
             if luck < 0:
                 break
-        able = [one for one in order if one not in self.missed]
+        able = [one for one in order if one not in self.index.missed]
         near = [one for one in able if one.zone == zone]
         return near if near and plan.near else sorted(able, key=lambda one: one.zone != zone), zone != home
 
     def _has_room(self, reader: Engine, job: Job, anew: float = 0.0) -> bool:
         """Little of our own out there; more (`anew`) before the shared beginning is read anew elsewhere."""
         ours = sum(trip.work for trip in reader.trips)
-        return (ours <= (1 + MARGIN) * self.reading / len(self.readers) + anew and self._usable(reader, job)
+        even = self.reading / len(self.index.readers)
+        return (ours <= (1 + MARGIN) * even + anew and self._usable(reader, job)
                 and self._oldest(reader) <= BACKLOG * self.quickest + SLOWNESS * self.shortest * anew)
 
     def _has_window(self, engine: Engine, job: Job) -> bool:
@@ -547,7 +574,7 @@
         return ours < self._window(engine, job.luck) * min(1.0, self.calm / max(present, 1.0))
 
     def _window(self, engine: Engine, luck: float = 0.0) -> float:
-        share = max(self.out, self.streams.mean(self.now)) / max(1, len(self.answering))
+        share = max(self.out, self.streams.mean(self.now)) / max(1, len(self.index.answering))
         return max(1.0, share * (1 + MARGIN) + float(share ** 0.5) - engine.narrowed + luck)
 
     def _crowded(self, engine: Engine, job: Job) -> bool:
@@ -562,28 +589,33 @@
         return bool(held + job.luck * job.prompt > (1 + MARGIN) * part)
 
     def _open(self, engine: Engine, job: Job) -> bool:
-        return (self._has_window(engine, job) and self._usable(engine, job)
-                and (not job.trips or self._may_send(job, engine)))
-
-    def _rounds(self, job: Job, near: Engine | None) -> Iterator[list[Engine]]:
-        """Writers, nearest first: the reader's cell up to what its writers are due, its zone, the rest."""
-        if near:
-            # Guards against a cell whose readers have all gone, while state still lies there.
-            if job.luck < self.keeps.get(near.cell, 1.0):
-                yield self.nearest[near.cell]
-            yield self.around[near.zone]
-        yield self.writers
-
-    def _writer(self, job: Job, near: Engine | None) -> Engine | None:
-        """The next in turn whose window is open; while the offering fails, first those known to serve it."""
+        return self._has_window(engine, job) and self._usable(engine, job)
+
+    def _writer(self, job: Job, near: Engine | None,
+                searched: dict[tuple[RoundRobin, bool], Engine | None] | None = None) -> Engine | None:
+        """The next in turn whose window is open; while the offering fails, first those known to serve it.
+        `searched` keeps what was found for the same job in the same turn, which nothing has changed."""
+        scope = self._scope(job) if job.trips else ANYWHERE
+        if scope is None:
+            return None
+        searched = {} if searched is None else searched
         for known in (True, False) if self._failing(job.offering) else (False,):
-            for engines in self._rounds(job, near):
-                able = [engine for engine in engines if self._open(engine, job)
-                        and (not known or self._vouched(engine, job.offering))]
-                if able:
-                    return min(able, key=lambda engine: engine.turn)
+            for engines in self.index.rounds(job.luck, near, scope):
+                if (engines, known) not in searched:
+                    searched[engines, known] = self._next_in_turn(engines, job, scope, known)
+                if found := searched[engines, known]:
+                    return found
         return None
 
+    def _next_in_turn(self, engines: RoundRobin, job: Job, scope: Scope, known: bool) -> Engine | None:
+        def fits(engine: Engine) -> bool:
+            return scope.has(engine) and self._open(engine, job)
+
+        if not known:
+            return engines.first(self.now, fits)
+        able = [engine for engine in self._all_vouched(job.offering) if engine in engines and fits(engine)]
+        return min(able, default=None, key=lambda engine: engine.turn)
+
     def _place_waiting(self) -> None:
         self.streams.add(self.now, self.out)
         self.unended = self._unended()
@@ -604,9 +636,10 @@
     def _unended(self) -> float:
         """Reading time for a token by the reads that are still out, once most readers have been replaced:
         what ended before tells of others, and a jam of cold ones shows late in what ends."""
-        if 2 * sum(map(self._cold, self.readers)) <= len(self.readers):
+        if not self.index.mostly_cold_readers(self.now):
             return 0.0
-        out = [trip for engine in self.readers for trip in engine.unanswered]
+        out = [trip for engine in self.busy if engine in self.index.prefill_engines
+               for trip in engine.unanswered]
         return sum(self.now - trip.sent for trip in out) / max(1.0, sum(trip.work for trip in out))
 
     def _late(self, job: Job) -> bool:
@@ -626,38 +659,62 @@
     def _free(self, reader: Engine, job: Job) -> bool:
         """Whether a reader has no line, as far as can be known. One front of many sees next to none of the
         reads there: so it asks, one reader more each time that none has answered."""
-        last = max(job.asked.values(), default=-inf)
-        if (not self.asks or self._cold(reader) or self._unheard(job)
-                or self.now - reader.reported <= ASK * self.quickest):
+        if self._known_free(reader) or self._unheard(job):
             return True
-        if reader not in job.asked and len(job.asked) < ASKED and self.now - last >= ASK * self.quickest:
+        if reader not in job.asked and self._may_ask(job):
             job.asked[reader] = self.now
             self.actions.append(Probe(reader))
         return False
 
+    def _known_free(self, reader: Engine) -> bool:
+        return (not self.asks or self._cold(reader)
+                or self.now - reader.reported <= ASK * self.quickest)
+
+    def _may_ask(self, job: Job) -> bool:
+        """Whether one reader more may be asked now."""
+        last = max(job.asked.values(), default=-inf)
+        return len(job.asked) < ASKED and self.now - last >= ASK * self.quickest
+
+    def _waits_for_answers(self, job: Job) -> bool:
+        """Whether only a reader that is known to be free will do, as no other may be asked now."""
+        return self.asks and not self._unheard(job) and not self._may_ask(job)
+
     def _unheard(self, job: Job) -> bool:
         """Whether readers were asked and none has answered for long: all of them have lines."""
         return self.now - min(job.asked.values(), default=inf) > BACKLOG * self.quickest
 
+    def _no_reader_well(self, offering: int) -> bool:
+        if offering not in self.none_well:
+            self.none_well[offering] = not any(
+                self._well(engine, offering) for engine in self.index.readers)
+        return self.none_well[offering]
+
     def _place(self, job: Job) -> bool:
+        scope = self._scope(job) if job.may_have_run else ANYWHERE
+        if scope is None:
+            return False
         found: tuple[Engine, Engine] | None = None
         shut = self._trips_left(job) < 2
-        # Guards against our own marks emptying the whole stage.
-        last = not any(self._well(engine, job.offering) for engine in self.readers)
-        for engine, anew in self._order(job):
-            if job.may_have_run and not self._may_send(job, engine):
+        searched: dict[tuple[RoundRobin, bool], Engine | None] = {}
+        waits = self._waits_for_answers(job)
+        for engine, anew in self._order(job, scope):
+            if engine.state != "ready" and job.may_have_run:
                 continue
             if engine.role == "both":
-                if not found and self._open(engine, job):
+                if not found and self._open(engine, job) and (not job.trips or self._may_send(job, engine)):
                     found = engine, engine
                     break
-            elif not shut and (self._has_room(engine, job, anew) or last and not engine.trips
-                               and engine.unwell.get(ALL, 0.0) <= self.now):
-                writer = self._writer(job, engine)
+            elif not shut and not (waits and not self._known_free(engine)) and (
+                               self._has_room(engine, job, anew) or not engine.trips
+                               and engine.unwell.get(ALL, 0.0) <= self.now
+                               # Guards against our own marks emptying the whole stage.
+                               and self._no_reader_well(job.offering)):
+                writer = self._writer(job, engine, searched)
                 shut = writer is None
                 if writer and not self._free(engine, job):
+                    waits = self._waits_for_answers(job)
                     continue
-                if writer and (writer.cell == engine.cell or job.luck >= self.keeps[engine.cell]):
+                if writer and (writer.cell == engine.cell or job.luck >= self.index.keeps[engine.cell]):
                     found = engine, writer           # a reader whose own writers are open comes first
                     break
                 found = found or ((engine, writer) if writer else None)
@@ -672,7 +729,7 @@
             self._send(job, writer, reading=False)
             return True
         if self._cold(reader):
-            self.read_credit -= 1.0
+            self.slow_start.spend_read()
         job.writer = writer
         writer.paired[job] = None
         self.out += 1
