Same class: an engine to hear a release, and long lists in any form, at a bounded cost

Seen while looking for other work that grows with the fleet in one turn (class of incident c5f349): each step of each release took the maximum over all pools (node/core.py _other); a list of 3,200 engines indented by eight spaces is over the bound of one object (1 MB) and was taken for nonsense for ever; one with a line for each engine was read from its start 3,201 times; a long line that comes in small pieces was copied with each piece (node/discovery.py piece, _line). A role that the module does not know is left out as before.

--- a/worksmux/engine_index.py
+++ b/worksmux/engine_index.py
@@ -87,7 +87,7 @@
         listed = [engine for engine in known if engine.state == "ready"]
         self.ready_by_role = Counter(engine.role for engine in listed)
         ready, self.missed = self._by_plan(known, listed, plan)
-        roles: dict[str, list[Engine]] = {"read": [], "write": [], "both": []}
+        roles: dict[str, list[Engine]] = defaultdict(list)
         for engine in ready:
             roles[engine.role].append(engine)
         self.readers, self.writers, self.mixed = roles["read"], roles["write"], roles["both"]
--- a/worksmux/net/client.py
+++ b/worksmux/net/client.py
@@ -215,7 +215,8 @@
                 raise Malformed("an upgrade that was not asked for")
             return self._clear()
         assert self.receiver is not None
-        self.pool.heard = clock.now()
+        if self.pool.on_heard is not None:
+            self.pool.on_heard()
         if isinstance(self.receiver, Call):
             self.pool.answered = max(self.pool.answered, self.receiver.begun)
         headers = self._headers
@@ -432,7 +433,7 @@
         self.reactor, self.host, self.port = reactor, host, port
         self.connect_time_out, self.keep_alive = connect_time_out, keep_alive
         self.most_idle, self.head_bound, self.chunk_bound = most_idle, head_bound, chunk_bound
-        self.heard = 0.0                             # when a reply last began
+        self.on_heard: Callable[[], None] | None = None      # called as a reply begins
         self.answered = 0.0                          # when the newest call began that brought a reply
         self.name = name or f"{host}:{port}"
         self.idle: deque[Connection] = deque()
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -12,6 +12,7 @@
 from ..net.loop import Reactor
 from ..net.time_out import TimeOut
 from . import protocol
+from .contacts import Contacts
 from .counts import NodeCounts
 from .held import HeldState
 from .in_doubt import DoubtWatch
@@ -48,8 +49,9 @@
         self.share = share
         self.connect_time_out = float(door.settings["connect_time_out"]) or CONNECTING
         self.keys: dict[str, Case] = {}  # of the jobs that are open
+        self.contacts = Contacts(int(door.settings["zone"]))
         self.releases = Releases(
-            reactor, self._small, self._other, float(door.settings["release_within"]) or SECOND
+            reactor, self._small, self.contacts.other, float(door.settings["release_within"]) or SECOND
         )
         self.doubts = DoubtWatch(
             reactor, self.releases, self._seek_sign if door.settings["may_probe"] else None
@@ -229,23 +231,6 @@
     def _small_bounds(self) -> tuple[float, int, client.Headers]:
         return self.connect_time_out, BODY, ()
 
-    def _other(self, known: set[i.Engine]) -> i.Engine | None:
-        """An engine that is listed and not among those known: a ready one first, then of a zone that was not
-        asked, this node's own first, the one heard last.  Guards against a zone that is cut off: all that
-        were heard lately may lie on the other side."""
-        asked, here = {engine.zone for engine in known}, self.module_settings["zone"]
-        able = [engine for engine in self.pools if engine.state != "gone" and engine not in known]
-        return max(
-            able,
-            default=None,
-            key=lambda engine: (
-                engine.state == "ready",
-                engine.zone not in asked,
-                engine.zone == here,
-                self.pools[engine].heard,
-            ),
-        )
-
     def _probe_path(self) -> str:
         return protocol.ALIVE if self.module_settings["reports"] == "off" else protocol.LOAD_PATH
 
@@ -262,6 +247,11 @@
 
     # The engines.
 
+    def moved(self, engine: i.Engine, host: str, port: int) -> None:
+        super().moved(engine, host, port)
+        self.contacts.listed(engine)
+        self.pools[engine].on_heard = lambda: self.contacts.heard(engine)
+
     def _pool(self, host: str, port: int) -> client.Pool:
         return client.Pool(self.reactor, host, port, self.connect_time_out, 0.0, MOST_IDLE, HEAD, BODY, HOST)
 
@@ -270,4 +260,5 @@
         gone = [engine for engine in self.pools if engine.state == "gone" and self.door.forget(engine)]
         for engine in gone:
             del self.pools[engine]
+            self.contacts.forget(engine)
         return gone
--- a/worksmux/node/discovery.py
+++ b/worksmux/node/discovery.py
@@ -29,7 +29,8 @@
 GIVEN_UP = 1.5 * BEAT  # a watch that has not spoken by then is closed
 LOOK = BEAT / 16  # between two looks at the clock
 PAUSES = (50.0, 1000.0)  # before the next attempt after a failed one; they grow, and are spread by chance
-LINE = 2**20  # bytes of one object at most; a body has at most a quarter of that
+LINE = 2**22  # bytes of one object at most: 3,200 engines, indented, take one and a half million
+GROWTH = 1.5  # times the bytes at the last vain try, after which an object is tried to be read again
 
 
 class Watching:
@@ -37,9 +38,10 @@
 
     def __init__(self, discovery: Discovery, now: float) -> None:
         self.discovery, self.asked, self.address = discovery, now, discovery.address
-        self.rest = b""
+        self.rest = bytearray()  # of a line that is not whole yet
         self.begun: list[bytes] = []  # lines of an object that is not whole yet
-        self.size = 0
+        self.size = self.tried = 0  # their bytes, and how many there were at the last vain try to read them
+        self.depth = 0  # braces that are open in them, if none stands in a name
         self.call: client.Call | None = None
         self.over = False
 
@@ -48,8 +50,11 @@
             self.end(f"status {status}")
 
     def piece(self, data: bytes) -> None:
-        *lines, self.rest = (self.rest + data).split(b"\n")
-        for line in lines:
+        """Guards against a long list in many small pieces: what came before is not copied with each."""
+        end, *begins = data.split(b"\n")
+        self.rest += end
+        for begin in begins:
+            line, self.rest = bytes(self.rest), bytearray(begin)
             if not self.over:
                 self._line(line)
         if not self.over and self.size + len(self.rest) > LINE:
@@ -61,14 +66,29 @@
             return self.discovery.heard_from(self, None)
         self.begun.append(line)
         self.size += len(line)
+        self.depth += line.count(b"{") - line.count(b"}")
+        if not text and self.size > self.tried and self._read():  # a name had a brace that hid its end
+            return None
         if not text.endswith(b"}"):  # it can't end here
             return None if text and self.begun[0].lstrip().startswith(b"{") else self._no("no object")
+        if self.depth > 0 and self.size < GROWTH * self.tried:
+            return None
+        self._read()
+        return None
+
+    def _read(self) -> bool:
+        """Whether the object is whole.  Guards against a list with a line for each engine that is read from
+        its start at each of them."""
+        self.tried = self.size
         try:
             told = READ_HOSTS.decode(b"\n".join(self.begun))
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-            return None if "truncated" in str(error) else self._no(str(error))
-        self.begun, self.size = [], 0
-        return self.discovery.heard_from(self, told)
+            if "truncated" not in str(error):
+                self._no(str(error))
+            return False
+        self.begun, self.size, self.tried, self.depth = [], 0, 0, 0
+        self.discovery.heard_from(self, told)
+        return True
 
     def _no(self, why: str) -> None:
         self.discovery.nonsense(self, why)
