Fault model: schedules with a hundred times the engines; ten seeds of them with the suite

The model charges no time for computing: that is test_cost_by_fleet_size.py's and test_many_engines.py's part.

--- a/tests/fault_injection/__main__.py
+++ b/tests/fault_injection/__main__.py
@@ -5,6 +5,7 @@
 import argparse
 import sys
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from pathlib import Path
 
 from .draw import draw
@@ -22,21 +23,21 @@
     return range(int(first), int(last or first) + 1)
 
 
-def _schedule(text: str) -> Schedule:
+def _schedule(text: str, times: int) -> Schedule:
     """A seed, or a file."""
-    return draw(int(text)) if text.isdigit() else load(Path(text))
+    return draw(int(text), times) if text.isdigit() else load(Path(text))
 
 
-def _play_seed(seed: int) -> tuple[int, Result]:
-    result = play(draw(seed))
+def _play_seed(seed: int, times: int) -> tuple[int, Result]:
+    result = play(draw(seed, times))
     return seed, Result(result.violations, {}, result.requests, result.served, result.releases)
 
 
-def run(seeds: range, jobs: int) -> int:
+def run(seeds: range, jobs: int, times: int) -> int:
     """Plays many seeds; names those that break a rule."""
     broken = requests = served = releases = 0
     with ProcessPoolExecutor(jobs) as pool:
-        for seed, result in pool.map(_play_seed, seeds, chunksize=8):
+        for seed, result in pool.map(partial(_play_seed, times=times), seeds, chunksize=8):
             requests, served = requests + result.requests, served + result.served
             releases += result.releases
             if result.violations:
@@ -79,13 +80,15 @@
     one = commands.add_parser("shrink", help="find a small schedule that breaks the same rule")
     one.add_argument("schedule")
     one.add_argument("file", type=Path)
+    for command in commands.choices.values():
+        command.add_argument("--times", type=int, default=1, help="as many engines as the seed draws")
     told = parser.parse_args()
     try:
         if told.command == "run":
-            return run(_seeds(told.seeds), told.jobs)
+            return run(_seeds(told.seeds), told.jobs, told.times)
         if told.command == "replay":
-            return replay(_schedule(told.schedule), told.request, told.logs)
-        small = shrink(_schedule(told.schedule))
+            return replay(_schedule(told.schedule, told.times), told.request, told.logs)
+        small = shrink(_schedule(told.schedule, told.times))
         save(small, told.file)
         print(f"{told.file}: {len(small.requests)} requests, {len(small.faults)} faults")
         return 0
--- a/tests/fault_injection/draw.py
+++ b/tests/fault_injection/draw.py
@@ -11,12 +11,12 @@
 LENGTH = 7000.0  # milliseconds in which requests come and faults begin
 
 
-def draw(seed: int) -> s.Schedule:
-    """The schedule of a seed, the same each time."""
+def draw(seed: int, times: int = 1) -> s.Schedule:
+    """The schedule of a seed, the same each time; with `times` as many engines, and faults among them all."""
     random = Random(seed)
     zones = random.choice([[], ["a"], ["a", "b"], ["a", "b", "c"]])
     processes = [random.choice(zones or [""]) for _ in range(random.randint(2, 6))]
-    engines = _engines(random, zones)
+    engines = _multiplied(_engines(random, zones), times)
     classes = _classes(random)
     behaviour = _behaviour(random)
     requests = _requests(random, len(processes), classes)
@@ -53,6 +53,16 @@
     return engines
 
 
+def _multiplied(engines: list[s.EngineSpec], times: int) -> list[s.EngineSpec]:
+    """Each engine so many times, each time in a cell of its own."""
+    cells = 1 + max(engine.cell for engine in engines)
+    return [
+        msgspec.structs.replace(engine, cell=engine.cell + copy * cells)
+        for copy in range(times)
+        for engine in engines
+    ]
+
+
 def _classes(random: Random) -> list[s.RequestClass]:
     effects: list[s.Effect] = random.choice(
         [["free", "single_shot"], ["free"], ["free", "guarded"], ["free", "guarded", "single_shot"]]
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -22,6 +22,7 @@
 from worksmux.node.releases import Releases
 
 SEEDS, CHUNKS = 320, 8
+LARGE_SEEDS, TIMES = range(401, 411), 100  # 500 to 2,000 engines each
 REGRESSIONS = sorted((Path(__file__).parent / "fault_injection" / "regressions").glob("*.json"))
 
 
@@ -33,6 +34,11 @@
     assert not broken
 
 
+@pytest.mark.parametrize("seed", LARGE_SEEDS)
+def test_drawn_schedules_keep_the_rules_among_thousands_of_engines(seed: int) -> None:
+    assert not play(draw(seed, TIMES)).violations
+
+
 @pytest.mark.parametrize("path", REGRESSIONS, ids=[path.stem for path in REGRESSIONS])
 def test_schedule_that_once_broke_a_rule_keeps_them(path: Path) -> None:
     """Shrunk from a drawn schedule that broke a rule; its name says what happens."""
