The collector leaves alone what a process has when it begins to serve

Change: node/serve.py freezes what there is when it serves (the program, the first list); the log's line says how many objects.

--- a/tests/test_many_engines.py
+++ b/tests/test_many_engines.py
@@ -30,6 +30,7 @@
 SETTLED = 6.0  # seconds after the last answer in which all that is held has been let go
 CORES, PERIOD = 0.4, 0.05  # part of a core that the node gets, in each of these seconds
 STARTING = 30.0  # seconds in which a process has to be ready
+OBJECTS = 8  # of each engine, at least, that a collector would look at
 ALIVE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -108,6 +109,12 @@
         match = re.search(rb'"port":(\d+).*"event":"serving"', self.log.read_bytes())
         return int(match[1]) if match else 0
 
+    def frozen(self) -> int:
+        """Objects that its collector leaves alone since it serves."""
+        match = re.search(rb'"frozen":(\d+).*"event":"serving"', self.log.read_bytes())
+        assert match is not None
+        return int(match[1])
+
     def long_turns(self) -> list[dict[str, Any]]:
         lines = (json.loads(line) for line in self.log.read_text().splitlines() if line.startswith("{"))
         return [line for line in lines if line["event"] == "a turn took long"]
@@ -224,6 +231,10 @@
     assert not day.traffic.late(), day.node.long_turns()
 
 
+def test_collector_does_not_walk_through_all_engines(day: Day) -> None:
+    assert day.node.frozen() > OBJECTS * ENGINES
+
+
 def test_nothing_begins_at_engines_told_draining_among_thousands(day: Day) -> None:
     due = day.fleet.drained_at + DRAIN_GRACE
     assert [listener for listener, at in day.fleet.attempts if listener < 2 and at > due] == []
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 import sys
 from collections import Counter
@@ -55,6 +56,7 @@
         self.listener: Any = None
         self.port = 0
         self.on_end: Callable[[], None] = lambda: None
+        self.on_serving: Callable[[], None] = lambda: None
         self.stopping = False
         self.accepting = True
         self.ended = False
@@ -84,12 +86,14 @@
             self.failed = True
             return self._over()
         self.clients.ready = True
+        self.on_serving()
         LOG.info(
             "serving",
             port=self.port,
             cores=self.config.cores,
             sockets=self.config.sockets,
             memory=round(self.config.memory),
+            frozen=gc.get_freeze_count(),
         )
 
     def _tell_counts(self) -> None:
@@ -175,5 +179,8 @@
     writer = set_up("json", "info", node=config.name)
     node = Node(config, reactor)
     node.on_end = reactor.stop
+    # Guards against a collector that walks through all engines each time, and keeps the reactor for as long:
+    # what there is by now, the program and the first list, stays for good.
+    node.on_serving = gc.freeze
     started = run_reactor(reactor, writer, node.start, node.stop, lambda: node.reload(variables))
     return int(not started or node.failed)
