--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -62,6 +62,7 @@
         self.good: list[dict[Engine, None]] = [{} for _ in self.offerings]   # known to serve it, latest last
         self.searched: dict[Job, int] = {}           # waiting: how far its readers were looked at
         self.looks: dict[Job, list[tuple[Engine, float]]] = {}    # waiting: its readers, the first of them
+        self.usual: tuple[float, float] | None = None    # while waiting jobs are placed
         self.none_well: dict[int, bool] = {}         # by offering, in this turn: whether no reader is
         self.waiting: dict[Job, None] = {}           # before their read
         self.holding: dict[Job, None] = {}           # read, and no trip out
@@ -654,6 +655,7 @@
         met = sum(fate.count(self.now) for fate in self.fates)
         self.asks = (self.settings["may_probe"] and 1 / self.settings["fronts"] < SEEN
                      and met < len(self.engines))
+        self.usual = self._usual()                   # the same for all that wait
         closed = False                               # where one new job finds no place, none does
         for job in sorted(self.waiting, key=lambda job: job.promised_at):
             if self._late(job):
@@ -663,6 +665,7 @@
                     del self.waiting[job]
                 else:
                     closed = closed or not (job.trips or job.asked)
+        self.usual = None
 
     def _unended(self) -> float:
         """Reading time for a token by the reads that are still out, once most readers have been replaced:
@@ -673,10 +676,15 @@
                for trip in engine.unanswered]
         return sum(self.now - trip.sent for trip in out) / max(1.0, sum(trip.work for trip in out))
 
-    def _late(self, job: Job) -> bool:
-        """Chance gives up some of the jobs before the usual need no longer fits: a line is cut by degrees."""
+    def _usual(self) -> tuple[float, float]:
+        """The usual time to a first token, and to read a token of the prompt."""
         first, read = (min(ring.mean(self.now), ring.mean(self.now, inf, LATELY))
                        for ring in (self.first, self.per_token))
+        return first, read
+
+    def _late(self, job: Job) -> bool:
+        """Chance gives up some of the jobs before the usual need no longer fits: a line is cut by degrees."""
+        first, read = self.usual or self._usual()
         press = 1 + PRESS * job.luck + REPEAT * job.repeat
         read = max(read, self.unended)
         pace = min(read, self.shortest)
