--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -390,6 +390,7 @@
         self.holding.pop(job, None)
         job.asked.clear()
         self._forget_search(job)
+        self.none_well.clear()                       # an engine on trial has its trip now
         self.actions.append(Send(trip, time_out))
 
     def _forget_search(self, job: Job) -> None:
@@ -737,6 +738,12 @@
                 self._well(engine, offering) for engine in self.index.readers)
         return self.none_well[offering]
 
+    def _takes(self, reader: Engine, job: Job, anew: float) -> bool:
+        return (self._has_room(reader, job, anew)
+                # Guards against our own marks emptying the whole stage.
+                or not reader.trips and reader.unwell.get(ALL, 0.0) <= self.now
+                and self._no_reader_well(job.offering))
+
     def _place(self, job: Job) -> bool:
         scope = self._scope(job) if job.may_have_run else ANYWHERE
         if scope is None:
@@ -755,11 +762,7 @@
                 if not found and self._open(engine, job) and (not job.trips or self._may_send(job, engine)):
                     found = engine, engine
                     break
-            elif not shut and not (waits and not self._known_free(engine)) and (
-                               self._has_room(engine, job, anew) or not engine.trips
-                               and engine.unwell.get(ALL, 0.0) <= self.now
-                               # Guards against our own marks emptying the whole stage.
-                               and self._no_reader_well(job.offering)):
+            elif not shut and self._takes(engine, job, anew):
                 writer = self._writer(job, engine, searched)
                 shut = writer is None
                 if writer and not self._free(engine, job):
