The log has a few lines for a list that names thousands of unknown engines

Change: node/discovery.py _log_notes writes eight and how many were left out. Measured: the new test (3,000 such engines) fails without it; tests of the log pass.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -30,7 +30,7 @@
 from worksmux.front.turns import SLOW_TURN
 from worksmux.membership.listing import ListKeeper
 from worksmux.net import clock
-from worksmux.node import config, protocol, serve
+from worksmux.node import config, discovery, protocol, serve
 from worksmux.node.listing import Endpoint, HostList, listing
 from worksmux.node.serve import Node
 from worksmux.node.attempts import PrefillAttempt
@@ -683,3 +683,19 @@
     assert slow["events"] == {"Arrived": 1}
     assert slow["engines"] == 2
     assert slow["processor_ms"] > SLOW_TURN / 2
+
+
+def test_log_has_few_lines_for_thousands_of_engines_that_the_settings_do_not_know() -> None:
+    rig = Rig()
+    rig.engine("prefill")
+    rig.engine("decode")
+    rig.start()
+    strange = [rig.engines[0].entry() | {"name": f"s{at}", "type": "other"} for at in range(3000)]
+    with structlog.testing.capture_logs() as lines:
+        rig.hosts.tell(2, *strange)
+        rig.until(lambda: rig.node.discovery.index == 2)
+    assert len(lines) == discovery.MOST_NOTES + 2
+    assert [line["notes_left_out"] for line in lines if "notes_left_out" in line] == [
+        3000 - discovery.MOST_NOTES
+    ]
+    assert rig.answered(rig.client(ask())) == b"200"
--- a/worksmux/node/discovery.py
+++ b/worksmux/node/discovery.py
@@ -30,6 +30,7 @@
 LOOK = BEAT / 16  # between two looks at the clock
 PAUSES = (50.0, 1000.0)  # before the next attempt after a failed one; they grow, and are spread by chance
 LINE = 2**22  # bytes of one object at most: 3,200 engines, indented, take one and a half million
+MOST_NOTES = 8  # lines of the log for one list
 GROWTH = 1.5  # times the bytes at the last vain try, after which an object is tried to be read again
 
 
@@ -245,6 +246,14 @@
         if word is not None:
             word()
 
+    @staticmethod
+    def _log_notes(notes: list[str]) -> None:
+        """Guards against a line for each of thousands of engines that the settings do not know."""
+        for note in notes[:MOST_NOTES]:
+            LOG.warning("list of engines", note=note)
+        if len(notes) > MOST_NOTES:
+            LOG.warning("list of engines", notes_left_out=len(notes) - MOST_NOTES)
+
     def _take(self, told: HostList, scope: str) -> None:
         lines, notes = listing(told, self.keeper.serial, clock.wall())
         self.keeper.whole = True
@@ -252,8 +261,7 @@
         self.index = told.index
         for engine in self.core.forget_gone():
             self.keeper.known.pop(engine.id.decode(), None)
-        for note in (*notes, *made.notes):
-            LOG.warning("list of engines", note=note)
+        self._log_notes([*notes, *made.notes])
         LOG.info(
             "list of engines",
             index=told.index,
