--- a/worksmux/__main__.py
+++ b/worksmux/__main__.py
@@ -1,4 +1,5 @@
 """`python -m worksmux`: the command line."""
+
 from .commands import main
 
 if __name__ == "__main__":
--- a/worksmux/commands/__init__.py
+++ b/worksmux/commands/__init__.py
@@ -1,5 +1,6 @@
 """The command line.  Exit codes: 0 all is well, 1 it ran and something failed, 2 the call or its file is
 wrong."""
+
 from __future__ import annotations
 
 import os
@@ -11,8 +12,10 @@
     other commands import."""
     if sys.argv[1:] == ["node"]:
         from ..node.serve import run
+
         sys.exit(run(os.environ))
     from .main import main as others
+
     others()
 
 
--- a/worksmux/door.py
+++ b/worksmux/door.py
@@ -3,6 +3,7 @@
 No decision is taken here.  The door makes the engines, jobs and list entries that the module is told of,
 finds them again by the ids that the outside uses, and forgets a job once nothing more can be told of it.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -41,7 +42,7 @@
         for action in actions:
             if isinstance(action, (i.Defer, i.BreakOff, i.Release, i.Hold, i.Move)):
                 self._touched.append(action.job)
-        for job in self._touched:    # nothing more can be told of these
+        for job in self._touched:  # nothing more can be told of these
             if job.ended and all(trip.outcome for trip in job.trips):
                 self.jobs.pop(job.id, None)
         self._touched.clear()
--- a/worksmux/drill/__main__.py
+++ b/worksmux/drill/__main__.py
@@ -1,4 +1,5 @@
 """Reads batches from standard input and answers each on standard output, for many instances at once."""
+
 from __future__ import annotations
 
 import sys
--- a/worksmux/drill/codec.py
+++ b/worksmux/drill/codec.py
@@ -1,4 +1,5 @@
 """Frames of the wire `tundra-a5ae`: bytes to records of plain values and back."""
+
 from __future__ import annotations
 
 import struct
@@ -10,36 +11,42 @@
 EVENT_SIZE, ACTION_SIZE = 64, 24
 
 # The fields of each record after its code, in the order of the wire page.
-EVENTS = {code: (name, struct.Struct("<" + form)) for code, name, form in (
-    (1, "configure", "HQII"),
-    (2, "sync", "HBQII"),
-    (3, "req", "HIHIQddQfffB"),
-    (4, "flowing", "HI6sHd"),
-    (5, "answer", "HIH6sHdBIB4f"),
-    (6, "withdrawn", "HI"),
-    (7, "bell", "HQ"),
-    (8, "pong", "H6sHdB4f"),
-    (9, "note_from", "HIII"),
-    (10, "down", "H"),
-    (11, "answer_ahead", "HIH6sBf"),
-)}
-ACTIONS = {name: (code, struct.Struct("<B" + form)) for code, name, form in (
-    (1, "route", "HI6sd"),
-    (2, "say_no", "HId"),
-    (3, "finish_error", "HI"),
-    (4, "undo_send", "HIH"),
-    (5, "set_alarm", "HdQ"),
-    (6, "touch", "H6s"),
-    (7, "drop_conns", "H6s"),
-    (8, "tell", "HHII"),
-    (9, "journal_line", "HII"),
-    (10, "give_in", "HII"),
-    (11, "keep_informed", "HB"),
-    (12, "lookup", "H"),
-    (13, "go_away", "HI"),
-    (14, "hold_place", "HI6s"),
-    (15, "drop_state", "HI"),
-)}
+EVENTS = {
+    code: (name, struct.Struct("<" + form))
+    for code, name, form in (
+        (1, "configure", "HQII"),
+        (2, "sync", "HBQII"),
+        (3, "req", "HIHIQddQfffB"),
+        (4, "flowing", "HI6sHd"),
+        (5, "answer", "HIH6sHdBIB4f"),
+        (6, "withdrawn", "HI"),
+        (7, "bell", "HQ"),
+        (8, "pong", "H6sHdB4f"),
+        (9, "note_from", "HIII"),
+        (10, "down", "H"),
+        (11, "answer_ahead", "HIH6sBf"),
+    )
+}
+ACTIONS = {
+    name: (code, struct.Struct("<B" + form))
+    for code, name, form in (
+        (1, "route", "HI6sd"),
+        (2, "say_no", "HId"),
+        (3, "finish_error", "HI"),
+        (4, "undo_send", "HIH"),
+        (5, "set_alarm", "HdQ"),
+        (6, "touch", "H6s"),
+        (7, "drop_conns", "H6s"),
+        (8, "tell", "HHII"),
+        (9, "journal_line", "HII"),
+        (10, "give_in", "HII"),
+        (11, "keep_informed", "HB"),
+        (12, "lookup", "H"),
+        (13, "go_away", "HI"),
+        (14, "hold_place", "HI6s"),
+        (15, "drop_state", "HI"),
+    )
+}
 WITH_TAIL = {"configure": 1, "note_from": 1, "sync": ENTRY.size, "tell": 1, "journal_line": 1, "give_in": 1}
 
 
@@ -49,7 +56,7 @@
 
 class Record(NamedTuple):
     name: str
-    values: tuple[Any, ...]          # the last is the tail's bytes where the record has a tail
+    values: tuple[Any, ...]  # the last is the tail's bytes where the record has a tail
 
 
 class Batch(NamedTuple):
@@ -71,9 +78,12 @@
     body = source.read(size - HEADER.size)
     if len(body) < size - HEADER.size:
         raise WireError(f"batch {number}: input ends after {HEADER.size + len(body)} of {size} bytes")
-    tail = memoryview(body)[count * EVENT_SIZE:]
-    return Batch(number, now, [_record(body, i * EVENT_SIZE, tail, f"batch {number}, record {i}")
-                               for i in range(count)])
+    tail = memoryview(body)[count * EVENT_SIZE :]
+    return Batch(
+        number,
+        now,
+        [_record(body, i * EVENT_SIZE, tail, f"batch {number}, record {i}") for i in range(count)],
+    )
 
 
 def _record(body: bytes, at: int, tail: memoryview, where: str) -> Record:
@@ -86,7 +96,7 @@
         length *= WITH_TAIL[name]
         if offset + length > len(tail):
             raise WireError(f"{where}: {name} points {offset + length} bytes into a tail of {len(tail)}")
-        values = (*rest, bytes(tail[offset:offset + length]))
+        values = (*rest, bytes(tail[offset : offset + length]))
     return Record(name, tuple(values))
 
 
--- a/worksmux/drill/instance.py
+++ b/worksmux/drill/instance.py
@@ -1,4 +1,5 @@
 """One front: turns the wire's records into worksmux's events and its actions back.  No decision."""
+
 from __future__ import annotations
 
 import json
@@ -9,9 +10,17 @@
 from ..settings.told import settings_from
 from .codec import ENTRY, Record, WireError
 
-OUTCOMES = {1: i.Outcome.DELIVERED, 0: i.Outcome.ERROR, 2: i.Outcome.FULL, 3: i.Outcome.TIMED_OUT,
-            4: i.Outcome.UNREACHABLE, 5: i.Outcome.RESET, 6: i.Outcome.CANCELLED, 7: i.Outcome.MOOT,
-            102: i.Outcome.READ}
+OUTCOMES = {
+    1: i.Outcome.DELIVERED,
+    0: i.Outcome.ERROR,
+    2: i.Outcome.FULL,
+    3: i.Outcome.TIMED_OUT,
+    4: i.Outcome.UNREACHABLE,
+    5: i.Outcome.RESET,
+    6: i.Outcome.CANCELLED,
+    7: i.Outcome.MOOT,
+    102: i.Outcome.READ,
+}
 SCOPES = {0: "delta", 1: "full", 2: "cached", 3: "failed"}
 STATES = {2: "ready", 0: "draining", 1: "gone"}
 HINTED, REPEAT, RESUMED = 1, 2, 16
@@ -45,9 +54,23 @@
                     raise WireError(f"request {call}: unknown class {offering}")
                 pace = self.settings["offerings"][offering]["token_time"]
                 hint = guess / pace if options & HINTED and pace else 0.0
-                return self.door.arrived(i.Job(
-                    call, offering, session, prefix, prompt, shared, most, now, now + left, hint, party,
-                    bool(options & REPEAT), bool(options & RESUMED)))
+                return self.door.arrived(
+                    i.Job(
+                        call,
+                        offering,
+                        session,
+                        prefix,
+                        prompt,
+                        shared,
+                        most,
+                        now,
+                        now + left,
+                        hint,
+                        party,
+                        bool(options & REPEAT),
+                        bool(options & RESUMED),
+                    )
+                )
             case "flowing":
                 call, _, number, elapsed = values
                 trip = self.door.trip(call, number)
@@ -76,14 +99,15 @@
     def _engine(self, address: bytes) -> i.Engine:
         return self.door.engine(address, int.from_bytes(address, "big"))
 
-    def _entry(self, size: float, zone: int, kind: int, state: int, started: float, cell: int,
-               address: bytes) -> i.Entry:
+    def _entry(
+        self, size: float, zone: int, kind: int, state: int, started: float, cell: int, address: bytes
+    ) -> i.Entry:
         return i.Entry(self._engine(address), STATES[state], started, zone, cell, kind, size)
 
     def _report(self, load: list[float]) -> dict[str, float] | None:
         count, *figures = load
         fields = self.settings["report_fields"]
-        return dict(zip(fields, figures[:int(count)], strict=False)) if count else None
+        return dict(zip(fields, figures[: int(count)], strict=False)) if count else None
 
     def _record(self, action: i.Action) -> Record:
         name, values = self._words(action)
--- a/worksmux/front/carriage.py
+++ b/worksmux/front/carriage.py
@@ -2,6 +2,7 @@
 
 A trip has at most one `began` and exactly one `ended`; a protocol says what its replies mean.
 """
+
 from __future__ import annotations
 
 from typing import Any, Protocol
@@ -19,8 +20,9 @@
 
     def text(self, trip: i.Trip, content: Any) -> None: ...
 
-    def ended(self, trip: i.Trip, outcome: i.Outcome, note: int, report: dict[str, float] | None,
-              result: Any) -> None: ...
+    def ended(
+        self, trip: i.Trip, outcome: i.Outcome, note: int, report: dict[str, float] | None, result: Any
+    ) -> None: ...
 
 
 def outcome_of(trouble: client.Trouble) -> i.Outcome:
@@ -34,14 +36,22 @@
     """One trip.  `time_out` runs until the answer begins, then `silence` between its pieces
     (milliseconds)."""
 
-    def __init__(self, reactor: Reactor, pool: client.Pool, trip: i.Trip, listener: Listener, time_out: float,
-                 silence: float, bound: int) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        pool: client.Pool,
+        trip: i.Trip,
+        listener: Listener,
+        time_out: float,
+        silence: float,
+        bound: int,
+    ) -> None:
         self.reactor, self.pool, self.trip, self.listener = reactor, pool, trip, listener
         self.silence, self.bound = silence, bound
         self.status, self.headers = 0, {}  # type: int, dict[str, str]
         self.body = bytearray()
         self.over = False
-        self.why = ""                                # the reason of its end, for the log
+        self.why = ""  # the reason of its end, for the log
         self.timer: Timer = TimeOut(reactor, max(0.0, time_out) / 1000, self._time_is_up)
         self.call: client.Call | None = None
 
@@ -130,7 +140,7 @@
         self.streaming = status == 200 and kind.startswith("text/event-stream")
 
     def piece(self, data: bytes) -> None:
-        if self.over:                                # after its end: no harm to the trip
+        if self.over:  # after its end: no harm to the trip
             return
         if self.streaming:
             self._stream(data)
--- a/worksmux/front/case.py
+++ b/worksmux/front/case.py
@@ -1,5 +1,6 @@
 """What the front keeps of one job beside what the module knows: its client, its text, and where its state may
 lie."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -35,20 +36,20 @@
 @dataclass(eq=False, slots=True)
 class Case:
     job: i.Job
-    asked: Any                       # what the client asks for, in its protocol's form
+    asked: Any  # what the client asks for, in its protocol's form
     client: Client
-    key: str                         # the job's name towards engines
-    name: str                        # of its offering
-    state: Any = None                # the handle of its read state, where the protocol has one
-    held: dict[i.Engine, None] = field(default_factory=dict)     # where state or a place may lie
+    key: str  # the job's name towards engines
+    name: str  # of its offering
+    state: Any = None  # the handle of its read state, where the protocol has one
+    held: dict[i.Engine, None] = field(default_factory=dict)  # where state or a place may lie
     place: i.Engine | None = None
-    out: dict[i.Trip, Any] = field(default_factory=dict)         # the carriers of its trips
-    answered: str = ""               # delivered, deferred, broken off or left
+    out: dict[i.Trip, Any] = field(default_factory=dict)  # the carriers of its trips
+    answered: str = ""  # delivered, deferred, broken off or left
     timed_out: bool = False
     guard: Any = None
     first_at: float = 0.0
-    called_off: float = 0.0          # when this front last ended one of its trips
-    result: Any = None               # of the trip that delivered
-    kept: int = 0                    # prompt tokens that its reads found kept
-    why: str = ""                    # the reason of its answer, for the log
-    reasons: dict[i.Trip, str] = field(default_factory=dict)     # of its attempts' ends, for the log
+    called_off: float = 0.0  # when this front last ended one of its trips
+    result: Any = None  # of the trip that delivered
+    kept: int = 0  # prompt tokens that its reads found kept
+    why: str = ""  # the reason of its answer, for the log
+    reasons: dict[i.Trip, str] = field(default_factory=dict)  # of its attempts' ends, for the log
--- a/worksmux/front/core.py
+++ b/worksmux/front/core.py
@@ -5,6 +5,7 @@
 whatever may hold state for a job is let go when the module says so.  A protocol derives from it and brings
 its carriers, what its small calls look like and its clients' side.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -24,7 +25,7 @@
 from .turns import Turns
 
 LOG = structlog.get_logger()
-LATE_LOOKS = 3           # turns of the reactor: a time-out looks again, is told, and the module answers
+LATE_LOOKS = 3  # turns of the reactor: a time-out looks again, is told, and the module answers
 
 
 class Core(Turns):
@@ -34,12 +35,12 @@
         self.cases: dict[i.Job, Case] = {}
         self.pools: dict[i.Engine, client.Pool] = {}
         self.number = 0
-        self.engine_list: Any = None                       # the source of the list, set by who builds both
-        self.on_fault: Any = None                    # called when the module has failed
-        self.on_decision: Any = None                 # called with a job's name and a trip, -1: its answer
-        self.acts_on: Any = None                     # gives what of the fleet's decisions holds, for trips
-        self.on_trip: Any = None                     # called with an engine and an outcome, at a trip's end
-        self.on_empty: Any = None                    # called at each end of a job
+        self.engine_list: Any = None  # the source of the list, set by who builds both
+        self.on_fault: Any = None  # called when the module has failed
+        self.on_decision: Any = None  # called with a job's name and a trip, -1: its answer
+        self.acts_on: Any = None  # gives what of the fleet's decisions holds, for trips
+        self.on_trip: Any = None  # called with an engine and an outcome, at a trip's end
+        self.on_empty: Any = None  # called at each end of a job
         self._closing: list[Case] = []
 
     # What a protocol brings.
@@ -59,8 +60,9 @@
     def _probe_path(self) -> str:
         raise NotImplementedError
 
-    def _probed(self, status: int, headers: dict[str, str], reply: bytes
-                ) -> tuple[i.Outcome, dict[str, float] | None]:
+    def _probed(
+        self, status: int, headers: dict[str, str], reply: bytes
+    ) -> tuple[i.Outcome, dict[str, float] | None]:
         """Outcome and load report of a whole reply to a probe."""
         raise NotImplementedError
 
@@ -128,7 +130,7 @@
             if trip.began or trip.job.began:
                 carrier.cancel()
             else:
-                carrier.withdraw()                   # guards against trips that begin for nobody
+                carrier.withdraw()  # guards against trips that begin for nobody
 
     def _overdue(self, case: Case) -> None:
         """Guards against a module that lets a job's time pass: the client is told, and the fault is
@@ -157,7 +159,7 @@
             case "broken off":
                 case.client.broken_off(case.timed_out)
         self._closing.append(case)
-        self._soon()                                 # answered outside a turn: the next one tidies up
+        self._soon()  # answered outside a turn: the next one tidies up
 
     def _close(self, case: Case) -> None:
         """Forgets a job that is answered and has no trip out; logs its end."""
@@ -166,13 +168,28 @@
         now = clock.now()
         first = case.first_at - case.job.arrived if case.first_at else None
         self.metrics.ended(case.name, case.answered, now - case.job.arrived, first, len(case.job.trips))
-        LOG.info("job", job=case.key, offering=case.name, answer=case.answered,
-                 ms=round(now - case.job.arrived, 1), first_ms=round(first, 1) if first is not None else None,
-                 prompt=round(case.job.prompt), kept=case.kept, why=case.why, **self._ended_with(case),
-                 trips=[{"engine": trip.engine.id.decode(), "reading": trip.reading,
-                         "at": round(trip.sent - case.job.arrived, 1),
-                         "outcome": trip.outcome.value if trip.outcome else None,
-                         "why": case.reasons.get(trip, "")} for trip in case.job.trips])
+        LOG.info(
+            "job",
+            job=case.key,
+            offering=case.name,
+            answer=case.answered,
+            ms=round(now - case.job.arrived, 1),
+            first_ms=round(first, 1) if first is not None else None,
+            prompt=round(case.job.prompt),
+            kept=case.kept,
+            why=case.why,
+            **self._ended_with(case),
+            trips=[
+                {
+                    "engine": trip.engine.id.decode(),
+                    "reading": trip.reading,
+                    "at": round(trip.sent - case.job.arrived, 1),
+                    "outcome": trip.outcome.value if trip.outcome else None,
+                    "why": case.reasons.get(trip, ""),
+                }
+                for trip in case.job.trips
+            ],
+        )
         if self.on_empty:
             self.on_empty()
 
@@ -180,7 +197,7 @@
 
     def began(self, trip: i.Trip) -> None:
         case = self.cases[trip.job]
-        if trip.job.began or case.answered:          # another copy's stream has the client already
+        if trip.job.began or case.answered:  # another copy's stream has the client already
             case.out[trip].cancel()
             return
         now = clock.now()
@@ -204,10 +221,11 @@
         if not case.answered and trip.began:
             case.client.text(content)
 
-    def ended(self, trip: i.Trip, outcome: i.Outcome, note: int, report: dict[str, float] | None,
-              result: Any) -> None:
+    def ended(
+        self, trip: i.Trip, outcome: i.Outcome, note: int, report: dict[str, float] | None, result: Any
+    ) -> None:
         case = self.cases.get(trip.job)
-        if case is None:                             # the module has failed and all is broken off
+        if case is None:  # the module has failed and all is broken off
             return
         carrier = case.out.pop(trip, None)
         if carrier is not None and carrier.why:
@@ -227,7 +245,7 @@
         elif trip.began:
             case.timed_out = outcome is i.Outcome.TIMED_OUT
             case.why = "its stream broke"
-            self._answer(case, "broken off")         # the break of a begun stream ends its job
+            self._answer(case, "broken off")  # the break of a begun stream ends its job
         elif outcome is i.Outcome.FULL and note == 1:
             case.state = None
         case.timed_out = outcome is i.Outcome.TIMED_OUT
@@ -284,11 +302,16 @@
         trip, job = action.trip, action.trip.job
         case = self.cases.get(job)
         if case is not None and not case.answered and case.client.gone():
-            self.left(case)                          # seen now, and not when the reactor comes to it
+            self.left(case)  # seen now, and not when the reactor comes to it
         now = clock.now()
         left = job.give_up_at - now
-        moot = (case is None or bool(case.answered) or job.began or left <= 0
-                or len(job.trips) > int(self.module_settings["most_trips"]))
+        moot = (
+            case is None
+            or bool(case.answered)
+            or job.began
+            or left <= 0
+            or len(job.trips) > int(self.module_settings["most_trips"])
+        )
         if moot or case is None:
             self.metrics.trip("moot")
             self.tell(i.Ended(trip, i.Outcome.MOOT, 0.0, case is None or bool(case.answered)))
@@ -303,14 +326,16 @@
 
     # Small calls.
 
-    def _small(self, engine: i.Engine, method: str, path: str, body: bytes, on_end: client.OnEnd
-               ) -> OutgoingCall:
+    def _small(
+        self, engine: i.Engine, method: str, path: str, body: bytes, on_end: client.OnEnd
+    ) -> OutgoingCall:
         """A call beside the jobs, with its own time-out.  One to an engine never listed is unreachable."""
         if engine not in self.pools:
             return NeverSent(self.reactor, on_end)
         time_out, bound, headers = self._small_bounds()
-        return SmallCall(self.reactor, self.pools[engine], method, path, headers, body, bound, time_out,
-                         on_end)
+        return SmallCall(
+            self.reactor, self.pools[engine], method, path, headers, body, bound, time_out, on_end
+        )
 
     def probe(self, engine: i.Engine, tell: Callable[[i.Event], None]) -> None:
         """Asks an engine how it does; `tell` gets the answer."""
--- a/worksmux/front/counts.py
+++ b/worksmux/front/counts.py
@@ -1,4 +1,5 @@
 """What the life of jobs counts; who runs it keeps the figures in a form of its own."""
+
 from __future__ import annotations
 
 from typing import Protocol
--- a/worksmux/front/logbook.py
+++ b/worksmux/front/logbook.py
@@ -3,6 +3,7 @@
 Guards against a reader of the log that stalls: lines wait in a bounded queue; past its bound they are dropped
 and counted, and the reactor goes on.
 """
+
 from __future__ import annotations
 
 import logging
@@ -14,7 +15,7 @@
 import msgspec
 import structlog
 
-BOUND = 10_000                       # lines that wait for their reader
+BOUND = 10_000  # lines that wait for their reader
 LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
 
 
@@ -47,7 +48,7 @@
                 self.sink.write(text + "\n")
                 if self.lines.empty():
                     self.sink.flush()
-        except (OSError, ValueError):                # its reader is gone: let the rest be dropped and counted
+        except (OSError, ValueError):  # its reader is gone: let the rest be dropped and counted
             self.lost += 1
 
 
@@ -76,10 +77,16 @@
         last = [structlog.dev.ConsoleRenderer(colors=False)]
     structlog.reset_defaults()
     structlog.configure(
-        processors=[structlog.contextvars.merge_contextvars, structlog.processors.add_log_level,
-                    structlog.processors.TimeStamper("iso", utc=True), *last],
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper("iso", utc=True),
+            *last,
+        ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        logger_factory=lambda *_: lines, cache_logger_on_first_use=False)
+        logger_factory=lambda *_: lines,
+        cache_logger_on_first_use=False,
+    )
     structlog.contextvars.clear_contextvars()
     structlog.contextvars.bind_contextvars(**bound)
     return writer
--- a/worksmux/front/streams.py
+++ b/worksmux/front/streams.py
@@ -1,5 +1,6 @@
 """The client's side of a stream, whatever the protocol: its first piece begins it, and its reader sets the
 pace."""
+
 from __future__ import annotations
 
 from ..net.server import Exchange
--- a/worksmux/front/turns.py
+++ b/worksmux/front/turns.py
@@ -1,5 +1,6 @@
 """The turn of one decision module: what happened since the last one goes to it in order, and its actions are
 carried out in order."""
+
 from __future__ import annotations
 
 import time
@@ -15,7 +16,7 @@
 from .counts import Counts
 
 LOG = structlog.get_logger()
-SLOW_TURN = 50.0         # milliseconds: a longer one is logged, with what it was about
+SLOW_TURN = 50.0  # milliseconds: a longer one is logged, with what it was about
 
 
 class Turns:
@@ -23,9 +24,9 @@
 
     def __init__(self, door: Door, reactor: Reactor, metrics: Counts) -> None:
         self.door, self.reactor, self.metrics = door, reactor, metrics
-        self.failed = False                          # the module has: nothing more is asked of it
-        self.on_event: Any = None                    # called with the time and each event told to the module
-        self.before_turn: Any = None                 # called with the time, before events are taken
+        self.failed = False  # the module has: nothing more is asked of it
+        self.on_event: Any = None  # called with the time and each event told to the module
+        self.before_turn: Any = None  # called with the time, before events are taken
         self._events: list[i.Event] = []
         self._due = False
 
@@ -48,7 +49,7 @@
         self._due = False
         events, self._events = self._events, []
         if self.failed:
-            return self._turned()                    # what is still out ends, and is tidied up
+            return self._turned()  # what is still out ends, and is tidied up
         start, used = clock.now(), time.thread_time()
         if self.on_event:
             for event in events:
@@ -67,14 +68,20 @@
             self._break_off()
         self._turned()
 
-    def _log_slow_turn(self, start: float, decided: float, used: float, events: list[i.Event],
-                       actions: list[i.Action]) -> None:
+    def _log_slow_turn(
+        self, start: float, decided: float, used: float, events: list[i.Event], actions: list[i.Action]
+    ) -> None:
         """`start` and `decided` are times of the clock, `used` is the processor time of this thread at the
         start, in seconds."""
-        LOG.warning("a turn took long", ms=round(clock.now() - start), deciding_ms=round(decided - start),
-                    processor_ms=round(1000 * (time.thread_time() - used)), engines=len(self.door.engines),
-                    events=Counter(type(event).__name__ for event in events),
-                    actions=Counter(type(action).__name__ for action in actions))
+        LOG.warning(
+            "a turn took long",
+            ms=round(clock.now() - start),
+            deciding_ms=round(decided - start),
+            processor_ms=round(1000 * (time.thread_time() - used)),
+            engines=len(self.door.engines),
+            events=Counter(type(event).__name__ for event in events),
+            actions=Counter(type(action).__name__ for action in actions),
+        )
 
     def _called(self) -> str:
         """The module's name in the log."""
--- a/worksmux/measure.py
+++ b/worksmux/measure.py
@@ -1,4 +1,5 @@
 """Chance, hashing and sums over time for the decision module.  No decision is taken here."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -42,11 +43,12 @@
     >>> ring.mean(99.0), ring.least(99.0), ring.count(99.0), ring.mean(104.0)
     (3.5, 2.0, 4.0, 4.0)
     """
+
     __slots__ = ("width", "size", "marks", "sums", "counts", "newest")
 
     def __init__(self, span: float, buckets: int) -> None:
         self.width, self.size, self.newest = span / buckets, buckets, -buckets
-        self.marks: list[int] = []               # made with the first figure: most rings stay empty
+        self.marks: list[int] = []  # made with the first figure: most rings stay empty
         self.sums: list[float] = []
         self.counts: list[float] = []
 
--- a/worksmux/membership/listing.py
+++ b/worksmux/membership/listing.py
@@ -6,6 +6,7 @@
 engine is left out, the others hold), and a start time that jitters with each listing though the engine never
 restarted.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -19,18 +20,20 @@
 @dataclass(slots=True)
 class Known:
     """What was last listed of one engine."""
+
     engine: Engine
     line: Line
-    started: float = 0.0             # on this front's clock
+    started: float = 0.0  # on this front's clock
 
 
 @dataclass(slots=True)
 class Told:
     """What follows from one message."""
+
     event: Listed | None = None
-    fetch: bool = False              # ask for the whole list
-    moved: list[Known] = field(default_factory=list)       # engines whose address is new
-    notes: list[str] = field(default_factory=list)         # what was left out, and why
+    fetch: bool = False  # ask for the whole list
+    moved: list[Known] = field(default_factory=list)  # engines whose address is new
+    notes: list[str] = field(default_factory=list)  # what was left out, and why
 
 
 class ListKeeper:
@@ -45,10 +48,10 @@
         self.find = find
         self.known: dict[str, Known] = {}
         self.serial = 0
-        self.theirs = 0.0                # the latest time of the registry's clock that we saw
-        self.whole = False               # a full list has come
+        self.theirs = 0.0  # the latest time of the registry's clock that we saw
+        self.whole = False  # a full list has come
         self.fetching = False
-        self.fresh = True                # nothing has come yet on this connection
+        self.fresh = True  # nothing has come yet on this connection
 
     def connected(self) -> None:
         self.fresh, self.fetching = True, False
@@ -101,7 +104,7 @@
             if not self._placed(line):
                 what = f"kind {line.kind}" if line.kind not in self.kinds else f"zone {line.zone}"
                 told.notes.append(f"engine {line.id}: the settings know no {what}; the engine was left out")
-                if line.id in self.known:            # what it was before is no longer true
+                if line.id in self.known:  # what it was before is no longer true
                     entries.append(self.entry(self.known[line.id], "gone"))
                 continue
             entries.append(self.entry(self._known(now, message.now, line, told), line.state))
@@ -118,7 +121,7 @@
             told.moved.append(known)
             known.started = self._started(now, theirs, line)
         else:
-            if line.state == "gone" and not line.host:       # what it still holds is released where it was
+            if line.state == "gone" and not line.host:  # what it still holds is released where it was
                 line.host, line.port = known.line.host, known.line.port
             if (known.line.host, known.line.port) != (line.host, line.port):
                 told.moved.append(known)
@@ -135,8 +138,15 @@
 
     def entry(self, known: Known, state: str) -> Entry:
         line = known.line
-        return Entry(known.engine, state, known.started, self.zones.get(line.zone, 0), line.cell,
-                     self.kinds.get(line.kind, 0), line.size)
+        return Entry(
+            known.engine,
+            state,
+            known.started,
+            self.zones.get(line.zone, 0),
+            line.cell,
+            self.kinds.get(line.kind, 0),
+            line.size,
+        )
 
     def remember(self, now: float, wall: float, line: Line, state: str, careful: bool) -> Entry | None:
         """A line that no registry has told in this life; with `careful` it counts as just started.
@@ -151,11 +161,10 @@
         known.started = now if careful else self._started(now, wall, line)
         known.line = copy(line)
         known.line.state = state  # type: ignore[assignment]
-        if careful:                                  # so that the first true listing reckons its start anew
+        if careful:  # so that the first true listing reckons its start anew
             known.line.started = -1.0
         return self.entry(known, state)
 
     @property
     def ready(self) -> int:
         return sum(known.line.state == "ready" for known in self.known.values())
-
--- a/worksmux/net/client.py
+++ b/worksmux/net/client.py
@@ -5,6 +5,7 @@
 still lies in the transport's own buffer has not left.  All is bounded: lines, the head, chunks, the body, and
 the time to connect.  What comes after a reply's end closes the connection and harms no call.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -23,7 +24,7 @@
 from .time_out import TimeOut
 
 Headers = Iterable[tuple[str, str]]
-CHUNK = 2**24            # bytes of one chunk, where nothing else is said
+CHUNK = 2**24  # bytes of one chunk, where nothing else is said
 HEX = b"0123456789abcdefABCDEF"
 
 
@@ -79,7 +80,7 @@
         if data:
             self.wire.write(data)
         else:
-            self.written = True                      # asked for more: the buffer is empty
+            self.written = True  # asked for more: the buffer is empty
             self.wire.unregisterProducer()
 
     def stopProducing(self) -> None:
@@ -114,7 +115,7 @@
 
     def send(self, data: bytes, receiver: Receiver) -> None:
         self._clear()
-        self._head_size = 0                          # of all heads, or those of 1xx could go on for ever
+        self._head_size = 0  # of all heads, or those of 1xx could go on for ever
         self.receiver = receiver
         self.calls += 1
         self._sending = _Sending(self._wire, data)
@@ -165,7 +166,7 @@
         self._fail(Malformed("a line of the head is too long"))
 
     def lineReceived(self, line: bytes) -> None:
-        if self.receiver is None:                    # after its end, or unasked for
+        if self.receiver is None:  # after its end, or unasked for
             return self._drop()
         if not self.left_whole:
             return self._fail(Unsent("a reply came before the call was written"))
@@ -210,7 +211,7 @@
         self._headers[key] = value.strip().decode("latin-1")
 
     def _head_done(self) -> None:
-        if self._status < 200:                       # 100 Continue and the like: the reply is still to come
+        if self._status < 200:  # 100 Continue and the like: the reply is still to come
             if self._status == 101:
                 raise Malformed("an upgrade that was not asked for")
             return self._clear()
@@ -232,7 +233,7 @@
         )
         self._left = int(length or 0) if not bare and coding is None else 0
         self.receiver.head(self._status, headers)
-        if self.receiver is None:                    # its receiver gave the call up
+        if self.receiver is None:  # its receiver gave the call up
             return
         if self._at == "body" and not self._left:
             self._finish()
@@ -257,7 +258,7 @@
             return self._drop()
         if self._at == "until close":
             return self.receiver.piece(data)
-        piece, rest = data[:self._left], data[self._left:]
+        piece, rest = data[: self._left], data[self._left :]
         self._left -= len(piece)
         self.receiver.piece(piece)
         if self._left or self.receiver is None:
@@ -268,7 +269,7 @@
         else:
             self._finish()
             if rest:
-                self._drop()                         # more than the reply: nothing here can be trusted
+                self._drop()  # more than the reply: nothing here can be trusted
             else:
                 self.setLineMode()
 
@@ -297,15 +298,14 @@
         self.held_back = False
         self.over = False
         self.begun = clock.now()
-        self._opened: _Opened | None = None          # its connection, while it is held back
-        self._time_out: TimeOut | None = None          # for its connection to come up
+        self._opened: _Opened | None = None  # its connection, while it is held back
+        self._time_out: TimeOut | None = None  # for its connection to come up
 
     def connect(self, pool: Pool) -> None:
         """Opens a connection of its own."""
         self._time_out = TimeOut(pool.reactor, pool.connect_time_out / 1000, self._connect_timed_out)
         # No time-out of Twisted's own, which would be called before what has come up is read.
-        self.connector = pool.reactor.connectTCP(
-            pool.host, pool.port, _Opening(pool, self), timeout=None)  # type: ignore[arg-type]
+        self.connector = pool.reactor.connectTCP(pool.host, pool.port, _Opening(pool, self), timeout=None)  # type: ignore[arg-type]
 
     def _connect_timed_out(self) -> None:
         self.failed(Unsent("no connection came up in time"))
@@ -413,7 +413,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         super().connectionLost(reason)
         call, self._first = self._first, None
-        if call is not None and call.held_back:      # nothing of it was written
+        if call is not None and call.held_back:  # nothing of it was written
             call.failed(Unsent("the connection ended before the call was written"))
 
     def unused(self) -> None:
@@ -427,14 +427,24 @@
     The newest idle connection is used first, so that the others age and are closed.
     """
 
-    def __init__(self, reactor: Reactor, host: str, port: int, connect_time_out: float, keep_alive: float,
-                 most_idle: int, head_bound: int, chunk_bound: int = CHUNK, name: str = "") -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        host: str,
+        port: int,
+        connect_time_out: float,
+        keep_alive: float,
+        most_idle: int,
+        head_bound: int,
+        chunk_bound: int = CHUNK,
+        name: str = "",
+    ) -> None:
         """`name` stands in the head in place of the address."""
         self.reactor, self.host, self.port = reactor, host, port
         self.connect_time_out, self.keep_alive = connect_time_out, keep_alive
         self.most_idle, self.head_bound, self.chunk_bound = most_idle, head_bound, chunk_bound
-        self.on_heard: Callable[[], None] | None = None      # called as a reply begins
-        self.answered = 0.0                          # when the newest call began that brought a reply
+        self.on_heard: Callable[[], None] | None = None  # called as a reply begins
+        self.answered = 0.0  # when the newest call began that brought a reply
         self.name = name or f"{host}:{port}"
         self.idle: deque[Connection] = deque()
         self.open: dict[Connection, None] = {}
@@ -503,7 +513,7 @@
         if len(self.body) + len(data) <= self.bound:
             self.body += data
         else:
-            self.bound = -1                          # too long: the rest is let by, the end says so
+            self.bound = -1  # too long: the rest is let by, the end says so
 
     def done(self) -> None:
         trouble = Malformed("the reply is too long") if self.bound < 0 else None
--- a/worksmux/net/clock.py
+++ b/worksmux/net/clock.py
@@ -2,6 +2,7 @@
 
 On one machine all processes share it, so records of several processes can be laid side by side.
 """
+
 from __future__ import annotations
 
 import time
--- a/worksmux/net/loop.py
+++ b/worksmux/net/loop.py
@@ -1,4 +1,5 @@
 """What the program asks of Twisted's reactor and transports, as plain types (its interfaces carry none)."""
+
 from __future__ import annotations
 
 import time
@@ -8,9 +9,10 @@
 from twisted.internet.interfaces import IReactorFDSet
 from twisted.internet.tcp import Port
 
-BACKLOG = 1024               # connections that wait to be accepted
+BACKLOG = 1024  # connections that wait to be accepted
 ACCEPTED_IN_A_TURN = 16
 
+
 class Timer(Protocol):
     def cancel(self) -> None: ...
 
@@ -52,6 +54,7 @@
 def the_reactor() -> Reactor:
     """The process's reactor; imported late, as importing installs it."""
     from twisted.internet import reactor
+
     steady(reactor)
     return reactor
 
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -1,5 +1,6 @@
 """An HTTP/1.1 server on Twisted's HTTPChannel with bounded heads, bodies, times and numbers of connections,
 and plain methods to answer by."""
+
 from __future__ import annotations
 
 from collections import Counter
@@ -16,12 +17,12 @@
 from . import clock
 from .eviction import EvictionQueue
 
-PATIENCE = 4             # times the bound that a body may have before its connection is cut
+PATIENCE = 4  # times the bound that a body may have before its connection is cut
 MOST_HEADERS = 100
-LOOKS = 8                # at the connections' times, within the shortest of them
-BEHIND = 2**16           # bytes kept of what a client sends behind a request that waits for its answer
-FIRST_DATA = 20.0        # milliseconds after a connection's start: what is read then may have come with it
-LINGER = 1000.0          # for a client to end its side after this one has ended, milliseconds
+LOOKS = 8  # at the connections' times, within the shortest of them
+BEHIND = 2**16  # bytes kept of what a client sends behind a request that waits for its answer
+FIRST_DATA = 20.0  # milliseconds after a connection's start: what is read then may have come with it
+LINGER = 1000.0  # for a client to end its side after this one has ended, milliseconds
 Answerer = Callable[["Exchange"], None]
 
 
@@ -38,17 +39,17 @@
         self._bound = self.channel.factory.body_bound
         self._size = 0
         self.too_long = length is not None and length > self._bound
-        self._kept = self.content = BytesIO()        # bounded, so it never goes to a file on the disk
+        self._kept = self.content = BytesIO()  # bounded, so it never goes to a file on the disk
         if length is not None and length > PATIENCE * self._bound:
             channel: Any = self.channel
-            channel.refuse(b"413 Content Too Large")    # nobody waits for the rest
+            channel.refuse(b"413 Content Too Large")  # nobody waits for the rest
 
     def handleContentChunk(self, data: bytes) -> None:
         self._size += len(data)
         if self._size <= self._bound and not self.too_long:
             self._kept.write(data)
             return
-        self.too_long = True                         # let by and not kept, so that the client reads why
+        self.too_long = True  # let by and not kept, so that the client reads why
         if self._size > PATIENCE * self._bound:
             self.channel.forceAbortClient()
 
@@ -74,8 +75,10 @@
 
     def fields(self) -> list[tuple[str, list[str]]]:
         """All fields of the head, each with its values in their order."""
-        return [(name.decode("latin-1"), [value.decode("latin-1") for value in values])
-                for name, values in self.requestHeaders.getAllRawHeaders()]
+        return [
+            (name.decode("latin-1"), [value.decode("latin-1") for value in values])
+            for name, values in self.requestHeaders.getAllRawHeaders()
+        ]
 
     def body(self) -> bytes:
         return self._kept.getvalue()
@@ -101,8 +104,13 @@
     def over(self) -> bool:
         return bool(self.finished or self._disconnected)
 
-    def answer(self, status: int, body: bytes, kind: str = "application/json",
-               headers: tuple[tuple[str, str], ...] = ()) -> None:
+    def answer(
+        self,
+        status: int,
+        body: bytes,
+        kind: str = "application/json",
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> None:
         """The whole answer at once."""
         if self.over:
             return
@@ -146,7 +154,7 @@
             if last:
                 self.write(last)
             channel: Any = self.channel
-            channel.hurried = True                   # its end does not wait for its reader
+            channel.hurried = True  # its end does not wait for its reader
             channel.loseConnection()
 
     def abort(self) -> None:
@@ -170,16 +178,16 @@
     """
 
     maxHeaders = MOST_HEADERS
-    spoilt = False                                   # refused or ended: what still comes is thrown away
-    closing = False                                  # this side has ended
-    hurried = False                                  # it is cut: what was not sent need not be
-    behind = 0                                       # bytes that came behind the request that is open
+    spoilt = False  # refused or ended: what still comes is thrown away
+    closing = False  # this side has ended
+    hurried = False  # it is cut: what was not sent need not be
+    behind = 0  # bytes that came behind the request that is open
     # Guards against a close that is not seen: a client that sent much behind its request would be read no
     # further, and with it the end of its connection.
     _optimisticEagerReadSize = 2**30
-    busy = False                                     # a whole request waits for its answer
-    receiving = False                                # a part of a request has come
-    asked = False                                    # a request was answered here
+    busy = False  # a whole request waits for its answer
+    receiving = False  # a part of a request has come
+    asked = False  # a request was answered here
 
     @property
     def _wire(self) -> Any:
@@ -187,8 +195,8 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()
-        self.since = clock.now()                     # of its state: silent, receiving or idle
-        self.came = self.since - self.factory.late()     # what comes right after it may be as old
+        self.since = clock.now()  # of its state: silent, receiving or idle
+        self.came = self.since - self.factory.late()  # what comes right after it may be as old
         self.totalHeadersSize = self.factory.head_bound
         self.MAX_LENGTH = self.factory.head_bound
         self.factory.made(self)
@@ -202,7 +210,7 @@
         if self.asked or now - self.since > FIRST_DATA:
             self.came = now - self.factory.late()
         self.behind += len(data) if self.busy or self.spoilt else 0
-        if self.behind > BEHIND:                     # let by; the connection ends with the answer
+        if self.behind > BEHIND:  # let by; the connection ends with the answer
             self.persistent = False
             if self.behind > PATIENCE * self.factory.body_bound:
                 self._wire.abortConnection()
@@ -212,7 +220,7 @@
         if not self.busy and not self.receiving:
             self.receiving = True
             if self.asked:
-                self.since = clock.now()             # the first one's time runs from the connection's start
+                self.since = clock.now()  # the first one's time runs from the connection's start
             self.factory.evictions.file(self)
         super().dataReceived(data)
 
@@ -245,7 +253,7 @@
 
     def timeoutConnection(self) -> None:
         if self.unsent:
-            self.setTimeout(LINGER / 1000)           # guards against an answer cut off for a slow reader
+            self.setTimeout(LINGER / 1000)  # guards against an answer cut off for a slow reader
         elif self.closing:
             self._wire.abortConnection()
         else:
@@ -301,9 +309,17 @@
 
     noisy = False
 
-    def __init__(self, answerer: Answerer, body_bound: int, head_bound: int, keep_alive: float,
-                 reactor: Any = None, patience: float = 0.0, most: int = 0,
-                 late: Callable[[], float] = lambda: 0.0) -> None:
+    def __init__(
+        self,
+        answerer: Answerer,
+        body_bound: int,
+        head_bound: int,
+        keep_alive: float,
+        reactor: Any = None,
+        patience: float = 0.0,
+        most: int = 0,
+        late: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         """`keep_alive`: an idle connection is closed after it; `patience`: a request must come whole within
         it, counted from the connection's start for the first (both in milliseconds, 0: no bound); `most`
         connections at once (0: any number); `late` tells by how much what is read now may be older
@@ -311,11 +327,11 @@
         super().__init__(timeout=keep_alive / 1000, reactor=reactor)
         self.answerer, self.body_bound, self.head_bound = answerer, body_bound, head_bound
         self.keep_alive, self.patience, self.most, self.late = keep_alive, patience, most, late
-        self.closing = False                         # each answer closes its connection
-        self.closes: Counter[str] = Counter()        # connections that this side ended, by reason
+        self.closing = False  # each answer closes its connection
+        self.closes: Counter[str] = Counter()  # connections that this side ended, by reason
         self.channels: dict[Any, None] = {}
         self.evictions = EvictionQueue(self.channels)
-        self.channel_hook: Callable[[Any], None] | None = None     # called with each new connection
+        self.channel_hook: Callable[[Any], None] | None = None  # called with each new connection
         self._look: Any = None
 
     def made(self, channel: Any) -> None:
--- a/worksmux/rules.py
+++ b/worksmux/rules.py
@@ -7,6 +7,7 @@
 which part of the design each piece serves.  Times are milliseconds.  A front knows only its own events; in a
 large fleet it meets an engine less than once in the time that a trouble lasts.
 """
+
 from __future__ import annotations
 
 from collections import defaultdict
@@ -16,31 +17,56 @@
 
 from .engine_index import ANYWHERE, FURTHER_LOOKS, HEAD_LOOKS, EngineIndex, RoundRobin, Scope
 from .interface import (
-    Action, Alarm, Arrived, Began, BreakOff, Cancel, Defer, Ended, Engine, Entry, Event, Hold, Job,
-    Left, Listed, Outcome, Planned, Probe, Probed, Rang, Recalled, Release, Send, Settings, Trip, Watch)
+    Action,
+    Alarm,
+    Arrived,
+    Began,
+    BreakOff,
+    Cancel,
+    Defer,
+    Ended,
+    Engine,
+    Entry,
+    Event,
+    Hold,
+    Job,
+    Left,
+    Listed,
+    Outcome,
+    Planned,
+    Probe,
+    Probed,
+    Rang,
+    Recalled,
+    Release,
+    Send,
+    Settings,
+    Trip,
+    Watch,
+)
 from .measure import Chance, Ring, mix, straw
 from .ranking import Ranking, rank
 from .slow_start import SlowStart
 
-MARGIN = 0.25            # of an engine's even share, added to make its first window or its room
-BACKLOG = 0.15           # of the shortest promised time: a wait for the first token that narrows no window
-MARK = 1_000.0           # how long a full answer sets a writer aside (the design's "about a second")
-BEATS = 6                # looks at the clock, while a job waits, within the time to let go of held state
-UNHEARD = 0.5            # of the shortest promised time: an engine silent for less is never suspected
-SLOWNESS = 4.0           # times the fleet's usual answer: an engine silent for longer is suspected
-MEMORY = 16 * MARK       # how long faults, good turns and usual times are remembered
-LONGEST_ASIDE = 2        # doublings of MARK at most
-FAILING = 0.25           # of an offering's trips: above it, engines known to serve the offering come first
-SHARED = 1.5             # times the faults of the others of its role: an engine with fewer is like them
-PRESS = 1.0              # times the usual need that a job is given up early, by chance
-REPEAT = 4.0             # the same for a client's repeat, whose promised time is partly spent
-LATELY = 3               # buckets of the newest: a trouble that is over is forgotten
-TRIAL = 0.05             # of the jobs go ahead whatever the usual need: else nothing would show its fall
-SEEN = 0.1               # of the traffic: a front that gets less sees little of what the others send
-ASK = 0.02               # of the shortest promised time: a reader that takes longer to answer has a line
-ASKED = 3                # readers at most that are asked before a read
-BUCKETS = 10             # in a ring
-ALL = -1                 # stands for every offering
+MARGIN = 0.25  # of an engine's even share, added to make its first window or its room
+BACKLOG = 0.15  # of the shortest promised time: a wait for the first token that narrows no window
+MARK = 1_000.0  # how long a full answer sets a writer aside (the design's "about a second")
+BEATS = 6  # looks at the clock, while a job waits, within the time to let go of held state
+UNHEARD = 0.5  # of the shortest promised time: an engine silent for less is never suspected
+SLOWNESS = 4.0  # times the fleet's usual answer: an engine silent for longer is suspected
+MEMORY = 16 * MARK  # how long faults, good turns and usual times are remembered
+LONGEST_ASIDE = 2  # doublings of MARK at most
+FAILING = 0.25  # of an offering's trips: above it, engines known to serve the offering come first
+SHARED = 1.5  # times the faults of the others of its role: an engine with fewer is like them
+PRESS = 1.0  # times the usual need that a job is given up early, by chance
+REPEAT = 4.0  # the same for a client's repeat, whose promised time is partly spent
+LATELY = 3  # buckets of the newest: a trouble that is over is forgotten
+TRIAL = 0.05  # of the jobs go ahead whatever the usual need: else nothing would show its fall
+SEEN = 0.1  # of the traffic: a front that gets less sees little of what the others send
+ASK = 0.02  # of the shortest promised time: a reader that takes longer to answer has a line
+ASKED = 3  # readers at most that are asked before a read
+BUCKETS = 10  # in a ring
+ALL = -1  # stands for every offering
 NOBODY: dict[Engine, None] = {}
 
 
@@ -53,28 +79,28 @@
         self.beat: float = max(settings["tick"], (settings["release_within"] or MARK) / BEATS)
         self.now, self.alarm_at, self.reckoned, self.asks = 0.0, -inf, -inf, False
         self.slow_start = SlowStart(settings)
-        self.shared: dict[str, float] = defaultdict(float)     # by role: faults of those that are ready
+        self.shared: dict[str, float] = defaultdict(float)  # by role: faults of those that are ready
         self.actions: list[Action] = [Watch(True)] if settings["ask_for_list"] else []
         self.engines: dict[Engine, None] = {}
-        self.awaited: dict[Engine, None] = {}        # no sign of life since a send
-        self.busy: dict[Engine, None] = {}           # with a trip out
-        self.faulty: dict[Engine, None] = {}         # with faults in memory
-        self.good: list[dict[Engine, None]] = [{} for _ in self.offerings]   # known to serve it, latest last
-        self.searched: dict[Job, int] = {}           # waiting: how far its readers were looked at
-        self.looks: dict[Job, list[tuple[Engine, float]]] = {}    # waiting: its readers, the first of them
-        self.usual: tuple[float, float] | None = None    # while waiting jobs are placed
-        self.none_well: dict[int, bool] = {}         # by offering, in this turn: whether no reader is
-        self.waiting: dict[Job, None] = {}           # before their read
-        self.holding: dict[Job, None] = {}           # read, and no trip out
+        self.awaited: dict[Engine, None] = {}  # no sign of life since a send
+        self.busy: dict[Engine, None] = {}  # with a trip out
+        self.faulty: dict[Engine, None] = {}  # with faults in memory
+        self.good: list[dict[Engine, None]] = [{} for _ in self.offerings]  # known to serve it, latest last
+        self.searched: dict[Job, int] = {}  # waiting: how far its readers were looked at
+        self.looks: dict[Job, list[tuple[Engine, float]]] = {}  # waiting: its readers, the first of them
+        self.usual: tuple[float, float] | None = None  # while waiting jobs are placed
+        self.none_well: dict[int, bool] = {}  # by offering, in this turn: whether no reader is
+        self.waiting: dict[Job, None] = {}  # before their read
+        self.holding: dict[Job, None] = {}  # read, and no trip out
         self.turns, self.out, self.reading, self.unended = 0, 0, 0.0, 0.0
-        self.streams = Ring(4 * MARK, BUCKETS)       # our own jobs at writers, seen at each placement
-        self.per_token = Ring(MEMORY, BUCKETS)       # reading time for a token of the prompt
-        self.anew = Ring(MEMORY, BUCKETS)            # the same for a token that was not found kept
-        self.sizes = Ring(MEMORY, BUCKETS)           # tokens of a read
-        self.first = Ring(MEMORY, BUCKETS)           # time to a first token
-        self.lines = Ring(MEMORY, BUCKETS)           # time that prompts waited to be read
-        self.fates = [Ring(MEMORY, BUCKETS) for _ in self.offerings]     # 1 for each fault, else 0
-        self.plan: Planned | None = None             # of all fronts; without one nothing is done for it
+        self.streams = Ring(4 * MARK, BUCKETS)  # our own jobs at writers, seen at each placement
+        self.per_token = Ring(MEMORY, BUCKETS)  # reading time for a token of the prompt
+        self.anew = Ring(MEMORY, BUCKETS)  # the same for a token that was not found kept
+        self.sizes = Ring(MEMORY, BUCKETS)  # tokens of a read
+        self.first = Ring(MEMORY, BUCKETS)  # time to a first token
+        self.lines = Ring(MEMORY, BUCKETS)  # time that prompts waited to be read
+        self.fates = [Ring(MEMORY, BUCKETS) for _ in self.offerings]  # 1 for each fault, else 0
+        self.plan: Planned | None = None  # of all fronts; without one nothing is done for it
         self.index = EngineIndex([], None, settings, 0.0)
         self._index()
 
@@ -83,8 +109,9 @@
         self.now = now
         self.none_well.clear()
         self.shortest = (self.asks and (self.anew.least(now) or self.per_k)) or self.per_token.least(now)
-        self.calm = max(BACKLOG * self.quickest,
-                        min(SLOWNESS * self.first.least(now), UNHEARD * self.quickest / 2))
+        self.calm = max(
+            BACKLOG * self.quickest, min(SLOWNESS * self.first.least(now), UNHEARD * self.quickest / 2)
+        )
         for event in events:
             self._take(event)
         if self.holding:
@@ -96,7 +123,7 @@
         if any(job.asked for job in self.waiting):
             pause = min(pause, ASK * self.quickest)
         if pause < inf and not now < self.alarm_at <= now + pause:
-            self.alarm_at = now + pause              # a front with nothing to watch sleeps
+            self.alarm_at = now + pause  # a front with nothing to watch sleeps
             self.actions.append(Alarm(pause, 0))
         actions, self.actions = self.actions, []
         return actions
@@ -107,8 +134,9 @@
                 self._ended(event)
             case Arrived(job):
                 offering = self.offerings[job.offering]
-                job.promised_at = (self.now + offering["promised_time"]
-                                   + offering["promised_per_k"] * job.prompt / 1000)
+                job.promised_at = (
+                    self.now + offering["promised_time"] + offering["promised_per_k"] * job.prompt / 1000
+                )
                 job.luck = self.chance.share()
                 if self._shed(job):
                     return
@@ -117,7 +145,7 @@
                 for role in ("read", "write", "both"):
                     self.slow_start.earn(role, 0.25 if job.repeat else 0.5)
                 if not job.repeat and self.index.all_writers_cold(self.now):
-                    self.slow_start.earn("write", 0.5)   # who meets few requests has no serve to wait for
+                    self.slow_start.earn("write", 0.5)  # who meets few requests has no serve to wait for
             case Began(trip, elapsed):
                 trip.began, trip.job.began, trip.job.holder = self.now, True, None
                 wait = max(0.0, elapsed - self._reads(trip))
@@ -182,10 +210,16 @@
                 engine.state = "gone"
         for entry in event.entries:
             self._enter(entry)
-        for engine in [engine for engine in self.engines if engine.state == "gone" and not engine.trips
-                       and not engine.paired and engine not in self.index.missed
-                       and self.now - engine.left > MEMORY]:
-            del self.engines[engine]                 # guards against a fleet that is replaced all day
+        for engine in [
+            engine
+            for engine in self.engines
+            if engine.state == "gone"
+            and not engine.trips
+            and not engine.paired
+            and engine not in self.index.missed
+            and self.now - engine.left > MEMORY
+        ]:
+            del self.engines[engine]  # guards against a fleet that is replaced all day
             for known in (self.faulty, *self.good):
                 known.pop(engine, None)
         self._index()
@@ -202,7 +236,7 @@
             engine.narrowed, engine.skip_until, engine.unwell = 0.0, 0.0, {}
             self.slow_start.begin(engine, self.chance.share())
             self._alive(engine)
-            for job in list(engine.paired):          # paired with what ran there before
+            for job in list(engine.paired):  # paired with what ran there before
                 self._unpair(job)
         if entry.state == "gone" and engine.state != "gone":
             engine.left = self.now
@@ -263,8 +297,10 @@
         if shared and not self._worse(engine):
             return
         meetings = sum(fate.count(self.now) for fate in self.fates)
-        aside = max(MARK * 2 ** min(engine.faults.count(self.now) - 1, LONGEST_ASIDE),
-                    MEMORY * min(1.0, len(self.engines) / max(1, 2 * meetings)))
+        aside = max(
+            MARK * 2 ** min(engine.faults.count(self.now) - 1, LONGEST_ASIDE),
+            MEMORY * min(1.0, len(self.engines) / max(1, 2 * meetings)),
+        )
         engine.unwell[offering] = self.now + aside * (0.75 + 0.5 * self.chance.share())
 
     def _reads(self, trip: Trip) -> float:
@@ -277,13 +313,16 @@
         """Guards against what is slow for all alike: hundreds of fronts that call off what waits in a line,
         and send it to the end of another, lengthen every line."""
         waits = self.lines if engine.role == "read" else self.first
-        return (UNHEARD * self.quickest + SLOWNESS * waits.mean(self.now)
-                + sum(self._reads(trip) for trip in engine.unanswered))
+        return (
+            UNHEARD * self.quickest
+            + SLOWNESS * waits.mean(self.now)
+            + sum(self._reads(trip) for trip in engine.unanswered)
+        )
 
     def _probed(self, engine: Engine, outcome: Outcome) -> None:
         if outcome is Outcome.DELIVERED:
             engine.reported = self.now
-        if not engine.suspected:                     # it was only asked before a read
+        if not engine.suspected:  # it was only asked before a read
             return
         engine.suspected = False
         if outcome not in (Outcome.DELIVERED, Outcome.FULL):
@@ -292,8 +331,12 @@
         # Guards against an engine that lives and leaves one offering's jobs unanswered; a state that comes
         # over a slow link looks alike, so only what lies near is called off.
         patience = self._patience(engine)
-        late = [trip for trip in engine.unanswered if self.now - trip.sent > patience and (
-            trip.job.holder is None or trip.job.holder.cell == engine.cell)]
+        late = [
+            trip
+            for trip in engine.unanswered
+            if self.now - trip.sent > patience
+            and (trip.job.holder is None or trip.job.holder.cell == engine.cell)
+        ]
         for offering in sorted({trip.job.offering for trip in late}):
             self.fates[offering].add(self.now)
             self._strike(engine, offering)
@@ -302,9 +345,12 @@
 
     def _rescue(self, trips: list[Trip]) -> None:
         for trip in trips:
-            if ((trip.reading or self.offerings[trip.job.offering]["effect"] == "redoable")
-                    and not trip.job.ended and self._trips_left(trip.job)
-                    and not (self.asks and trip.reading and self._late(trip.job))):
+            if (
+                (trip.reading or self.offerings[trip.job.offering]["effect"] == "redoable")
+                and not trip.job.ended
+                and self._trips_left(trip.job)
+                and not (self.asks and trip.reading and self._late(trip.job))
+            ):
                 self._call_off(trip)
 
     def _call_off(self, trip: Trip) -> None:
@@ -321,9 +367,15 @@
         return not on_trial
 
     def _usable(self, engine: Engine, job: Job) -> bool:
-        return (engine.skip_until <= self.now and self._well(engine, job.offering)
-                and (engine not in self.index.cold or self.slow_start.credit(engine) >= 1.0
-                     or not self._cold(engine)))
+        return (
+            engine.skip_until <= self.now
+            and self._well(engine, job.offering)
+            and (
+                engine not in self.index.cold
+                or self.slow_start.credit(engine) >= 1.0
+                or not self._cold(engine)
+            )
+        )
 
     def _vouched(self, engine: Engine, offering: int) -> bool:
         return self.now - engine.good.get(offering, -inf) < MEMORY
@@ -375,8 +427,11 @@
 
     def _may_defer(self, job: Job) -> bool:
         offering = self.offerings[job.offering]
-        return (offering["effect"] == "redoable" or not job.may_have_run
-                or (offering["effect"], offering["group"]) == ("labelled", "all"))
+        return (
+            offering["effect"] == "redoable"
+            or not job.may_have_run
+            or (offering["effect"], offering["group"]) == ("labelled", "all")
+        )
 
     def _send(self, job: Job, engine: Engine, reading: bool, time_out: float = 0.0) -> None:
         trip = Trip(job, engine, len(job.trips), self.now, reading, work=0.0 if job.holder else job.prompt)
@@ -390,7 +445,7 @@
         self.holding.pop(job, None)
         job.asked.clear()
         self._forget_search(job)
-        self.none_well.clear()                       # an engine on trial has its trip now
+        self.none_well.clear()  # an engine on trial has its trip now
         self.actions.append(Send(trip, time_out))
 
     def _forget_search(self, job: Job) -> None:
@@ -441,15 +496,19 @@
             self._unpair(job)
         if job.ended:
             if outcome is not Outcome.DELIVERED:
-                self.actions.append(Release(job))    # guards against state pinned for a job already answered
+                self.actions.append(Release(job))  # guards against state pinned for a job already answered
         elif outcome is Outcome.READ and not self._spent(job):
             job.holder, job.held_since = engine, self.now
             self.holding[job] = None
-        elif (job.holder and not (outcome is Outcome.FULL and event.note == 1) and not self._spent(job)
-                and self._may_repeat(job)):
+        elif (
+            job.holder
+            and not (outcome is Outcome.FULL and event.note == 1)
+            and not self._spent(job)
+            and self._may_repeat(job)
+        ):
             if outcome not in (Outcome.UNREACHABLE, Outcome.MOOT):
-                job.held_since = self.now            # time runs on through trips that never arrived
-            self.holding[job] = None                 # the state still waits: the next writer gets it
+                job.held_since = self.now  # time runs on through trips that never arrived
+            self.holding[job] = None  # the state still waits: the next writer gets it
         else:
             self._again(job)
 
@@ -467,7 +526,7 @@
             self._praise(trip)
         elif outcome is Outcome.DELIVERED:
             engine.narrowed = max(0.0, engine.narrowed - 1.0)
-        elif outcome is Outcome.FULL and event.note != 1:    # lost state is no fault of the writer
+        elif outcome is Outcome.FULL and event.note != 1:  # lost state is no fault of the writer
             engine.narrowed += self._window(engine) / 2
             engine.skip_until = self.now + MARK
             # Guards against a jam that shows no times, as nothing ends there: it counts as a long wait.
@@ -478,16 +537,16 @@
         elif outcome in (Outcome.ERROR, Outcome.UNREACHABLE, Outcome.RESET):
             self.fates[offering].add(self.now)
             self._strike(engine, offering if outcome is Outcome.ERROR else ALL, shared=True)
-        elif outcome is Outcome.TIMED_OUT and event.elapsed > self._patience(engine):    # not a short try
+        elif outcome is Outcome.TIMED_OUT and event.elapsed > self._patience(engine):  # not a short try
             self.fates[offering].add(self.now)
             self._strike(engine)
         if not engine.trips or outcome not in (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.MOOT):
-            self._alive(engine)                      # a silence is over: what is left is judged anew
+            self._alive(engine)  # a silence is over: what is left is judged anew
 
     def _again(self, job: Job) -> None:
         job.holder = None
-        self._unpair(job)                            # a place held ahead outlives a failed read
-        self.actions.append(Release(job))            # lost state may still lie where a place was held ahead
+        self._unpair(job)  # a place held ahead outlives a failed read
+        self.actions.append(Release(job))  # lost state may still lie where a place was held ahead
         again = self._may_repeat(job) and self._may_read_again(job)
         if self._spent(job) or not (self._may_defer(job) or again):
             self._end(job, "no attempt or no time is left" if self._spent(job) else "it may have run")
@@ -539,8 +598,11 @@
 
     @staticmethod
     def _looks(job: Job, first: list[Engine], others: Iterable[Engine]) -> list[tuple[Engine, float]]:
-        return [*((engine, 0.0) for engine in first), *((engine, job.prompt) for engine in first),
-                *((engine, 0.0) for engine in others)]
+        return [
+            *((engine, 0.0) for engine in first),
+            *((engine, job.prompt) for engine in first),
+            *((engine, 0.0) for engine in others),
+        ]
 
     def _order_with_exceptions(self, job: Job, scope: Scope) -> tuple[list[Engine], Iterator[Engine]]:
         """The first few and those behind them, under a plan, within a scope, or while an offering fails."""
@@ -564,15 +626,25 @@
             return (engine for engine in ranking if engine not in before)
         return iter(rank(key, [engine for engine in self.index.hosts_in(scope) if engine not in before]))
 
-    def _vouched_first(self, job: Job, first: list[Engine], others: Iterator[Engine], key: int, scope: Scope
-                       ) -> Iterator[Engine]:
+    def _vouched_first(
+        self, job: Job, first: list[Engine], others: Iterator[Engine], key: int, scope: Scope
+    ) -> Iterator[Engine]:
         """All of them again, those known to serve the offering before the rest."""
         known, before = self._all_vouched(job.offering), set(first)
-        behind = rank(key, [engine for engine in known if engine in self.index.host_set
-                            and scope.has(engine) and engine not in before])
-        return chain((engine for engine in first if engine in known), behind,
-                     (engine for engine in first if engine not in known),
-                     (engine for engine in others if engine not in known))
+        behind = rank(
+            key,
+            [
+                engine
+                for engine in known
+                if engine in self.index.host_set and scope.has(engine) and engine not in before
+            ],
+        )
+        return chain(
+            (engine for engine in first if engine in known),
+            behind,
+            (engine for engine in first if engine not in known),
+            (engine for engine in others if engine not in known),
+        )
 
     def _planned(self, order: list[Engine], plan: Planned, key: int) -> tuple[list[Engine], bool]:
         """The zone that the hash gives keeps the job, or the one that the plan draws for its beginning. Away
@@ -591,8 +663,11 @@
         """Little of our own out there; more (`anew`) before the shared beginning is read anew elsewhere."""
         ours = sum(trip.work for trip in reader.trips)
         even = self.reading / len(self.index.readers)
-        return (ours <= (1 + MARGIN) * even + anew and self._usable(reader, job)
-                and self._oldest(reader) <= BACKLOG * self.quickest + SLOWNESS * self.shortest * anew)
+        return (
+            ours <= (1 + MARGIN) * even + anew
+            and self._usable(reader, job)
+            and self._oldest(reader) <= BACKLOG * self.quickest + SLOWNESS * self.shortest * anew
+        )
 
     def _has_window(self, engine: Engine, job: Job) -> bool:
         """Room at a writer for one more of our own jobs; chance decides on the fraction of a job in a window.
@@ -608,7 +683,7 @@
 
     def _window(self, engine: Engine, luck: float = 0.0) -> float:
         share = max(self.out, self.streams.mean(self.now)) / max(1, len(self.index.answering))
-        return max(1.0, share * (1 + MARGIN) + float(share ** 0.5) - engine.narrowed + luck)
+        return max(1.0, share * (1 + MARGIN) + float(share**0.5) - engine.narrowed + luck)
 
     def _crowded(self, engine: Engine, job: Job) -> bool:
         """Guards against a writer's memory running out, which has answers read anew: each front keeps to its
@@ -624,8 +699,12 @@
     def _open(self, engine: Engine, job: Job) -> bool:
         return self._has_window(engine, job) and self._usable(engine, job)
 
-    def _writer(self, job: Job, near: Engine | None,
-                searched: dict[tuple[RoundRobin, bool], Engine | None] | None = None) -> Engine | None:
+    def _writer(
+        self,
+        job: Job,
+        near: Engine | None,
+        searched: dict[tuple[RoundRobin, bool], Engine | None] | None = None,
+    ) -> Engine | None:
         """The next in turn whose window is open; while the offering fails, first those known to serve it.
         `searched` keeps what was found for the same job in the same turn, which nothing has changed."""
         scope = self._scope(job) if job.trips else ANYWHERE
@@ -654,13 +733,14 @@
         self.unended = self._unended()
         # One of many fronts that has met its engines less than once each, in memory, sees no line there.
         met = sum(fate.count(self.now) for fate in self.fates)
-        self.asks = (self.settings["may_probe"] and 1 / self.settings["fronts"] < SEEN
-                     and met < len(self.engines))
-        self.usual = self._usual()                   # the same for all that wait
-        closed = False                               # where one new job finds no place, none does
+        self.asks = (
+            self.settings["may_probe"] and 1 / self.settings["fronts"] < SEEN and met < len(self.engines)
+        )
+        self.usual = self._usual()  # the same for all that wait
+        closed = False  # where one new job finds no place, none does
         for job in sorted(self.waiting, key=lambda job: job.promised_at):
             if self._late(job):
-                self._end(job, "its usual need no longer fits")    # guards against reads answered too late
+                self._end(job, "its usual need no longer fits")  # guards against reads answered too late
             elif job.trips or not closed:
                 if self._place(job):
                     del self.waiting[job]
@@ -673,14 +753,17 @@
         what ended before tells of others, and a jam of cold ones shows late in what ends."""
         if not self.index.mostly_cold_readers(self.now):
             return 0.0
-        out = [trip for engine in self.busy if engine in self.index.prefill_engines
-               for trip in engine.unanswered]
+        out = [
+            trip for engine in self.busy if engine in self.index.prefill_engines for trip in engine.unanswered
+        ]
         return sum(self.now - trip.sent for trip in out) / max(1.0, sum(trip.work for trip in out))
 
     def _usual(self) -> tuple[float, float]:
         """The usual time to a first token, and to read a token of the prompt."""
-        first, read = (min(ring.mean(self.now), ring.mean(self.now, inf, LATELY))
-                       for ring in (self.first, self.per_token))
+        first, read = (
+            min(ring.mean(self.now), ring.mean(self.now, inf, LATELY))
+            for ring in (self.first, self.per_token)
+        )
         return first, read
 
     def _late(self, job: Job) -> bool:
@@ -692,7 +775,7 @@
         # Guards against long prompts refused for a line that is as long for short ones.
         line = (read - pace) * self.sizes.mean(self.now, job.prompt)
         need = (first + line + pace * job.prompt) * press * (job.luck > TRIAL)
-        if self.asks and not self._unheard(job):     # readers tell of their lines, not the few reads here
+        if self.asks and not self._unheard(job):  # readers tell of their lines, not the few reads here
             need = first + self.shortest * job.prompt
         return self.now + max(need, 2 * self.beat) > min(job.promised_at, job.give_up_at)
 
@@ -707,8 +790,7 @@
         return False
 
     def _known_free(self, reader: Engine) -> bool:
-        return (not self.asks or self._cold(reader)
-                or self.now - reader.reported <= ASK * self.quickest)
+        return not self.asks or self._cold(reader) or self.now - reader.reported <= ASK * self.quickest
 
     def _may_ask(self, job: Job) -> bool:
         """Whether one reader more may be asked now."""
@@ -734,15 +816,17 @@
 
     def _no_reader_well(self, offering: int) -> bool:
         if offering not in self.none_well:
-            self.none_well[offering] = not any(
-                self._well(engine, offering) for engine in self.index.readers)
+            self.none_well[offering] = not any(self._well(engine, offering) for engine in self.index.readers)
         return self.none_well[offering]
 
     def _takes(self, reader: Engine, job: Job, anew: float) -> bool:
-        return (self._has_room(reader, job, anew)
-                # Guards against our own marks emptying the whole stage.
-                or not reader.trips and reader.unwell.get(ALL, 0.0) <= self.now
-                and self._no_reader_well(job.offering))
+        return (
+            self._has_room(reader, job, anew)
+            # Guards against our own marks emptying the whole stage.
+            or not reader.trips
+            and reader.unwell.get(ALL, 0.0) <= self.now
+            and self._no_reader_well(job.offering)
+        )
 
     def _place(self, job: Job) -> bool:
         scope = self._scope(job) if job.may_have_run else ANYWHERE
@@ -755,7 +839,7 @@
         heard_since = self.now - ASK * self.quickest
         for engine, anew in self._order(job, scope):
             if waits and engine.reported < heard_since and engine.role == "read" and engine not in spared:
-                continue                             # it is not known to be free
+                continue  # it is not known to be free
             if engine.state != "ready" and job.may_have_run:
                 continue
             if engine.role == "both":
@@ -769,11 +853,11 @@
                     waits = self._waits_for_answers(job)
                     continue
                 if writer and (writer.cell == engine.cell or job.luck >= self.index.keeps[engine.cell]):
-                    found = engine, writer           # a reader whose own writers are open comes first
+                    found = engine, writer  # a reader whose own writers are open comes first
                     break
                 found = found or ((engine, writer) if writer else None)
         if found is None and self.settings["writers_read"] and not shut:
-            writer = self._writer(job, None)         # no reader has room: a writer reads in place
+            writer = self._writer(job, None)  # no reader has room: a writer reads in place
             found = (writer, writer) if writer else None
         if found is None:
             return False
@@ -800,7 +884,7 @@
                 self._end(job, "its prefill came too late while others wait")
                 continue
             if self._pinned(job):
-                self._read_anew(job)                 # guards against one vain connection after the other
+                self._read_anew(job)  # guards against one vain connection after the other
                 continue
             writer = job.writer
             self._unpair(job)
@@ -821,10 +905,14 @@
     def _look_round(self) -> None:
         for job in list(self.holding):
             if self._spent(job) or self._pinned(job):
-                self._read_anew(job)                 # guards against pinned state: it is read anew if in time
+                self._read_anew(job)  # guards against pinned state: it is read anew if in time
         for engine in list(self.awaited):
-            if engine.quiet_since and not engine.suspected and engine.unwell.get(ALL, 0.0) <= self.now \
-                    and self.now - engine.quiet_since > self._patience(engine):
+            if (
+                engine.quiet_since
+                and not engine.suspected
+                and engine.unwell.get(ALL, 0.0) <= self.now
+                and self.now - engine.quiet_since > self._patience(engine)
+            ):
                 engine.suspected = True
                 if self.settings["may_probe"] and engine.state == "ready":
                     self.actions.append(Probe(engine))
--- a/worksmux/settings/told.py
+++ b/worksmux/settings/told.py
@@ -4,6 +4,7 @@
 given the same by both.  Standard library only: where the simulator runs the adapter nothing else is
 installed.
 """
+
 from __future__ import annotations
 
 import json
@@ -83,36 +84,58 @@
     limits, extra, rules = root.part("limits"), root.part("extra"), root.part("rules")
     prices, stats = root.part("prices", {}), root.part("stats", {})
     per_k, paces = extra.numbers("aim_us_per_1000_prompt_tokens", []), extra.numbers("token_aim", [])
-    offerings = [Place(one, f"{place}.services[{at}]")
-                 for at, one in enumerate(root.list("services", (dict,), "object"))]
+    offerings = [
+        Place(one, f"{place}.services[{at}]")
+        for at, one in enumerate(root.list("services", (dict,), "object"))
+    ]
     if not offerings:
         raise Untold(f"{place}.services: at least one class was expected, there is none")
     if root.number("balancers") < 1:
         raise Untold(f"{place}.balancers: at least 1 was expected, found {told['balancers']}")
     return {
-        "me": root.number("me"), "fronts": root.number("balancers"), "zone": root.number("zone", 0),
+        "me": root.number("me"),
+        "fronts": root.number("balancers"),
+        "zone": root.number("zone", 0),
         "tick": root.number("tick"),
-        "offerings": [{
-            "promised_time": one.number("aim"), "outer_limit": one.number("deadline"),
-            "credit": one.number("worth", 1.0), "late_credit": one.number("late_worth", 0.0),
-            "effect": one.choice("repeat", EFFECTS), "group": one.text("group", "all"),
-            "remembered": one.number("window", 0.0),
-            "promised_per_k": per_k[at] / 1000 if at < len(per_k) else 0.0,
-            "token_time": paces[at] if at < len(paces) else 0.0,
-        } for at, one in enumerate(offerings)],
-        "parties": root.list("parties", (dict,), "object", []), "roles": extra.texts("duty_by_kind"),
+        "offerings": [
+            {
+                "promised_time": one.number("aim"),
+                "outer_limit": one.number("deadline"),
+                "credit": one.number("worth", 1.0),
+                "late_credit": one.number("late_worth", 0.0),
+                "effect": one.choice("repeat", EFFECTS),
+                "group": one.text("group", "all"),
+                "remembered": one.number("window", 0.0),
+                "promised_per_k": per_k[at] / 1000 if at < len(per_k) else 0.0,
+                "token_time": paces[at] if at < len(paces) else 0.0,
+            }
+            for at, one in enumerate(offerings)
+        ],
+        "parties": root.list("parties", (dict,), "object", []),
+        "roles": extra.texts("duty_by_kind"),
         "kind_memory": extra.numbers("kind_memory_tokens", []),
-        "may_hold": extra.flag("holds_allowed"), "writers_read": extra.flag("read_in_place"),
-        "resume": extra.flag("resume"), "release_within": extra.number("release_within", 0.0),
-        "far_price": extra.number("move_fee", 0.0), "may_cancel": limits.flag("cancel"),
-        "may_probe": limits.flag("probes"), "second_copies": limits.flag("second_copies"),
+        "may_hold": extra.flag("holds_allowed"),
+        "writers_read": extra.flag("read_in_place"),
+        "resume": extra.flag("resume"),
+        "release_within": extra.number("release_within", 0.0),
+        "far_price": extra.number("move_fee", 0.0),
+        "may_cancel": limits.flag("cancel"),
+        "may_probe": limits.flag("probes"),
+        "second_copies": limits.flag("second_copies"),
         "stay_away": limits.number("max_retry_after", 0.0) if limits.flag("retry_after") else 0.0,
-        "most_trips": limits.number("try_limit"), "connect_time_out": limits.number("connect_timeout", 0.0),
+        "most_trips": limits.number("try_limit"),
+        "connect_time_out": limits.number("connect_timeout", 0.0),
         "ask_for_list": root.text("membership_mode", "") == "subscribe",
-        "reports": stats.text("via", "off"), "report_fields": stats.texts("fields", []),
-        "price_late": prices.number("late_fail", 0.0), "price_cross": prices.number("cross_zone", 0.0),
-        "price_waste": prices.number("waste", 0.0), "price_probe": prices.number("probe", 0.0),
-        "answer_slack": rules.number("answer_slack", 0.0), "drain_grace": rules.number("drain_grace", 0.0),
-        "cold_share": rules.number("cold_share"), "warm_up": rules.number("warm_up"),
-        "fall_multiple": rules.number("tip_multiple"), "fall_time": rules.number("fall"),
+        "reports": stats.text("via", "off"),
+        "report_fields": stats.texts("fields", []),
+        "price_late": prices.number("late_fail", 0.0),
+        "price_cross": prices.number("cross_zone", 0.0),
+        "price_waste": prices.number("waste", 0.0),
+        "price_probe": prices.number("probe", 0.0),
+        "answer_slack": rules.number("answer_slack", 0.0),
+        "drain_grace": rules.number("drain_grace", 0.0),
+        "cold_share": rules.number("cold_share"),
+        "warm_up": rules.number("warm_up"),
+        "fall_multiple": rules.number("tip_multiple"),
+        "fall_time": rules.number("fall"),
     }
