Tests: the log is caught whatever was set up before; a planted fault finds its readers again

Two are new tests of the log, which passed alone: an earlier test of the same process sets the log's level, so that nothing was caught. Change: a fixture catches every line of the log, whatever it was set up to; the planted fault uses index.hosts. What they assert is unchanged.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -188,8 +188,8 @@
     def decide(self, now: float, events: list[i.Event]) -> list[i.Action]:
         actions = super().decide(now, events)
         for action in list(actions):
-            if isinstance(action, i.Defer) and self.hosts:
-                trip = i.Trip(action.job, self.hosts[0], len(action.job.trips), now, True)
+            if isinstance(action, i.Defer) and self.index.hosts:
+                trip = i.Trip(action.job, self.index.hosts[0], len(action.job.trips), now, True)
                 action.job.trips.append(trip)
                 actions.append(i.Send(trip))
         return actions
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
 from typing import Any
 
 import pytest
@@ -657,7 +658,17 @@
         assert rig.engines[0].verbs().count(b"POST") == reads
 
 
-def test_log_tells_why_attempts_ended_why_requests_were_refused_and_what_took_long() -> None:
+@pytest.fixture
+def logged() -> Iterator[list[Any]]:
+    """Every line of the log, whatever an earlier test has set it up to."""
+    before = structlog.get_config()
+    structlog.reset_defaults()
+    with structlog.testing.capture_logs() as lines:
+        yield lines
+    structlog.configure(**before)
+
+
+def test_log_tells_why_attempts_ended_why_requests_were_refused_and_what_took_long(logged: list[Any]) -> None:
     rig = Rig()
     prefill = rig.engine("prefill", lambda _: None)  # it resets each attempt
     rig.engine("decode")
@@ -671,21 +682,20 @@
         return list(decide(now, events))
 
     rig.node.core.door.module.decide = slowly
-    with structlog.testing.capture_logs() as lines:
-        client = rig.client(ask())
-        assert rig.answered(client) == b"503"
-        rig.idle()
-    (job,) = [line for line in lines if line["event"] == "job"]
+    client = rig.client(ask())
+    assert rig.answered(client) == b"503"
+    rig.idle()
+    (job,) = [line for line in logged if line["event"] == "job"]
     assert job["why"]
     assert prefill.verbs().count(b"POST") == len(job["trips"])
     assert all("ended" in trip["why"] for trip in job["trips"])
-    (slow,) = [line for line in lines if line["event"] == "a turn took long"]
+    (slow,) = [line for line in logged if line["event"] == "a turn took long"]
     assert slow["events"] == {"Arrived": 1}
     assert slow["engines"] == 2
     assert slow["processor_ms"] > SLOW_TURN / 2
 
 
-def test_log_has_few_lines_for_thousands_of_engines_that_the_settings_do_not_know() -> None:
+def test_log_has_few_lines_for_thousands_of_engines_that_the_settings_do_not_know(logged: list[Any]) -> None:
     rig = Rig()
     rig.engine("prefill")
     rig.engine("decode")
