Round-robin: two methods that nothing calls are gone

Cause: read once more; RoundRobin kept __iter__ and __len__ from an earlier form of the search. Change: both removed; no behaviour.

--- a/worksmux/engine_index.py
+++ b/worksmux/engine_index.py
@@ -48,12 +48,6 @@
         self._start = 0  # where the next search begins, after vain ones
         self._vain_at = 0.0
 
-    def __iter__(self) -> Iterator[Engine]:
-        return iter(self._order)
-
-    def __len__(self) -> int:
-        return len(self._order)
-
     def __contains__(self, engine: Engine) -> bool:
         return engine in self._order
 
