Review, case 1: many requests at once hold up the streams of usual clients

150 bad clients send 500 requests (GET /up) each at once; the node answers all of them in one turn of its reactor, about 5 s, and streams whose engines ended meanwhile reach their clients with their ends seconds late: lost.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,61 +1,38 @@
-"""Hundreds of clients stop in the middle of a request and stay, each within the limit of a body.
-
-The node is given the limits that the operators' bench gave a node of this site: 112 MB, 768 descriptors.
-"""
+"""Bad clients send hundreds of requests at once beside the usual ones."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
 from pathlib import Path
+from random import Random
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from common.settings import ZONES, settings
-from common.world import HOST, TROUBLE, Discovery, Engine, Node, World, run_case
-
-MEMORY_MB, SOCKETS = 112, 768
-BAD_CLIENTS = 300
-BODY_BYTES = 256 * 1024  # announced: no body exceeds it
-MISSING_BYTES = 100  # never sent
-USUAL_CLIENTS, USUAL_REQUESTS, PAUSE_S = 6, 12, 0.5
-
-
-async def bad_client(world: World, node: Node, number: int, ends: dict[str, int]) -> None:
-    """Sends a request but for its last bytes, and stays until the node ends the connection."""
-    try:
-        reader, writer = await asyncio.open_connection(HOST, node.port)
-    except OSError:
-        ends["no connection"] = ends.get("no connection", 0) + 1
-        return
-    started = world.record.now()
-    head = (
-        f"POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: bad{number:05x}\r\n"
-        f"X-Priority-Class: feedback\r\nX-Timeout-Ms: 6000\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
-    ).encode()
-    opening = b'{"model":"chat","stream":true,"messages":[{"role":"user","content":"'
-    try:
-        writer.write(head + opening + b"x" * (BODY_BYTES - MISSING_BYTES - len(opening)))
-        answer = await reader.read(100)
-        end = answer[9:12].decode() or "closed"
-    except OSError:
-        end = "reset"
-    finally:
-        writer.transport.abort()
-    late = " late" if world.record.now() - started > 3.0 else ""
-    ends[end + late] = ends.get(end + late, 0) + 1
-
-
-async def usual_client(world: World, node: Node, number: int, ends: dict[str, int]) -> None:
-    for turn in range(USUAL_REQUESTS):
-        key = f"{number:04x}{turn:04x}"
-        result = await world.request(node, key, "feedback", 6000, 800, f"5e55{number:04x}")
-        ends[result] = ends.get(result, 0) + 1
-        await asyncio.sleep(PAUSE_S)
+from common.world import HOST, TROUBLE, CouldNotRunError, Discovery, Engine, Node, World, run_case
+
+ENGINES = 10
+BAD_CLIENTS, REQUESTS_EACH = 150, 500
+FLOOD_AT_S, TRAFFIC_S = 4.0, 14.0
+JOBS_PER_S = 6.0  # the usual third of the site's 14, and a little more, for one of three fronts
+FEEDBACK_SHARE = 0.69  # of the jobs; the others are of mark-entry
+LATE_ANSWER_S = 0.5 + 0.05  # after the client's time
+LATE_END_S = 1.0 + 0.05  # after the engine wrote the end of a stream
+MAX_OWN_LAG_S = 0.3  # of these stand-ins, for the times to count
+LAG_STEP_S = 0.02
+
+
+async def watch_own_lag(lags: list[float], world: World) -> None:
+    while True:
+        before = world.record.now()
+        await asyncio.sleep(LAG_STEP_S)
+        lags[0] = max(lags[0], world.record.now() - before - LAG_STEP_S)
 
 
 async def play(world: World, folder: Path) -> list[str]:
-    for number in range(10):
+    random = Random(60)
+    for number in range(ENGINES):
         kind, zone = ("prefill", "decode")[number % 2], number % 3
         engine = Engine(world, f"s-{number:02x}", kind, ZONES[zone], zone + 1)
         await engine.start()
@@ -67,33 +44,72 @@
         "listen": f"{HOST}:0",
         "discovery": f"{HOST}:{agent.port}",
         "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 0.85, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+        "limits": {"cores": 0.85, "memory_mb": 112, "sockets": 768},
         "known": world.list_object(),
         "settings": settings(0, 3),
     }
     node = Node(world, "n0", folder, config)
     world.nodes.append(node)
     await node.start()
-    memory = asyncio.create_task(node.watch_memory())
-    world.tasks.append(memory)
-    usual_ends: dict[str, int] = {}
-    bad_ends: dict[str, int] = {}
-    usual = [
-        asyncio.create_task(usual_client(world, node, number, usual_ends)) for number in range(USUAL_CLIENTS)
-    ]
-    await asyncio.sleep(3.0)
-    before_mb = node.resident_mb()
-    if TROUBLE:
-        world.record.write("clients", f"{BAD_CLIENTS} bad clients send a request but for its last bytes")
-        await asyncio.gather(*(bad_client(world, node, number, bad_ends) for number in range(BAD_CLIENTS)))
-    await asyncio.gather(*usual)
-    world.record.write("clients", f"bad clients: {bad_ends}; usual clients: {usual_ends}")
-    world.record.write("platform", f"memory: {before_mb:.0f} MB before, {node.peak_mb:.0f} MB at most")
-    print(f"memory: {before_mb:.0f} MB before, {node.peak_mb:.0f} MB at most, limit {MEMORY_MB} MB")
-    print(f"bad clients: {bad_ends}; usual clients: {usual_ends}")
-    if node.killed_for_memory:
-        return [f"crash: the node was over its {MEMORY_MB} MB and was killed"]
-    return [] if node.runs else [f"crash: the node ended with {node.process.returncode}"]
+    lags = [0.0]
+    world.tasks.append(asyncio.create_task(watch_own_lag(lags, world)))
+    broken: list[str] = []
+    ends: dict[str, int] = {}
+
+    async def usual(key: str, name: str, wait_ms: int) -> None:
+        sent_at = world.record.now()
+        result = await world.request(node, key, name, wait_ms, random.randint(500, 2000))
+        took_s = world.record.now() - sent_at
+        ends[result] = ends.get(result, 0) + 1
+        first_s = world.first_byte.get(key, sent_at + took_s) - sent_at
+        if result in ("closed without an answer", "no answer"):
+            broken.append(f"lost: {key} ({name}) ended as: {result}")
+        elif first_s > wait_ms / 1000 + LATE_ANSWER_S:
+            broken.append(f"lost: {key} ({name}, {wait_ms} ms): answer {result} began after {first_s:.2f} s")
+        elif result == "200" and world.record.now() - world.last_end[key] > LATE_END_S:
+            late_s = world.record.now() - world.last_end[key]
+            broken.append(f"lost: {key} ({name}): its stream's end was passed on {late_s:.2f} s late")
+
+    async def flood() -> None:
+        world.record.write("bad", f"{BAD_CLIENTS} bad clients send {REQUESTS_EACH} requests each at once")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(Path(__file__).with_name("flood.py")),
+            HOST,
+            str(node.port),
+            str(BAD_CLIENTS),
+            str(REQUESTS_EACH),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        try:
+            output, _ = await process.communicate()
+            world.record.write("bad", output.decode().strip())
+            print(output.decode().strip())
+        finally:
+            if process.returncode is None:
+                process.kill()
+
+    start = world.record.now()
+    tasks = []
+    number = 0
+    flooding = None
+    while (elapsed := world.record.now() - start) < TRAFFIC_S:
+        if TROUBLE and flooding is None and elapsed > FLOOD_AT_S:
+            flooding = asyncio.create_task(flood())
+        number += 1
+        name = "feedback" if random.random() < FEEDBACK_SHARE else "mark-entry"
+        wait_ms = int((6000 if name == "feedback" else 10000) * random.uniform(0.5, 1.0))
+        tasks.append(asyncio.create_task(usual(f"{number:016x}", name, wait_ms)))
+        await asyncio.sleep(random.expovariate(JOBS_PER_S))
+    await asyncio.gather(*tasks)
+    if flooding is not None:
+        await flooding
+    text = f"usual clients: {ends}; lost: {len(broken)}; the stand-ins were late by {lags[0]:.3f} s at most"
+    world.record.write("clients", text)
+    print(text)
+    if lags[0] > MAX_OWN_LAG_S:
+        raise CouldNotRunError(f"the stand-ins were late by {lags[0]:.2f} s: the machine is busy")
+    return broken
 
 
 def main() -> int:
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -215,7 +215,7 @@
 
 
 class Discovery:
-    """The agent of one node.  `delay_s` is how long it takes from a call to the first object of its answer."""
+    """The agent of one node; `delay_s` after a call it writes the first object of its answer."""
 
     def __init__(self, world: World, name: str = "agent") -> None:
         self.world, self.name = world, name
@@ -364,6 +364,7 @@
         self.last_end: dict[str, float] = defaultdict(float)
         self.runs: dict[str, int] = defaultdict(int)
         self.sends: list[tuple[float, str, str]] = []  # first byte, engine, id
+        self.first_byte: dict[str, float] = {}  # by id: when its client had the first byte of its answer
 
     # The list.
 
@@ -440,7 +441,7 @@
             self.record.write("client", f"sent {key} ({request_class}, {wait_ms} ms) to {node.name}")
             result = "closed without an answer"
             limit_s = leave_after_s or wait_ms / 1000 + 30.0
-            result = await asyncio.wait_for(self._answer(reader), limit_s)
+            result = await asyncio.wait_for(self._answer(reader, key), limit_s)
         except TimeoutError:
             result = "left" if leave_after_s else "no answer"
         except (OSError, asyncio.IncompleteReadError):
@@ -452,9 +453,9 @@
         self.record.write("client", f"{key}: {result} after {took_ms:.0f} ms")
         return result
 
-    @staticmethod
-    async def _answer(reader: asyncio.StreamReader) -> str:
+    async def _answer(self, reader: asyncio.StreamReader, key: str) -> str:
         head = await reader.readuntil(b"\r\n\r\n")
+        self.first_byte[key] = self.record.now()
         status = head[9:12].decode()
         if b"chunked" not in head.lower():
             return status
