--- a/review/common/world.py
+++ b/review/common/world.py
@@ -479,6 +479,9 @@
 
     async def main(temporary: Path) -> int:
         world = World(folder)
+        this_task = asyncio.current_task()
+        if this_task is not None:  # a script that is told to end ends its processes
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this_task.cancel)
         world.record.write("case", "with the disruption" if TROUBLE else "TROUBLE=0: without the disruption")
         try:
             async with asyncio.timeout(limit_s):
