Review, case 1: one spoilt stream that never ends holds up a node for seconds

One stream of one engine of ten is noise without a line break, in chunks as long as an event, and does not end.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Bad clients send hundreds of requests at once beside the usual ones."""
+"""One stream of one engine comes spoilt: in place of its events comes noise that never ends."""
 
 from __future__ import annotations
 
@@ -10,11 +10,24 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from common.settings import ZONES, settings
-from common.world import HOST, TROUBLE, CouldNotRunError, Discovery, Engine, Node, World, run_case
+from common.world import (
+    EVENT,
+    HOST,
+    TROUBLE,
+    CouldNotRunError,
+    Discovery,
+    Engine,
+    Node,
+    World,
+    chunk,
+    run_case,
+    say,
+)
 
 ENGINES = 10
-BAD_CLIENTS, REQUESTS_EACH = 150, 500
-FLOOD_AT_S, TRAFFIC_S = 4.0, 14.0
+CHUNK_BYTES, BLOCK_BYTES = len(EVENT), 2**16  # of the noise: each chunk, and what is written at once
+SPOILT_STREAMS = 1
+SPOILT_AT_S, TRAFFIC_S = 4.0, 14.0
 JOBS_PER_S = 6.0  # the usual third of the site's 14, and a little more, for one of three fronts
 FEEDBACK_SHARE = 0.69  # of the jobs; the others are of mark-entry
 LATE_ANSWER_S = 0.5 + 0.05  # after the client's time
@@ -70,43 +83,25 @@
             late_s = world.record.now() - world.last_end[key]
             broken.append(f"lost: {key} ({name}): its stream's end was passed on {late_s:.2f} s late")
 
-    async def flood() -> None:
-        world.record.write("bad", f"{BAD_CLIENTS} bad clients send {REQUESTS_EACH} requests each at once")
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(Path(__file__).with_name("flood.py")),
-            HOST,
-            str(node.port),
-            str(BAD_CLIENTS),
-            str(REQUESTS_EACH),
-            stdout=asyncio.subprocess.PIPE,
-        )
-        try:
-            output, _ = await process.communicate()
-            world.record.write("bad", output.decode().strip())
-            print(output.decode().strip())
-        finally:
-            if process.returncode is None:
-                process.kill()
-
     start = world.record.now()
     tasks = []
     number = 0
-    flooding = None
+    spoils = False
     while (elapsed := world.record.now() - start) < TRAFFIC_S:
-        if TROUBLE and flooding is None and elapsed > FLOOD_AT_S:
-            flooding = asyncio.create_task(flood())
+        if TROUBLE and not spoils and elapsed > SPOILT_AT_S:
+            spoils = True
+            noise = chunk(b"~" * CHUNK_BYTES)
+            writer = world.engines[1]
+            writer.spoilt_block, writer.spoilt_left = noise * (BLOCK_BYTES // len(noise)), SPOILT_STREAMS
         number += 1
         name = "feedback" if random.random() < FEEDBACK_SHARE else "mark-entry"
         wait_ms = int((6000 if name == "feedback" else 10000) * random.uniform(0.5, 1.0))
         tasks.append(asyncio.create_task(usual(f"{number:016x}", name, wait_ms)))
         await asyncio.sleep(random.expovariate(JOBS_PER_S))
     await asyncio.gather(*tasks)
-    if flooding is not None:
-        await flooding
     text = f"usual clients: {ends}; lost: {len(broken)}; the stand-ins were late by {lags[0]:.3f} s at most"
     world.record.write("clients", text)
-    print(text)
+    say(text)
     if lags[0] > MAX_OWN_LAG_S:
         raise CouldNotRunError(f"the stand-ins were late by {lags[0]:.2f} s: the machine is busy")
     return broken
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,7 +12,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from common.settings import ZONES, settings
-from common.world import HOST, TROUBLE, Discovery, Engine, Node, World, run_case
+from common.world import HOST, TROUBLE, Discovery, Engine, Node, World, run_case, say
 
 MEMORY_MB, SOCKETS = 112, 768
 BAD_CLIENTS = 300
@@ -90,8 +90,8 @@
     await asyncio.gather(*usual)
     world.record.write("clients", f"bad clients: {bad_ends}; usual clients: {usual_ends}")
     world.record.write("platform", f"memory: {before_mb:.0f} MB before, {node.peak_mb:.0f} MB at most")
-    print(f"memory: {before_mb:.0f} MB before, {node.peak_mb:.0f} MB at most, limit {MEMORY_MB} MB")
-    print(f"bad clients: {bad_ends}; usual clients: {usual_ends}")
+    say(f"memory: {before_mb:.0f} MB before, {node.peak_mb:.0f} MB at most, limit {MEMORY_MB} MB")
+    say(f"bad clients: {bad_ends}; usual clients: {usual_ends}")
     if node.killed_for_memory:
         return [f"crash: the node was over its {MEMORY_MB} MB and was killed"]
     return [] if node.runs else [f"crash: the node ended with {node.process.returncode}"]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from common.settings import ZONES, settings
-from common.world import HOST, TROUBLE, Discovery, Engine, Node, World, run_case
+from common.world import HOST, TROUBLE, Discovery, Engine, Node, World, run_case, say
 
 NODES, ENGINES = 4, 10
 JOBS_PER_S, TRAFFIC_S = 14.0, 36.0
@@ -86,13 +86,13 @@
     if TROUBLE:
         reader.hang(True)
         await asyncio.sleep(HANG_S)
-        print(f"taken and not answered: {len(reader.waiting) + len(reader.reading)}")
+        say(f"taken and not answered: {len(reader.waiting) + len(reader.reading)}")
         reader.hang(False)
     await load
     await asyncio.sleep(SETTLE_S)
     still = sum(len(readers) for readers in world.held.values())
     world.record.write("clients", f"ends: {ends}; still held at the end: {still}")
-    print(f"ends: {ends}; states held too long: {len(broken)}; still held at the end: {still}")
+    say(f"ends: {ends}; states held too long: {len(broken)}; still held at the end: {still}")
     return list(broken.values())
 
 
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import re
@@ -32,9 +33,16 @@
     b'data: {"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":9,'
     b'"prompt_tokens_details":{"cached_tokens":0}}}\n\ndata: [DONE]\n\n'
 )
+MAX_SPOILT_BYTES = 2**24
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
+def say(text: str) -> None:
+    """Prints, whether or not somebody still reads it."""
+    with contextlib.suppress(OSError):
+        print(text, flush=True)
+
+
 def chunk(data: bytes) -> bytes:
     return b"%x\r\n%s\r\n" % (len(data), data)
 
@@ -111,6 +119,8 @@
         self.waiting: list[tuple[_Connection, str, float]] = []
         self.reading: list[list[Any]] = []  # connection, id, tokens left
         self.hangs = False  # it takes what comes and answers nothing
+        self.spoilt_block = b""  # chunks that come for ever in place of each stream's events; empty: none
+        self.spoilt_left = 0  # streams that still come spoilt
         self._unanswered: list[tuple[_Connection, str, bytes]] = []
         self._server: Any = None
 
@@ -203,6 +213,8 @@
         self.world.runs[key] += 1
         await asyncio.sleep(0.03)
         connection.write(STREAM_HEAD)
+        if self.spoilt_left:
+            return await self._spoil(connection, key)
         for _ in range(self.events):
             if connection.closed:
                 return None
@@ -210,6 +222,18 @@
             await asyncio.sleep(self.event_gap_s)
         return self._answer(connection, key, chunk(LAST_EVENTS) + b"0\r\n\r\n", "streamed to its end")
 
+    async def _spoil(self, connection: _Connection, key: str) -> None:
+        """Sends noise without an end, as fast as the node takes it, until the node closes the connection."""
+        self.spoilt_left -= 1
+        self.world.record.write(self.name, f"the stream of {key} is SPOILT: noise that never ends")
+        sent = 0
+        while not connection.closed and sent < MAX_SPOILT_BYTES:
+            if connection.transport.get_write_buffer_size() < len(self.spoilt_block):
+                connection.write(self.spoilt_block)
+                sent += len(self.spoilt_block)
+            await asyncio.sleep(0.001)
+        self.world.record.write(self.name, f"the node took up to {sent} bytes of it")
+
 
 # Discovery.
 
@@ -492,12 +516,10 @@
             return COULD_NOT_RUN
         finally:
             world.close()
-        for line in broken:
-            world.record.write("judge", line)
-            print(line)
         verdict = "the rule was BROKEN" if broken else "the rule held"
-        world.record.write("judge", verdict)
-        print(verdict)
+        for line in (*broken, verdict):
+            world.record.write("judge", line)
+            say(line)
         return BROKEN if broken else HELD
 
     with tempfile.TemporaryDirectory() as name:
