--- a/worksmux/gateway/load_monitor.py
+++ b/worksmux/gateway/load_monitor.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import os
 from collections.abc import Callable
 
 import structlog
 
 from ..admission.controller import AdmissionController
 from ..admission.overload import Pressure
+from ..forwarding.memory import resident_bytes
 from ..net import clock
 from ..net.loop import Reactor
 from ..settings.front import Admission
@@ -16,16 +16,6 @@
 
 LOG = structlog.get_logger()
 SAMPLE_INTERVAL_MS = 100.0
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-
-
-def resident_bytes() -> int:
-    """The process's resident memory; 0 on a system without /proc."""
-    try:
-        with open("/proc/self/statm", encoding="ascii") as file:
-            return int(file.read().split()[1]) * PAGE_BYTES
-    except (OSError, ValueError, IndexError):
-        return 0
 
 
 class LoadMonitor:
