Counters: private memory, connections, and bytes buffered for clients

The log could not tell whether bodies, connections or heads fill the memory of a node among clients that stop in the middle of a request.

--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -44,6 +44,7 @@
     closing = False  # this side is closed
     truncated = False  # closed by `Exchange.truncate`: unsent data may be discarded
     pipelined_bytes = 0  # received after the open request
+    buffered_bytes = 0  # received of requests that are not answered yet
     busy = False  # a complete request waits for its answer
     receiving = False  # a part of a request has arrived
     has_answered = False  # a request was answered on this connection
@@ -64,6 +65,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Removes the connection from the server."""
         self.factory.channels.pop(self, None)
+        self.factory.buffers.remove(self)
         super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:
@@ -80,8 +82,13 @@
             return
         if not self.busy and not self.receiving:
             self._start_receiving()
+        self._set_buffered_bytes(self.buffered_bytes + len(data))
         super().dataReceived(data)
 
+    def _set_buffered_bytes(self, buffered_bytes: int) -> None:
+        self.buffered_bytes = buffered_bytes
+        self.factory.buffers.update(self, buffered_bytes)
+
     def _limit_pipelining(self) -> None:
         """Closes the connection after the answer, or at once if the client pipelines far too much."""
         self.persistent = False
@@ -181,6 +188,7 @@
         """Marks the request as answered."""
         self.busy, self.has_answered = False, True
         self.since_ms, self.pipelined_bytes = clock.now(), 0
+        self._set_buffered_bytes(len(self._buffer))  # Twisted passes other pipelined data in once more
         self.factory.evictions.update(self)
         super().requestDone(request)
 
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -10,6 +10,7 @@
 from twisted.web import http
 
 from . import clock
+from .buffer_budget import BufferBudget
 from .channel import Channel
 from .eviction import EvictionQueue
 from .exchange import Exchange
@@ -55,6 +56,7 @@
         self.closing = False  # each answer closes its connection
         self.closes: Counter[str] = Counter()  # count of connections that the server closed, by reason
         self.channels: dict[Any, None] = {}
+        self.buffers = BufferBudget()  # of what clients have sent and is not answered yet
         self.evictions = EvictionQueue(self.channels)
         self.on_connection: Callable[[Any], None] | None = None  # called with each new channel
         self._sweep_timer: Any = None
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -13,6 +13,7 @@
 import structlog
 
 from ..forwarding.log_setup import set_up
+from ..forwarding.memory import private_bytes
 from ..forwarding.process import run_reactor, wait_until_flushed
 from ..net import clock
 from ..net.lateness import Lateness
@@ -139,7 +140,14 @@
         closes, self.server.closes = self.server.closes, Counter()
         self.counts.closed(closes)
         if counts := self.counts.take():
-            LOG.info("counters", open_requests=self.counts.open, **counts)
+            LOG.info(
+                "counters",
+                open_requests=self.counts.open,
+                private_bytes=private_bytes(),
+                connections=len(self.server.channels),
+                client_buffer_bytes=self.server.buffers.take_peak(),
+                **counts,
+            )
         self._counters_timer = self.reactor.callLater(COUNTERS_PERIOD_MS / 1000, self._log_counters)
 
     def reload(self, variables: Mapping[str, str]) -> None:
