Clients' incomplete requests are limited in sum: 320 of them took a node over its memory

Cause: Exchange kept up to 256 KiB for each of up to 580 connections, and nothing bounded the sum. Change: Server has one BufferBudget over all connections. Over it, incomplete requests are refused with 503, most bytes times longest time first; a closed connection keeps no body. A node's budget is a fifth of the memory that is left when it begins to serve, as a body may be received, encoded and unsent at once. Why it works: each read is counted before it is parsed, so the sum never exceeds the limit by more than one read.

--- a/tests/test_buffer_limits.py
+++ b/tests/test_buffer_limits.py
@@ -4,10 +4,14 @@
 
 from typing import Any
 
-from node_rig import BODY, PREFILL_REPLY, Rig, chat_request
+import pytest
+from node_rig import BODY, PREFILL_REPLY, Rig, chat_request, start_two_engine_rig
 
-from worksmux.net.buffer_budget import UNCHARGED_BYTES
+from worksmux.net import clock
+from worksmux.net.buffer_budget import UNCHARGED_BYTES, BufferBudget
 
+HALF_REQUESTS = 40
+SECOND_MS = 1000.0
 LONG_BODY = BODY.replace(b'"x"', b'"' + b"x" * 50_000 + b'"')
 
 
@@ -32,7 +36,7 @@
     rig.run_until(lambda: client_buffers(rig).total_bytes)
     leaving.transport.abortConnection()  # type: ignore[union-attr]
     rig.run_until(lambda: not client_buffers(rig).total_bytes)
-    assert client_buffers(rig).take_peak() == len(request) - UNCHARGED_BYTES
+    assert client_buffers(rig).take_counts().peak_bytes == len(request) - UNCHARGED_BYTES
 
 
 def test_pipelined_requests_count_as_buffered_until_their_answers() -> None:
@@ -49,3 +53,112 @@
     assert client_buffers(rig).total_bytes == 0  # the second request is short
     rig.engines[0].peers[1].transport.write(PREFILL_REPLY)  # type: ignore[union-attr]
     rig.run_until(lambda: client.received.count(b"[DONE]") == 2)
+
+
+def half_request(key: str) -> bytes:
+    return chat_request(key, body=LONG_BODY)[:-100]
+
+
+def test_rest_of_a_body_that_is_too_long_is_not_buffered() -> None:
+    rig = start_two_engine_rig()
+    client = rig.client(
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    client.transport.write(b"40010\r\n" + b"x" * 0x40008)  # type: ignore[union-attr]
+    rig.run_until(lambda: client_buffers(rig).take_counts().peak_bytes > 200_000)
+    rig.run_until(lambda: not client_buffers(rig).total_bytes)
+    client.transport.write(b"x" * 8 + b"\r\n0\r\n\r\n")  # type: ignore[union-attr]
+    assert rig.wait_for_status(client) == b"413"
+
+
+def test_half_requests_beyond_the_limit_are_refused_and_usual_requests_served(logged: list[Any]) -> None:
+    """Clients send a request but for its last bytes, and stay; each of them keeps to the limit of a body.
+
+    Without a limit of their sum the node exceeds its memory and is killed.
+    """
+    rig = start_two_engine_rig()
+    buffers = client_buffers(rig)
+    buffers.max_bytes = 10 * len(LONG_BODY)
+    stopped = [rig.client(half_request(f"b{number}")) for number in range(HALF_REQUESTS)]
+    rig.run_until(lambda: sum(client.received.startswith(b"HTTP/1.1 503 ") for client in stopped) >= 30)
+    assert buffers.total_bytes <= buffers.max_bytes
+    usual = rig.client(chat_request(body=LONG_BODY))
+    assert rig.wait_for_status(usual) == b"200"
+    refused = [client for client in stopped if client.received]
+    assert all(b'"code":"buffer_limit"' in client.received for client in refused)
+    assert rig.node.server.closes["buffer limit"] == len(refused)
+    assert buffers.take_counts().discards == len(refused)
+    lines = [line for line in logged if line["event"].startswith("buffer limit reached")]
+    assert lines and lines[0]["connections"] == "clients" and lines[0]["max_bytes"] == buffers.max_bytes
+    assert sum(map(len, (request for engine in rig.engines for request in engine.requests))) < 3 * len(
+        LONG_BODY
+    )
+
+
+def test_pipelined_data_beyond_the_limit_is_dropped_and_the_open_request_answered() -> None:
+    """A client pipelines behind an open request whose body fills most of the limit."""
+    rig = Rig()
+    rig.engine("prefill", lambda _: b"")
+    rig.engine("decode")
+    rig.start()
+    client_buffers(rig).max_bytes = len(LONG_BODY) + 20_000
+    client = rig.client(chat_request(body=LONG_BODY))
+    rig.run_until(lambda: rig.engines[0].requests)
+    client.transport.write(chat_request("a2", body=LONG_BODY)[:30_000])  # type: ignore[union-attr]
+    rig.run_until(lambda: rig.node.server.closes["buffer limit"])
+    assert client_buffers(rig).total_bytes < len(LONG_BODY)
+    rig.engines[0].peers[0].transport.write(PREFILL_REPLY)  # type: ignore[union-attr]
+    assert rig.wait_for_status(client) == b"200"
+    rig.run_until(lambda: client.ended)
+    assert client.clean and not client_buffers(rig).total_bytes
+
+
+class FakeConnection:
+    """A connection that buffers data of which all may be discarded."""
+
+    def __init__(self, budget: BufferBudget, since_ms: float, discardable: bool = True) -> None:
+        self.budget, self.since_ms, self.discardable = budget, since_ms, discardable
+        self.buffered_bytes, self.discarded = 0, False
+
+    def receive(self, size: int) -> None:
+        self.buffered_bytes += size
+        self.budget.update(self, self.buffered_bytes)
+
+    def discardable_bytes(self) -> int:
+        return self.buffered_bytes if self.discardable else 0
+
+    def discard_buffered(self) -> None:
+        self.discarded, self.buffered_bytes = True, 0
+        self.budget.remove(self)
+
+
+def test_largest_and_oldest_buffers_are_discarded_first() -> None:
+    budget = BufferBudget("peers", 100_000)
+    now = clock.now()
+    old, old_and_short, new = (
+        FakeConnection(budget, now - SECOND_MS),
+        FakeConnection(budget, now - SECOND_MS),
+        FakeConnection(budget, now),
+    )
+    old.receive(40_000)
+    old_and_short.receive(10_000)
+    new.receive(60_000)
+    assert [old.discarded, old_and_short.discarded, new.discarded] == [True, False, False]
+
+
+def test_no_more_is_discarded_than_necessary_beside_data_in_use() -> None:
+    budget = BufferBudget("peers", 100_000)
+    in_use = FakeConnection(budget, clock.now() - SECOND_MS, discardable=False)
+    connections = [FakeConnection(budget, clock.now() - SECOND_MS) for _ in range(2)]
+    in_use.receive(90_000)
+    for connection in connections:
+        connection.receive(8_000)
+    assert sum(connection.discarded for connection in connections) == 1 and not in_use.discarded
+
+
+@pytest.mark.parametrize("size", [0, UNCHARGED_BYTES])
+def test_short_buffers_are_not_charged(size: int) -> None:
+    budget = BufferBudget("peers", 1)
+    connection = FakeConnection(budget, 0.0)
+    connection.receive(size)
+    assert not budget.total_bytes and not connection.discarded
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -19,6 +19,11 @@
 MAX_UNSENT_MS = 30_000.0  # after this side is closed, for a client to take the rest of its answer
 CLOSE_TIMEOUT_MS = 1000.0  # for a client to close its side after the server has closed its own
 
+BUFFER_LIMIT_BODY = (
+    b'{"error":{"message":"too much request data is buffered: this request had no effect, try again later",'
+    b'"type":"server_error","param":null,"code":"buffer_limit"}}'
+)
+
 # Eviction ranks: the highest is closed first.
 RANK_IN_USE = 0
 RANK_RECEIVING = 1
@@ -78,17 +83,38 @@
         if self.pipelined_bytes > MAX_PIPELINED_BYTES:
             self._limit_pipelining()
             return
-        if self.discarding:
+        if self.discarding or not self.persistent and self.busy:
             return
         if not self.busy and not self.receiving:
             self._start_receiving()
         self._set_buffered_bytes(self.buffered_bytes + len(data))
-        super().dataReceived(data)
+        if not self.discarding:
+            super().dataReceived(data)
+
+    def buffered_data_freed(self, freed_bytes: int) -> None:
+        """Counts received data that is not kept, such as the rest of a body that is too long."""
+        self._set_buffered_bytes(max(0, self.buffered_bytes - freed_bytes))
 
     def _set_buffered_bytes(self, buffered_bytes: int) -> None:
         self.buffered_bytes = buffered_bytes
         self.factory.buffers.update(self, buffered_bytes)
 
+    def discardable_bytes(self) -> int:
+        """See `Buffering`: an incomplete request, or what was pipelined after the open one."""
+        return min(self.pipelined_bytes, self.buffered_bytes) if self.busy else self.buffered_bytes
+
+    def discard_buffered(self) -> None:
+        """Refuses an incomplete request; after an open one, pipelined data is dropped and the connection
+        closes with the answer.
+        """
+        self.factory.closes["buffer limit"] += 1
+        if not self.busy:
+            return self.refuse(b"503 Service Unavailable", BUFFER_LIMIT_BODY)
+        self.persistent = False
+        self._dataBuffer: list[bytes] = []
+        self._set_buffered_bytes(self.buffered_bytes - self.discardable_bytes())
+        self.pipelined_bytes = 0
+
     def _limit_pipelining(self) -> None:
         """Closes the connection after the answer, or at once if the client pipelines far too much."""
         self.persistent = False
@@ -102,11 +128,14 @@
             self.since_ms = clock.now()
         self.factory.evictions.update(self)
 
-    def refuse(self, status: bytes = b"400 Bad Request") -> None:
-        """Answers a request that cannot be parsed, and closes; nothing after it is parsed."""
-        if not self.discarding:
-            self._tcp.write(b"HTTP/1.1 " + status + b"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-            self.loseConnection()
+    def refuse(self, status: bytes = b"400 Bad Request", body: bytes = b"") -> None:
+        """Answers a request that is not read to its end, and closes; nothing after it is parsed."""
+        if self.discarding:
+            return
+        content_type = b"Content-Type: application/json\r\n" if body else b""
+        head = b"HTTP/1.1 %s\r\nConnection: close\r\n%sContent-Length: %d\r\n\r\n"
+        self._tcp.write(head % (status, content_type, len(body)) + body)
+        self.loseConnection()
 
     def loseConnection(self) -> None:
         """Closes this side, and reads and discards data until the client has closed its own.
@@ -119,12 +148,20 @@
             return
         self.discarding = self.closing = True
         self.since_ms, self.pipelined_bytes = clock.now(), 0
+        self._free_buffers()
         self.factory.evictions.update(self)
         self.setTimeout(CLOSE_TIMEOUT_MS / 1000)
         self._tcp.unregisterProducer()
         self._tcp.resumeProducing()
         self._tcp.loseWriteConnection()
 
+    def _free_buffers(self) -> None:
+        """Frees what was received and will not be parsed: the connection may stay open for seconds."""
+        self._buffer, self._dataBuffer = b"", []
+        for request in self.requests:
+            request.free_body()
+        self._set_buffered_bytes(0)
+
     @property
     def answer_unsent(self) -> bool:
         """Whether this side is closed and a part of an answer has not reached the client's machine.
--- a/worksmux/net/exchange.py
+++ b/worksmux/net/exchange.py
@@ -41,10 +41,17 @@
         if self._body_bytes <= self._max_body_bytes and not self._body_too_long:
             self._body_file.write(data)
             return
+        channel: Any = self.channel
+        channel.buffered_data_freed(len(data) + self._body_file.tell())
+        self.free_body()
         self._body_too_long = True  # read and discard the rest: a client reads no answer while it sends
         if self._body_bytes > MAX_BODY_OVERRUN * self._max_body_bytes:
             self.channel.forceAbortClient()
 
+    def free_body(self) -> None:
+        """Frees the memory of the body, which is not read any more."""
+        self._body_file = self.content = BytesIO()
+
     def process(self) -> None:
         """Passes the complete request to the answerer, or answers 413."""
         if self._body_too_long:
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -37,6 +37,7 @@
         request_timeout_ms: float = 0.0,
         max_connections: int = 0,
         lateness_ms: Callable[[], float] = lambda: 0.0,
+        max_buffered_bytes: int = 0,
     ) -> None:
         """Sets the limits.
 
@@ -46,6 +47,7 @@
                 the start of the connection; 0: no limit.
             max_connections: the number of open connections; 0: no limit.
             lateness_ms: how old data read now may be; see `lateness.Lateness`.
+            max_buffered_bytes: of requests that have no answer yet, all connections together; 0: no limit.
         """
         super().__init__(timeout=keep_alive_ms / 1000, reactor=reactor)
         self.answerer = answerer
@@ -56,7 +58,7 @@
         self.closing = False  # each answer closes its connection
         self.closes: Counter[str] = Counter()  # count of connections that the server closed, by reason
         self.channels: dict[Any, None] = {}
-        self.buffers = BufferBudget()  # of what clients have sent and is not answered yet
+        self.buffers = BufferBudget("clients", max_buffered_bytes)  # requests without an answer
         self.evictions = EvictionQueue(self.channels)
         self.on_connection: Callable[[Any], None] | None = None  # called with each new channel
         self._sweep_timer: Any = None
--- a/worksmux/node/limits.py
+++ b/worksmux/node/limits.py
@@ -1,4 +1,4 @@
-"""Division of the node's file descriptors between their uses, without I/O."""
+"""Division of the node's file descriptors and memory between their uses, without I/O."""
 
 from __future__ import annotations
 
@@ -7,6 +7,9 @@
 RESERVED_SOCKETS = 24  # for log, reactor, two discovery watches, listener, and a margin
 CLIENT_FRACTION = 0.6  # of the remaining descriptors
 REQUEST_FRACTION = 0.75  # of those for engines; the rest is for releases and health checks
+DEFAULT_MEMORY_BYTES = 2**28  # if the configuration has no limit
+MIN_FREE_BYTES = 2**23  # assumed where the process uses nearly all of its memory at its start
+CLIENT_BUFFER_FRACTION = 0.2  # of the free memory: a body may be received, encoded and unsent at once
 
 
 class Shares(NamedTuple):
@@ -25,3 +28,23 @@
     available = max(8, sockets - RESERVED_SOCKETS)
     clients = int(available * CLIENT_FRACTION)
     return Shares(clients, int((available - clients) * REQUEST_FRACTION))
+
+
+class BufferShares(NamedTuple):
+    """The limits that follow from the memory, in bytes of all connections of a kind together."""
+
+    clients: int  # requests that have no answer yet
+
+
+def buffer_shares(memory_bytes: float, used_bytes: int) -> BufferShares:
+    """Returns the shares of the memory that a process that uses `used_bytes` has left.
+
+    Args:
+        memory_bytes: the limit of the process's memory; 0: none is given.
+        used_bytes: what the process uses before its first request.
+
+    >>> buffer_shares(128 * 2**20, 28 * 2**20)
+    BufferShares(clients=20971520)
+    """
+    free_bytes = max(MIN_FREE_BYTES, (memory_bytes or DEFAULT_MEMORY_BYTES) - used_bytes)
+    return BufferShares(int(free_bytes * CLIENT_BUFFER_FRACTION))
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -27,7 +27,7 @@
 from .counters import NodeCounts
 from .discovery import Discovery
 from .errors import ConfigError
-from .limits import shares
+from .limits import buffer_shares, shares
 
 LOG = structlog.get_logger()
 CONFIG_ERROR_EXIT_CODE = 2
@@ -119,6 +119,8 @@
         if self.listener is not None or self.stopping or self.failed:
             return
         _cancel(self._discovery_timer)
+        buffers = buffer_shares(self.config.memory_bytes, private_bytes())
+        self.server.buffers.max_bytes = buffers.clients
         try:
             self.listener, self.port = listen(self.reactor, self.config.listen, self.server)
         except Exception as error:
@@ -133,19 +135,21 @@
             cores=self.config.cores,
             sockets=self.config.sockets,
             memory_bytes=round(self.config.memory_bytes),
+            max_client_buffer_bytes=buffers.clients,
             frozen_objects=gc.get_freeze_count(),
         )
 
     def _log_counters(self) -> None:
         closes, self.server.closes = self.server.closes, Counter()
         self.counts.closed(closes)
+        client_buffers = self.server.buffers.take_counts()
         if counts := self.counts.take():
             LOG.info(
                 "counters",
                 open_requests=self.counts.open,
                 private_bytes=private_bytes(),
                 connections=len(self.server.channels),
-                client_buffer_bytes=self.server.buffers.take_peak(),
+                client_buffer_bytes=client_buffers.peak_bytes,
                 **counts,
             )
         self._counters_timer = self.reactor.callLater(COUNTERS_PERIOD_MS / 1000, self._log_counters)
