Engines' and discovery's incomplete data is limited in sum, heads as well as bodies

Each reply, head (16 KB) or event (256 KB) had a limit of its own and nothing bounded the sum: some 290 streams of noise are 74 MB, six watches 24 MB. A watch kept an object as a list of lines, so that one with a line break after each byte or two took 21 times its counted length (4.3 MB for 0.2 MB, traced); a head of 16 KB may have had 2,700 fields. A request that was written was kept in its call a second time. Change: a connection to an engine counts its head, unparsed data and what its receiver keeps against a budget that all pools of a node share (a tenth of the free memory); over it the call fails as an error. The watches share 8 MB. A watch keeps one buffer. At most 100 header fields a reply. A call drops its request once the connection has it. Measured: tests/test_buffer_limits.py; with the counting taken out, three kinds of replies are not discarded and the tests time out; the old watch fails the test of lines with 4,301,017 traced bytes.

--- a/benchmarks/front_against_relay.py
+++ b/benchmarks/front_against_relay.py
@@ -78,6 +78,8 @@
 class RelayedResponse:
     """Passes an engine's reply on as it arrives."""
 
+    buffered_bytes = 0
+
     def __init__(self, exchange: Exchange) -> None:
         self.exchange = exchange
 
--- a/tests/test_buffer_limits.py
+++ b/tests/test_buffer_limits.py
@@ -2,13 +2,26 @@
 
 from __future__ import annotations
 
+import re
+import tracemalloc
 from typing import Any
 
 import pytest
-from node_rig import BODY, PREFILL_REPLY, Rig, chat_request, start_two_engine_rig
+from node_rig import (
+    BODY,
+    PREFILL_REPLY,
+    STREAM,
+    Rig,
+    chat_request,
+    chunk,
+    start_two_engine_rig,
+)
 
 from worksmux.net import clock
 from worksmux.net.buffer_budget import UNCHARGED_BYTES, BufferBudget
+from worksmux.net.response_parser import MAX_HEADER_FIELDS
+from worksmux.node.discovery_watch import DiscoveryWatch
+from worksmux.node.endpoint_list import HostList
 
 HALF_REQUESTS = 40
 SECOND_MS = 1000.0
@@ -162,3 +175,82 @@
     connection = FakeConnection(budget, 0.0)
     connection.receive(size)
     assert not budget.total_bytes and not connection.discarded
+
+
+NOISE_BYTES = 50_000
+STREAMS = 12
+
+
+class IgnoringOwner:
+    """The owner of a watch of which no event is expected."""
+
+    address = ("127.0.0.1", 1)
+
+    def on_event(self, watch: DiscoveryWatch, hosts: HostList | None) -> None:
+        raise AssertionError("unexpected event")
+
+    def on_corrupt_event(self, watch: DiscoveryWatch, reason: str) -> None:
+        raise AssertionError(reason)
+
+    def on_lost(self, watch: DiscoveryWatch, reason: str) -> None:
+        raise AssertionError(reason)
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        pytest.param(STREAM + chunk(b"~" * NOISE_BYTES), id="an event without an end"),
+        pytest.param(
+            b"HTTP/1.1 500 Error\r\nContent-Length: 60000\r\n\r\n" + b"~" * NOISE_BYTES, id="a body"
+        ),
+        pytest.param(b"HTTP/1.1 200 OK\r\n" + b"X-A: %s\r\n" % (b"~" * 1000) * 15, id="a head"),
+    ],
+)
+def test_incomplete_replies_beyond_the_limit_are_discarded(reply: bytes, logged: list[Any]) -> None:
+    """Engines send replies that do not end, each of them within the limit of one reply.
+
+    Without a limit of their sum the node exceeds its memory.
+    """
+    rig = start_two_engine_rig(lambda _: reply)
+    buffers = rig.node.core.engine_buffers
+    buffers.max_bytes = 4 * (len(reply) - UNCHARGED_BYTES)
+    clients = [rig.client(chat_request(f"c{number}", "mark")) for number in range(STREAMS)]
+    rig.run_until(
+        lambda: sum(client.received.startswith(b"HTTP/1.1 502 ") for client in clients) >= STREAMS - 4
+    )
+    assert buffers.total_bytes <= buffers.max_bytes
+    sent = [request for request in rig.engines[1].requests if request.startswith(b"POST")]
+    assert len({re.search(rb"X-Request-ID: (\S+)", request)[1] for request in sent}) == len(sent)  # type: ignore[index]
+    (line, *_) = [line for line in logged if line["event"].startswith("buffer limit reached")]
+    assert line["connections"] == "engines"
+    assert buffers.take_counts().discards >= STREAMS - 4
+
+
+def test_usual_stream_is_served_beside_discarded_replies() -> None:
+    rig = Rig()
+    rig.engine("prefill")
+    rig.engine("decode", lambda _: STREAM + chunk(b"~" * NOISE_BYTES))
+    rig.engine("decode")
+    rig.start()
+    rig.node.core.engine_buffers.max_bytes = 2 * NOISE_BYTES
+    for number in range(STREAMS):
+        rig.client(chat_request(f"c{number}", "mark"))
+    usual = rig.client(chat_request("usual"))
+    assert rig.wait_for_status(usual) == b"200"
+
+
+def test_reply_with_too_many_header_lines_is_malformed() -> None:
+    """Each field costs some hundred bytes of memory, whatever its length on the wire."""
+    fields = b"".join(b"x%d: 1\r\n" % number for number in range(MAX_HEADER_FIELDS + 1))
+    rig = start_two_engine_rig(lambda _: b"HTTP/1.1 200 OK\r\n" + fields + b"\r\n")
+    assert rig.wait_for_status(rig.client(chat_request(request_class="mark"))) == b"502"
+
+
+def test_lines_of_an_incomplete_list_cost_their_length_alone() -> None:
+    """Discovery sends an object that does not end, with a line break after each byte or two."""
+    watch = DiscoveryWatch(IgnoringOwner(), 0.0)
+    tracemalloc.start()
+    watch.body_received(b"{" + b"11\n" * 100_000)
+    used_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert watch.has_partial_object and used_bytes < 1_000_000
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -79,6 +79,8 @@
 class StatusReceiver:
     """Records the status of a response, or the error."""
 
+    buffered_bytes = 0
+
     def __init__(self) -> None:
         self.status, self.error = 0, ""
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -15,6 +15,8 @@
 class RecordingReceiver:
     """Records a response."""
 
+    buffered_bytes = 0
+
     def __init__(self) -> None:
         self.status, self.body, self.end = 0, b"", ""
 
--- a/worksmux/api/events.py
+++ b/worksmux/api/events.py
@@ -57,6 +57,11 @@
             raise EventTooLongError(f"an event is longer than {self.max_event_bytes} bytes")
         return events
 
+    @property
+    def buffered_bytes(self) -> int:
+        """How many bytes of an incomplete event are kept."""
+        return self._size + len(self._rest)
+
     @property
     def has_partial_event(self) -> bool:
         """Whether an event has begun that is not complete."""
--- a/worksmux/fakes/clients.py
+++ b/worksmux/fakes/clients.py
@@ -145,6 +145,11 @@
         self.is_over = False
         self.call: client.Call | None = None
 
+    @property
+    def buffered_bytes(self) -> int:
+        """How many bytes of a body that is no event stream are kept."""
+        return len(self.body)
+
     def head_received(self, status: int, headers: dict[str, str]) -> None:
         """Stores the response's status and headers, and starts the event parser of a streamed response."""
         self.status, self.headers = status, headers
--- a/worksmux/forwarding/attempt.py
+++ b/worksmux/forwarding/attempt.py
@@ -112,6 +112,11 @@
 
     # Called by `net.client` with the reply.
 
+    @property
+    def buffered_bytes(self) -> int:
+        """How many bytes of the reply are kept until it is complete."""
+        return len(self.body)
+
     def head_received(self, status: int, headers: dict[str, str]) -> None:
         """Receives status and headers of the reply."""
         self.status, self.headers = status, headers
@@ -148,10 +153,19 @@
         """Processes a piece of the stream."""
         raise NotImplementedError
 
+    def _buffered_event_bytes(self) -> int:
+        """Returns the size of what has arrived of an event that is not complete."""
+        raise NotImplementedError
+
     def _on_stream_end(self) -> None:
         """Handles the end of a reply whose transfer encoding was complete."""
         raise NotImplementedError
 
+    @property
+    def buffered_bytes(self) -> int:
+        """How many bytes of the reply, or of the event that is not complete, are kept."""
+        return self._buffered_event_bytes() if self.streaming else len(self.body)
+
     def head_received(self, status: int, headers: dict[str, str]) -> None:
         """Receives status and headers, which tell whether a stream follows."""
         super().head_received(status, headers)
--- a/worksmux/gateway/attempts.py
+++ b/worksmux/gateway/attempts.py
@@ -106,5 +106,8 @@
         else:
             self._end(Outcome.ERROR)  # `[DONE]` without a token or a finish reason
 
+    def _buffered_event_bytes(self) -> int:
+        return self._events.buffered_bytes
+
     def _on_stream_end(self) -> None:
         self._end(Outcome.ERROR)  # the response ended without [DONE]
--- a/worksmux/load/worker.py
+++ b/worksmux/load/worker.py
@@ -153,6 +153,11 @@
         self.call: client.Call | None = None
         self.timeout: Any = None
 
+    @property
+    def buffered_bytes(self) -> int:
+        """How many bytes of a body that is no event stream are kept."""
+        return len(self.body)
+
     def head_received(self, status: int, headers: dict[str, str]) -> None:
         """Takes the status, and whether the body is an event stream."""
         self.status = status
--- a/worksmux/net/buffered_response.py
+++ b/worksmux/net/buffered_response.py
@@ -29,6 +29,11 @@
         self._headers: dict[str, str] = {}
         self.body = bytearray()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """See `ResponseReceiver`."""
+        return len(self.body)
+
     def head_received(self, status: int, headers: dict[str, str]) -> None:
         """See `ResponseReceiver`."""
         self._status, self._headers = status, headers
@@ -37,6 +42,7 @@
         """See `ResponseReceiver`."""
         if self._too_long or len(self.body) + len(data) > self._max_body_bytes:
             self._too_long = True
+            self.body = bytearray()
         else:
             self.body += data
 
--- a/worksmux/net/client.py
+++ b/worksmux/net/client.py
@@ -16,9 +16,11 @@
 from twisted.python.failure import Failure
 
 from . import clock
+from .buffer_budget import BufferBudget
 from .buffered_response import BufferedResponse, ResponseCallback
 from .connection import Connection, ResponseReceiver
 from .errors import (
+    BufferLimitError,
     CallError,
     ConnectionBrokenError,
     ConnectRefusedError,
@@ -30,6 +32,7 @@
 from .time_out import TimeOut
 
 __all__ = [
+    "BufferLimitError",
     "BufferedResponse",
     "Call",
     "CallError",
@@ -97,7 +100,8 @@
     def send_on(self, connection: Connection) -> None:
         """Writes the request on an established connection."""
         self.connection = connection
-        connection.send(self.data, self)
+        data, self.data = self.data, b""  # the connection keeps it until it is written
+        connection.send(data, self)
 
     def _cancel_connect_timeout(self) -> None:
         if self._connect_timeout is not None and self._connect_timeout.active():
@@ -127,6 +131,11 @@
         elif self.connector is not None:
             self.connector.disconnect()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """See `ResponseReceiver`."""
+        return 0 if self.over else self.receiver.buffered_bytes
+
     def head_received(self, status: int, headers: dict[str, str]) -> None:
         """See `ResponseReceiver`."""
         if not self.over:
@@ -210,8 +219,15 @@
         max_head_bytes: int,
         max_chunk_bytes: int = DEFAULT_MAX_CHUNK_BYTES,
         name: str = "",
+        buffers: BufferBudget | None = None,
     ) -> None:
-        """`max_idle` counts connections, 0 for none; `name` is the Host header, the address by default."""
+        """Sets the limits.
+
+        Args:
+            max_idle: the number of idle connections; 0 for none.
+            name: the Host header; the address by default.
+            buffers: limits incomplete responses; several pools may share it.  By default there is no limit.
+        """
         self.reactor, self.host, self.port = reactor, host, port
         self.connect_timeout_ms, self.keep_alive_ms = connect_timeout_ms, keep_alive_ms
         self.max_idle = max_idle
@@ -219,6 +235,7 @@
         self.on_response: Callable[[], None] | None = None  # called with the head of each response
         self.latest_answered_start_ms = 0.0  # start of the latest call that got a response
         self.name = name or f"{host}:{port}"
+        self.buffers = BufferBudget() if buffers is None else buffers
         self.idle: deque[Connection] = deque()
         self.open: dict[Connection, None] = {}
 
@@ -277,5 +294,6 @@
     def forget(self, connection: Connection) -> None:
         """See `ConnectionOwner`."""
         self.open.pop(connection, None)
+        self.buffers.remove(connection)
         if connection in self.idle:
             self.idle.remove(connection)
--- a/worksmux/net/connection.py
+++ b/worksmux/net/connection.py
@@ -14,7 +14,15 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
-from .errors import CallError, ConnectionBrokenError, MalformedResponseError, NotSentError
+from . import clock
+from .buffer_budget import BufferBudget
+from .errors import (
+    BufferLimitError,
+    CallError,
+    ConnectionBrokenError,
+    MalformedResponseError,
+    NotSentError,
+)
 from .loop import Transport
 from .request_writer import RequestWriter
 from .response_parser import BodyEnd, add_header_line, body_framing, parse_chunk_size, parse_status_line
@@ -27,6 +35,10 @@
     """Receives a response: `head_received`, any number of `body_received`, then `done`; or `failed` at any
     time."""
 
+    @property
+    def buffered_bytes(self) -> int:
+        """How many received bytes the receiver keeps until the response, or a part of it, is complete."""
+
     def head_received(self, status: int, headers: dict[str, str]) -> None:
         """Takes the status and the headers, whose names are in lower case."""
 
@@ -45,6 +57,7 @@
 
     max_head_bytes: int
     max_chunk_bytes: int
+    buffers: BufferBudget
 
     def response_started(self, receiver: ResponseReceiver) -> None:
         """Records that the head of a final response has arrived."""
@@ -87,6 +100,7 @@
         self.MAX_LENGTH = pool.max_head_bytes  # LineReceiver's limit of a line
         self.receiver: ResponseReceiver | None = None  # None: no request is in flight
         self.idle_since_ms = 0.0
+        self.since_ms = 0.0  # clock time at which the request was sent
         self._head_bytes = 0
         self._writer: RequestWriter | None = None
         self._expect_response()
@@ -106,7 +120,7 @@
         """Writes an encoded request."""
         self._expect_response()
         self._head_bytes = 0  # of all heads of a response: nothing else limits the number of 1xx heads
-        self.receiver = receiver
+        self.receiver, self.since_ms = receiver, clock.now()
         self._writer = RequestWriter(self._tcp, data)
 
     def connectionMade(self) -> None:
@@ -128,6 +142,27 @@
         """Whether the last byte of the request has left the transport's buffer."""
         return self._writer is not None and self._writer.written
 
+    def dataReceived(self, data: bytes) -> None:
+        """Parses data, and counts what of it has to be kept."""
+        super().dataReceived(data)
+        if self.receiver is None:
+            return self.pool.buffers.remove(self)
+        self.pool.buffers.update(self, self._buffered_bytes)
+
+    @property
+    def _buffered_bytes(self) -> int:
+        received = 0 if self.receiver is None else self.receiver.buffered_bytes
+        return self._head_bytes + len(self._buffer) + received
+
+    def discardable_bytes(self) -> int:
+        """See `Buffering`."""
+        return self._buffered_bytes
+
+    def discard_buffered(self) -> None:
+        """Fails the call, since all responses together exceed the limit of what may be kept."""
+        error = BufferLimitError if self.request_written else NotSentError
+        self._fail(error("the limit of buffered responses is reached"))
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Ends the call: a body that ends with the connection is complete, any other is not."""
         self.pool.forget(self)
--- a/worksmux/net/errors.py
+++ b/worksmux/net/errors.py
@@ -21,5 +21,12 @@
     """The connection ended after the request was written: the remote side may have executed it."""
 
 
+class BufferLimitError(CallError):
+    """Responses that are not complete exceed the limit of all connections; this one was discarded.
+
+    The remote side may have executed the request.
+    """
+
+
 class MalformedResponseError(CallError):
     """The response violates HTTP/1.1 or exceeds a limit; the remote side may have executed the request."""
--- a/worksmux/net/response_parser.py
+++ b/worksmux/net/response_parser.py
@@ -11,6 +11,7 @@
 from .errors import MalformedResponseError
 
 MAX_CHUNK_SIZE_DIGITS = 8
+MAX_HEADER_FIELDS = 100
 MAX_QUOTED_CHARACTERS = 40  # of the remote side's text, in an error message
 HEX_DIGITS = b"0123456789abcdefABCDEF"
 NO_CONTENT = 204
@@ -58,6 +59,8 @@
     key = name.decode("latin-1").lower()
     if key in headers and key in SINGLE_VALUE_FIELDS:
         raise MalformedResponseError(f"header {key} is given twice")
+    if len(headers) >= MAX_HEADER_FIELDS:
+        raise MalformedResponseError(f"the response has more than {MAX_HEADER_FIELDS} header fields")
     headers[key] = value.strip().decode("latin-1")
 
 
--- a/worksmux/node/attempts.py
+++ b/worksmux/node/attempts.py
@@ -116,6 +116,9 @@
         if events and not self.over:
             self._relay(events)
 
+    def _buffered_event_bytes(self) -> int:
+        return self.stream.buffered_bytes
+
     def _on_stream_end(self) -> None:
         if self.last_piece_at and not self.stream.is_cut and self.headers.get("transfer-encoding"):
             self._end(Outcome.SERVED, self.stream.cached_tokens, ())
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -7,6 +7,7 @@
 from ..forwarding.request_context import Client, FinalAnswer, RequestContext
 from ..forwarding.request_lifecycle import RequestLifecycle
 from ..net import client, clock
+from ..net.buffer_budget import BufferBudget
 from ..net.loop import Reactor
 from ..net.time_out import TimeOut
 from ..policy.events import EndpointListUpdate
@@ -66,6 +67,7 @@
         self.kv_claims: dict[Request, KvClaims] = {}  # claims of the open requests
         self.prefill_work = PrefillWorkEstimate(self.releaser.time_limit_ms)
         self.on_engines_forgotten: Callable[[list[Engine]], None] | None = None
+        self.engine_buffers = BufferBudget("engines")  # the limit is set when the node begins to serve
         self._releases_due: list[RequestContext] = []  # releases to start after the round
         self._list_in_round = False  # the next round applies an endpoint list
 
@@ -298,6 +300,7 @@
             MAX_HEAD_BYTES,
             MAX_BODY_BYTES,
             HOST,
+            self.engine_buffers,
         )
 
     def _tell_endpoints(self, event: EndpointListUpdate) -> None:
--- a/worksmux/node/counters.py
+++ b/worksmux/node/counters.py
@@ -63,6 +63,11 @@
         for reason, count in closes.items():
             self.counts[f"closed: {reason}"] += count
 
+    def discarded(self, replies: int) -> None:
+        """Counts replies of engines that were discarded, as all of them exceeded the buffer limit."""
+        if replies:
+            self.counts["engine_replies_discarded"] += replies
+
     def take(self) -> dict[str, int]:
         """Returns the counters and resets them."""
         counts, self.counts = dict(self.counts), Counter()
--- a/worksmux/node/discovery.py
+++ b/worksmux/node/discovery.py
@@ -16,6 +16,7 @@
 from ..endpoints.keys import key_of
 from ..endpoints.list_reader import EndpointListReader
 from ..net import client, clock
+from ..net.buffer_budget import BufferBudget
 from ..net.loop import Reactor, Timer
 from ..policy.events import EndpointEntry
 from ..policy.state import GONE, READY, Engine
@@ -31,6 +32,7 @@
 OPEN_TIMEOUT_MS = 1.5 * HEARTBEAT_MS  # a watch without an event by then is closed
 POLL_MS = HEARTBEAT_MS / 16
 MIN_RETRY_DELAY_MS, MAX_RETRY_DELAY_MS = 50.0, 1000.0
+MAX_BUFFERED_BYTES = 2 * MAX_OBJECT_BYTES  # of the incomplete objects of all watches
 MAX_LOGGED_NOTES = 8  # per list
 MAX_LOGGED_ENGINES = 16  # per list and kind of change
 
@@ -52,6 +54,7 @@
         self.current: DiscoveryWatch | None = None
         self.opening: list[DiscoveryWatch] = []  # watches without an event yet, oldest first
         self.stopped = False
+        self._buffers = BufferBudget("discovery", MAX_BUFFERED_BYTES)
         self.on_first_event: Callable[[], None] | None = None  # called once
         self._last_event_at = 0.0  # of the current watch
         self._next_open_at = 0.0
@@ -135,7 +138,14 @@
         # Jitter keeps hundreds of nodes that lose discovery together from reconnecting together.
         self._next_open_at = now + FIRST_EVENT_TIMEOUT_MS * random.uniform(0.75, 1.25)
         pool = client.Pool(
-            self.reactor, *self.address, OPEN_TIMEOUT_MS, 0.0, 0, MAX_HEAD_BYTES, MAX_OBJECT_BYTES
+            self.reactor,
+            *self.address,
+            OPEN_TIMEOUT_MS,
+            0.0,
+            0,
+            MAX_HEAD_BYTES,
+            MAX_OBJECT_BYTES,
+            buffers=self._buffers,
         )
         watch = DiscoveryWatch(self, now)
         self.opening.append(watch)
--- a/worksmux/node/discovery_watch.py
+++ b/worksmux/node/discovery_watch.py
@@ -37,18 +37,23 @@
         self.call: client.Call | None = None
         self.over = False
         self._line_begin = bytearray()  # of an incomplete line
-        self._lines: list[bytes] = []  # of an incomplete object
-        self._size = 0  # bytes in these lines
+        self._object = bytearray()  # the lines of an incomplete object
+        self._begins_with_brace = False
         self._parsed_size = 0  # bytes at the last failed parse
         self._open_braces = 0  # in these lines, counting braces inside strings too
 
     @property
     def has_partial_object(self) -> bool:
         """Whether an object was received in part."""
-        return bool(self._line_begin or self._lines)
+        return bool(self._line_begin or self._object)
 
     # Called by `net.client` with the reply.
 
+    @property
+    def buffered_bytes(self) -> int:
+        """How many bytes of an incomplete object are kept."""
+        return len(self._object) + len(self._line_begin)
+
     def head_received(self, status: int, headers: dict[str, str]) -> None:
         """Receives status and headers of the reply."""
         if status != 200:
@@ -66,7 +71,7 @@
             line, self._line_begin = bytes(self._line_begin), bytearray(begin)
             if not self.over:
                 self._take_line(line)
-        if not self.over and self._size + len(self._line_begin) > MAX_OBJECT_BYTES:
+        if not self.over and self.buffered_bytes > MAX_OBJECT_BYTES:
             self.owner.on_corrupt_event(self, "an object is too long")
 
     def done(self) -> None:
@@ -95,20 +100,22 @@
 
     def _take_line(self, line: bytes) -> None:
         text = line.strip()
-        if not text and not self._lines:
+        if not text and not self._object:
             self.owner.on_event(self, None)
             return
-        self._lines.append(line)
-        self._size += len(line)
+        if not self._object:
+            self._begins_with_brace = text.startswith(b"{")
+        self._object += line
+        self._object += b"\n"
         self._open_braces += line.count(b"{") - line.count(b"}")
         # A brace inside a string makes the count miss the end of an object; an empty line marks it then.
-        if not text and self._size > self._parsed_size and self._parse():
+        if not text and len(self._object) > self._parsed_size and self._parse():
             return
         if not text.endswith(b"}"):  # the object cannot end here
-            if not text or not self._lines[0].lstrip().startswith(b"{"):
+            if not text or not self._begins_with_brace:
                 self.owner.on_corrupt_event(self, "no object")
             return
-        if self._open_braces > 0 and self._size < PARSE_GROWTH * self._parsed_size:
+        if self._open_braces > 0 and len(self._object) < PARSE_GROWTH * self._parsed_size:
             return
         self._parse()
 
@@ -118,13 +125,13 @@
         Failure: a list with one line for each of thousands of engines is parsed from the start at each line,
         which blocks the reactor. `PARSE_GROWTH` bounds the number of parses.
         """
-        self._parsed_size = self._size
+        self._parsed_size = len(self._object)
         try:
-            hosts = HOST_LIST_DECODER.decode(b"\n".join(self._lines))
+            hosts = HOST_LIST_DECODER.decode(self._object)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             if "truncated" not in str(error):
                 self.owner.on_corrupt_event(self, str(error))
             return False
-        self._lines, self._size, self._parsed_size, self._open_braces = [], 0, 0, 0
+        self._object, self._parsed_size, self._open_braces = bytearray(), 0, 0
         self.owner.on_event(self, hosts)
         return True
--- a/worksmux/node/event_stream.py
+++ b/worksmux/node/event_stream.py
@@ -67,6 +67,11 @@
             raise CorruptStreamError("an event exceeds the maximum size", b"".join(events))
         return b"".join(events)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """How many bytes of an incomplete event are kept."""
+        return len(self._rest)
+
     @property
     def is_cut(self) -> bool:
         """Whether the last event is incomplete."""
--- a/worksmux/node/limits.py
+++ b/worksmux/node/limits.py
@@ -10,6 +10,7 @@
 DEFAULT_MEMORY_BYTES = 2**28  # if the configuration has no limit
 MIN_FREE_BYTES = 2**23  # assumed where the process uses nearly all of its memory at its start
 CLIENT_BUFFER_FRACTION = 0.2  # of the free memory: a body may be received, encoded and unsent at once
+ENGINE_BUFFER_FRACTION = 0.1
 
 
 class Shares(NamedTuple):
@@ -34,6 +35,7 @@
     """The limits that follow from the memory, in bytes of all connections of a kind together."""
 
     clients: int  # requests that have no answer yet
+    engines: int  # replies and events that are not complete
 
 
 def buffer_shares(memory_bytes: float, used_bytes: int) -> BufferShares:
@@ -44,7 +46,7 @@
         used_bytes: what the process uses before its first request.
 
     >>> buffer_shares(128 * 2**20, 28 * 2**20)
-    BufferShares(clients=20971520)
+    BufferShares(clients=20971520, engines=10485760)
     """
     free_bytes = max(MIN_FREE_BYTES, (memory_bytes or DEFAULT_MEMORY_BYTES) - used_bytes)
-    return BufferShares(int(free_bytes * CLIENT_BUFFER_FRACTION))
+    return BufferShares(int(free_bytes * CLIENT_BUFFER_FRACTION), int(free_bytes * ENGINE_BUFFER_FRACTION))
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -121,6 +121,7 @@
         _cancel(self._discovery_timer)
         buffers = buffer_shares(self.config.memory_bytes, private_bytes())
         self.server.buffers.max_bytes = buffers.clients
+        self.core.engine_buffers.max_bytes = buffers.engines
         try:
             self.listener, self.port = listen(self.reactor, self.config.listen, self.server)
         except Exception as error:
@@ -136,13 +137,18 @@
             sockets=self.config.sockets,
             memory_bytes=round(self.config.memory_bytes),
             max_client_buffer_bytes=buffers.clients,
+            max_engine_buffer_bytes=buffers.engines,
             frozen_objects=gc.get_freeze_count(),
         )
 
     def _log_counters(self) -> None:
         closes, self.server.closes = self.server.closes, Counter()
         self.counts.closed(closes)
-        client_buffers = self.server.buffers.take_counts()
+        client_buffers, engine_buffers = (
+            self.server.buffers.take_counts(),
+            self.core.engine_buffers.take_counts(),
+        )
+        self.counts.discarded(engine_buffers.discards)
         if counts := self.counts.take():
             LOG.info(
                 "counters",
@@ -150,6 +156,7 @@
                 private_bytes=private_bytes(),
                 connections=len(self.server.channels),
                 client_buffer_bytes=client_buffers.peak_bytes,
+                engine_buffer_bytes=engine_buffers.peak_bytes,
                 **counts,
             )
         self._counters_timer = self.reactor.callLater(COUNTERS_PERIOD_MS / 1000, self._log_counters)
