A request body is not parsed as a form

Change: Exchange is created without that parser; neither daemon uses forms. Measured: test_body_is_not_parsed_as_a_form fails before (the fields are parsed).

--- a/tests/test_buffer_limits.py
+++ b/tests/test_buffer_limits.py
@@ -84,6 +84,16 @@
     assert rig.wait_for_status(client) == b"413"
 
 
+def test_body_is_not_parsed_as_a_form() -> None:
+    """A body of many short form fields would take many times its size, before the request is looked at."""
+    rig = start_two_engine_rig()
+    seen: list[dict[bytes, list[bytes]]] = []
+    rig.node.server.answerer = lambda exchange: (seen.append(exchange.args), exchange.answer(400, b""))
+    form = "Content-Type: application/x-www-form-urlencoded\r\n"
+    client = rig.client(chat_request(body=b"a=1&b=2", extra_headers=form))
+    assert rig.wait_for_status(client) == b"400" and seen == [{}]
+
+
 def test_half_requests_beyond_the_limit_are_refused_and_usual_requests_served(logged: list[Any]) -> None:
     """Clients send a request but for its last bytes, and stay; each of them keeps to the limit of a body.
 
--- a/worksmux/net/exchange.py
+++ b/worksmux/net/exchange.py
@@ -25,6 +25,14 @@
     on_disconnect: Callable[[], None] | None = None
     _body_too_long = False
 
+    def __init__(self, *args: Any) -> None:
+        """Creates the request without the parser of forms.
+
+        Failure: the fields of a form of 256 KiB take many times its memory, and time in which nothing else is
+        read, before the request is looked at.
+        """
+        super().__init__(*args, parsePOSTFormSubmission=False)  # type: ignore[misc]
+
     def gotLength(self, length: int | None) -> None:
         """Checks the announced length of the body; a much too long body is rejected without reading it."""
         self._max_body_bytes = self.channel.factory.max_body_bytes
