Gateway and messages between nodes: incomplete data is limited in sum too

Change: transport has 'buffered', 256 MiB by default, taken over by SIGHUP; the listeners for clients and for the watch port share one budget, all engine pools another, messages of nodes have room for 16 of the largest size. Metrics worksmux_buffered_bytes and worksmux_buffers_discarded_total. The digest of settings leaves it out, as it depends on the machine.

--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from pathlib import Path
 
 import msgspec
@@ -86,9 +87,10 @@
     front = rig.front()
     settings_text = rig.text.replace('127.0.0.1:1"', f'127.0.0.1:{rig.registry.port}"')
     path = tmp_path / "front.kdl"
-    path.write_text(settings_text.replace('keep-alive "5s"', 'keep-alive "7s"'))
+    path.write_text(settings_text.replace('keep-alive "5s"', 'keep-alive "7s"\n    buffered "3MiB"'))
     front.reload(str(path))
     assert front.settings.transport.keep_alive == 7000.0
+    assert front.client_server.buffers.max_bytes == front.core.engine_buffers.max_bytes == 3 * 2**20
     for unusable_settings in (
         settings_text[: len(settings_text) // 2],
         settings_text.replace("trips 5", "trips 6"),
@@ -123,3 +125,48 @@
     rig.run()
     assert answers["/ready"][0] == 200 and b"worksmux_engines_ready 2.0" in answers["/metrics"][1]
     assert msgspec.json.encode(answers["/health"][0]) in (b"200", b"503")
+
+
+def test_half_requests_beyond_the_limit_are_refused_and_usual_ones_served(tmp_path: Path) -> None:
+    """Clients send a request but for its last bytes and stay; all together they exceed the memory."""
+    rig = Rig(tmp_path, PAIR)
+    front = rig.front()
+    front.client_server.buffers.max_bytes = 200_000
+    head = b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 50000\r\n\r\n"
+    stopped = [socket.create_connection(("127.0.0.1", front.port)) for _ in range(12)]
+    statuses: list[int] = []
+    metrics: list[bytes] = []
+    pool = client.Pool(rig.reactor, "127.0.0.1", front.watch_port, 500.0, 100.0, 4, 65_536)
+
+    def get_metrics() -> None:
+        pool.call(
+            "GET", "/metrics", client.BufferedResponse(2**20, lambda *answer: metrics.append(answer[2]))
+        )
+
+    def send_usual() -> None:
+        content = "x" * 30_000
+        body = json.dumps(
+            {"model": "hint", "max_tokens": 2, "messages": [{"role": "user", "content": content}]}
+        )
+        rig.send_request(body.encode(), lambda status, *_: statuses.append(status))
+
+    for connection in stopped:
+        connection.sendall(head + b"x" * 49_900)
+    rig.at(100, send_usual)
+    rig.at(600, get_metrics)
+    rig.at(900, rig.reactor.stop)
+    rig.run()
+    assert statuses == [200] and front.client_server.buffers.total_bytes <= 200_000
+    assert sum(answer.startswith(b"HTTP/1.1 503") for answer in map(received, stopped)) >= 8
+    assert b'worksmux_buffers_discarded_total{connections="clients"}' in metrics[0]
+
+
+def received(connection: socket.socket) -> bytes:
+    """Returns what has arrived so far, and closes the connection."""
+    connection.setblocking(False)
+    try:
+        return connection.recv(65_536)
+    except BlockingIOError:
+        return b""
+    finally:
+        connection.close()
--- a/worksmux/gateway/chat_engine_client.py
+++ b/worksmux/gateway/chat_engine_client.py
@@ -12,6 +12,7 @@
 from ..forwarding.request_context import Client, RequestContext
 from ..forwarding.request_lifecycle import RequestLifecycle
 from ..net import client, clock
+from ..net.buffer_budget import BufferBudget
 from ..net.loop import Reactor
 from ..policy.events import EndpointListUpdate, SlotReserved
 from ..policy.id_map import IdMap
@@ -37,6 +38,7 @@
     ) -> None:
         super().__init__(id_map, reactor, metrics)
         self.settings = settings
+        self.engine_buffers = BufferBudget("engines", settings.transport.buffered)
         self.name = name  # unique to this start of this gateway
         self.stages: list[Any] = []  # single-stage dispatchers, set by GatewayProcess
 
@@ -264,4 +266,5 @@
             transport.keep_alive,
             transport.idle_connections,
             transport.head,
+            buffers=self.engine_buffers,
         )
--- a/worksmux/gateway/fleet/message_transport.py
+++ b/worksmux/gateway/fleet/message_transport.py
@@ -20,6 +20,7 @@
 from ...errors import WorksmuxError
 from ...gossip import messages as gossip_messages
 from ...net import client, clock
+from ...net.buffer_budget import BufferBudget
 from ...net.loop import Reactor, Timer, listen
 from ...net.server import Exchange, Server
 from ...settings.fleet import FleetSettings
@@ -29,6 +30,7 @@
 MESSAGE_PATH = "/fleet/message"
 CONTENT_TYPE = "application/msgpack"
 MAX_HEAD_BYTES = 8192
+MAX_BUFFERED_MESSAGES = 16  # of the largest size, incomplete, from all nodes together
 MAX_PENDING_CALLS = 16  # to one address; further messages are dropped, as by a lossy network
 MAX_IDLE_CONNECTIONS = 2  # to one address
 KEEP_ALIVE_PERIODS = 10  # probe periods after which an idle connection is closed
@@ -120,8 +122,15 @@
         self.sent_count = self.sent_bytes = self.dropped_count = 0
         keep_alive_ms = KEEP_ALIVE_PERIODS * settings.probe_interval_ms
         self._server = Server(
-            self._on_exchange, settings.max_body_bytes, MAX_HEAD_BYTES, keep_alive_ms, reactor
+            self._on_exchange,
+            settings.max_body_bytes,
+            MAX_HEAD_BYTES,
+            keep_alive_ms,
+            reactor,
+            max_buffered_bytes=MAX_BUFFERED_MESSAGES * settings.max_body_bytes,
         )
+        self._server.buffers.name = "nodes"
+        self._buffers = BufferBudget("replies of nodes", MAX_BUFFERED_MESSAGES * MAX_HEAD_BYTES)
         self._pools: dict[str, client.Pool] = {}  # by address
         self._pending_calls: Counter[str] = Counter()  # by address
         self._fault_logged_at_ms: dict[str, float] = {}  # by reason and sender
@@ -179,6 +188,7 @@
                 keep_alive_ms,
                 MAX_IDLE_CONNECTIONS,
                 MAX_HEAD_BYTES,
+                buffers=self._buffers,
             )
         return self._pools[address]
 
--- a/worksmux/gateway/metrics.py
+++ b/worksmux/gateway/metrics.py
@@ -6,6 +6,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from ..net.buffer_budget import BufferBudget
 from .fleet_metrics import FleetMetrics
 from .token_metrics import TokenMetrics
 
@@ -46,6 +47,22 @@
             "worksmux_log_lines_lost", "Log lines dropped as their reader was too slow"
         )
 
+        self._buffered_bytes = Gauge(
+            "worksmux_buffered_bytes",
+            "Bytes of requests without an answer, or of incomplete replies, at most since the last look",
+            ("connections",),
+            registry=self._registry,
+        )
+        self._buffers_discarded = self._counter(
+            "worksmux_buffers_discarded", "Connections whose incomplete data was discarded", "connections"
+        )
+
+    def buffers(self, budget: BufferBudget) -> None:
+        """Updates the metrics of what the connections of one kind buffer."""
+        counts = budget.take_counts()
+        self._buffered_bytes.labels(budget.name).set(counts.peak_bytes)
+        self._buffers_discarded.labels(budget.name).inc(counts.discards)
+
     def _create_request_metrics(self) -> None:
         self._arrived = self._counter("worksmux_jobs_taken", "Jobs taken", "offering")
         self._ended = self._counter(
--- a/worksmux/gateway/serve.py
+++ b/worksmux/gateway/serve.py
@@ -86,11 +86,17 @@
             self._add_single_stages(settings.admission, seed)
         transport = settings.transport
         self.client_server = Server(
-            self.clients, transport.body, transport.head, transport.keep_alive, reactor
+            self.clients,
+            transport.body,
+            transport.head,
+            transport.keep_alive,
+            reactor,
+            max_buffered_bytes=transport.buffered,
         )
         self.watch_server = Server(
             StatusPages(self), transport.head, transport.head, transport.keep_alive, reactor
         )
+        self.watch_server.buffers = self.client_server.buffers
         self.port = self.watch_port = 0
         self._ports: list[Any] = []
         self.on_end: Callable[[], None] = lambda: None
@@ -268,6 +274,7 @@
         ]
         self.client_server.max_body_bytes = transport.body
         self.watch_server.max_body_bytes = transport.head
+        self.client_server.buffers.max_bytes = self.core.engine_buffers.max_bytes = transport.buffered
         self.client_server.max_head_bytes = self.watch_server.max_head_bytes = transport.head
         for pool in self.core.pools.values():
             pool.connect_timeout_ms = transport.connect_time_out
--- a/worksmux/gateway/status_pages.py
+++ b/worksmux/gateway/status_pages.py
@@ -45,6 +45,8 @@
         """All metrics, after an update of those that other objects hold."""
         gateway = self._gateway
         gateway.metrics.log_lines_lost.set(gateway.writer.lost if gateway.writer else 0)
+        for budget in (gateway.client_server.buffers, gateway.core.engine_buffers):
+            gateway.metrics.buffers(budget)
         if gateway.tokens:
             gateway.metrics.tokens(gateway.tokens)
         if gateway.peering:
--- a/worksmux/settings/front.py
+++ b/worksmux/settings/front.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from ..api.listing import Line
@@ -14,6 +14,8 @@
 Address = tuple[str, int]
 POLICIES = ["worksmux", "random", "round-robin", "least-of-our-own"]
 
+DEFAULT_BUFFERED_BYTES = 2**28
+
 
 @dataclass(frozen=True)
 class Transport:
@@ -31,6 +33,9 @@
     reply: int  # of an engine's answer, and of one event of a stream
     open_requests: int  # accepted and not yet answered
     drain_time: float  # at a stop, for the requests still open
+    # Of requests without an answer, all clients together, and of incomplete replies, all engines together.
+    # It depends on the machine's memory, so it is no part of the digest that is compared between gateways.
+    buffered: int = field(default=DEFAULT_BUFFERED_BYTES, repr=False)
 
 
 @dataclass(frozen=True)
@@ -152,6 +157,7 @@
         node.size("reply"),
         node.integer("open-jobs", min_value=1),
         node.duration_ms("drain-time"),
+        node.size("buffered", DEFAULT_BUFFERED_BYTES),
     )
     node.end()
     return settings
