Log: reads whose handling takes long, with the connection

'event loop was late' tells that something held the reactor up, not which connection and with how much data. Change: 'slow read' with protocol, peer, bytes, duration and processor time, over 50 ms.

--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -9,6 +9,7 @@
 import pytest
 from node_rig import ANSWER, EVENTS, LAST_CHUNK, STREAM, Rig, chat_request, chunk, start_two_engine_rig
 
+from worksmux.net import transports
 from worksmux.net.loop import use_retrying_transports
 
 FAILED_CALLS = 5
@@ -83,3 +84,12 @@
     rig.engines[1].peers[0].transport.write(chunk(EVENTS[1]))  # type: ignore[union-attr]
     rig.run_until(lambda: client.ended)
     assert not client.received.endswith(LAST_CHUNK)
+
+
+def test_read_that_takes_long_to_handle_is_logged(logged: list[Any], monkeypatch: Any) -> None:
+    """While one connection's data is handled nothing else is read; the log names the connection."""
+    monkeypatch.setattr(transports, "LOGGED_READ_MS", 0.0)
+    rig, client, _, _ = start_stream()
+    lines = [line for line in logged if line["event"] == "slow read"]
+    assert {line["protocol"] for line in lines} >= {"_NewConnection", "Channel"}
+    assert all(line["bytes"] and line["duration_ms"] >= 0 and "127." in line["peer"] for line in lines)
--- a/worksmux/net/transports.py
+++ b/worksmux/net/transports.py
@@ -11,12 +11,18 @@
 import fcntl
 import sys
 import termios
+import time
 from typing import Any
 
+import structlog
 from twisted.internet import main, tcp
 
+from . import clock
+
+LOG = structlog.get_logger()
 TRANSIENT_ERRNOS = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 SIZE_OF_INT = 4
+LOGGED_READ_MS = 50.0  # a longer handling of one read has a log line
 RETRY_DELAY_S = 0.005  # after a failed read, so that a lasting failure does not keep the reactor busy
 
 
@@ -44,7 +50,23 @@
             if error.errno not in (errno.EAGAIN, errno.EWOULDBLOCK):
                 self._read_later()
             return None
-        return self._dataReceived(data)
+        return self._handle(data)
+
+    def _handle(self, data: bytes) -> Any:
+        """Passes data to the protocol, and logs when that takes long: nothing else is read meanwhile."""
+        started_ms, cpu_started_s = clock.now(), time.process_time()
+        result = self._dataReceived(data)
+        duration_ms = clock.now() - started_ms
+        if duration_ms > LOGGED_READ_MS:
+            LOG.warning(
+                "slow read",
+                protocol=type(self.protocol).__name__,
+                peer=str(self.getPeer()),
+                bytes=len(data),
+                duration_ms=round(duration_ms, 1),
+                cpu_ms=round(1000 * (time.process_time() - cpu_started_s), 1),
+            )
+        return result
 
     def _read_later(self) -> None:
         self.stopReading()
