An event without an end costs its length, not its square: one stream held a node up for 5 s

Cause: EventStream.feed copied all that had come of the event for each piece and searched it from its beginning, up to 256 KiB. Change: a piece is appended to a buffer, and only its part is searched, with the three bytes before it, as an end may be split.

--- a/tests/test_node_streams.py
+++ b/tests/test_node_streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from time import process_time
 from typing import Any
 
 import pytest
@@ -16,6 +17,10 @@
 from worksmux.node.errors import CorruptStreamError
 from worksmux.node.event_stream import EventStream
 
+LONGEST_EVENT_BYTES = 2**18
+NOISE = b"~" * len(EVENTS[0])
+MAX_CPU_S = 0.5  # for some 3,000 pieces, on a busy machine too
+
 
 @given(st.lists(st.integers(0, len(b"".join(EVENTS))), max_size=6))
 def test_stream_is_relayed_unchanged_in_any_pieces(cuts: list[int]) -> None:
@@ -27,6 +32,19 @@
     assert relayed == stream_data and stream.done and not stream.is_cut
 
 
+def test_cost_of_an_event_without_an_end_does_not_grow_with_its_square() -> None:
+    """One stream of an engine is noise without a line break, in chunks as long as an event.
+
+    The node was held up for 5 s by it, and usual requests were answered after their time.
+    """
+    stream = EventStream(LONGEST_EVENT_BYTES)
+    started_s = process_time()
+    with pytest.raises(CorruptStreamError, match="maximum size"):
+        for _ in range(LONGEST_EVENT_BYTES):
+            stream.feed(NOISE)
+    assert process_time() - started_s < MAX_CPU_S
+
+
 @pytest.mark.parametrize(
     "junk", [b"data: {junk\n\n", b"\r\n3f\r\ndata: {}\n\n", b"\x00\xff\n\n", b"x" * 2000]
 )
--- a/worksmux/node/event_stream.py
+++ b/worksmux/node/event_stream.py
@@ -12,6 +12,7 @@
 from .protocol import LOAD
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+MAX_EVENT_END_BYTES = 4
 DATA_FIELD = b"data:"
 LAST_EVENT = b"[DONE]"
 
@@ -46,15 +47,30 @@
         self.done = False  # the last event was received
         self.cached_tokens = 0
         self.load_report: str | None = None
-        self._rest = b""
+        self._rest = bytearray()  # of an incomplete event; it contains no `EVENT_END`
 
     def feed(self, data: bytes) -> bytes:
         """Adds a piece of the stream and returns the events that it completes.
 
         Raises CorruptStreamError, with the complete events before the invalid data.
+
+        Failure: an event without an end arrives in many pieces, and copying or searching the earlier ones for
+        each piece blocks the reactor for seconds. A piece is appended, and only its part is searched.
         """
-        buffer, events, begin = self._rest + data, [], 0  # type: bytes, list[bytes], int
-        for blank_line in EVENT_END.finditer(buffer):
+        search_from = max(0, len(self._rest) - MAX_EVENT_END_BYTES + 1)  # an end may be split
+        self._rest += data
+        if EVENT_END.search(self._rest, search_from) is None:
+            events: list[bytes] = []
+        else:
+            events = self._take_events(search_from)
+        if len(self._rest) > self.max_event_bytes:
+            raise CorruptStreamError("an event exceeds the maximum size", b"".join(events))
+        return b"".join(events)
+
+    def _take_events(self, search_from: int) -> list[bytes]:
+        """Removes the complete events, of which the first ends after `search_from`, and returns them."""
+        buffer, events, begin = bytes(self._rest), [], 0  # type: bytes, list[bytes], int
+        for blank_line in EVENT_END.finditer(buffer, search_from):
             try:
                 event = self._check(buffer[begin : blank_line.start()])
             except CorruptStreamError as error:
@@ -62,10 +78,8 @@
             if event:
                 events.append(event + blank_line[0])
             begin = blank_line.end()
-        self._rest = buffer[begin:]
-        if len(self._rest) > self.max_event_bytes:
-            raise CorruptStreamError("an event exceeds the maximum size", b"".join(events))
-        return b"".join(events)
+        self._rest = bytearray(buffer[begin:])
+        return events
 
     @property
     def buffered_bytes(self) -> int:
