Gateway: an event without an end costs its length too; a split line end loses no event

EventParser of the gateway copied what had come of a line for each piece as well, kept an event as a list of lines, and took a line feed that came alone after a carriage return for part of the next line end too (mixed line ends, split). Change: a piece is appended to its line, a line to the event's data.

--- a/worksmux/api/events.py
+++ b/worksmux/api/events.py
@@ -5,6 +5,7 @@
 from ..errors import WorksmuxError
 
 DONE = b"data: [DONE]\n\n"
+DATA_FIELD = b"data:"
 
 
 def event(data: bytes) -> bytes:
@@ -30,39 +31,54 @@
 
     def __init__(self, max_event_bytes: int) -> None:
         self.max_event_bytes = max_event_bytes
-        self._rest = b""
-        self._data: list[bytes] = []
-        self._size = 0
+        self._rest = bytearray()  # of an incomplete line
+        self._data = bytearray()  # of an incomplete event
+        self._has_data = False  # its data may be empty
         self._after_return = False
 
     def feed(self, received: bytes) -> list[bytes]:
-        """Returns the data of the events that are complete with these bytes.  Raises EventTooLongError."""
-        if self._after_return and received:  # a line end may be split between \r and \n
+        """Returns the data of the events that are complete with these bytes.  Raises EventTooLongError.
+
+        Failure: an event without an end arrives in many pieces, and copying the earlier ones for each piece
+        blocks the reactor for seconds.  A piece is appended to what has arrived of its line.
+        """
+        if not received:
+            return []
+        after_return, self._after_return = self._after_return, received.endswith(b"\r")
+        if after_return:  # a line end may be split between \r and \n
             received = received.removeprefix(b"\n")
-        self._after_return = received.endswith(b"\r") if received else self._after_return
-        text = self._rest + received
-        if b"\r" in text:
-            text = text.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
-        *lines, self._rest = text.split(b"\n")
+        if b"\r" in received:
+            received = received.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+        end, *begins = received.split(b"\n")
+        self._rest += end
         events: list[bytes] = []
-        for line in lines:
-            if not line:
-                if self._data:
-                    events.append(b"\n".join(self._data))
-                self._data, self._size = [], 0
-            elif line.startswith(b"data:"):
-                self._data.append(line[5:].removeprefix(b" "))
-                self._size += len(line)
-        if self._size + len(self._rest) > self.max_event_bytes:
+        for begin in begins:
+            line, self._rest = bytes(self._rest), bytearray(begin)
+            event_data = self._take_line(line)
+            if event_data is not None:
+                events.append(event_data)
+        if self.buffered_bytes > self.max_event_bytes:
             raise EventTooLongError(f"an event is longer than {self.max_event_bytes} bytes")
         return events
 
+    def _take_line(self, line: bytes) -> bytes | None:
+        """Adds a line to the event; returns the event's data if the line is empty and so ends it."""
+        if line.startswith(DATA_FIELD):
+            if self._has_data:
+                self._data += b"\n"
+            self._data += line[len(DATA_FIELD) :].removeprefix(b" ")
+            self._has_data = True
+        if line or not self._has_data:
+            return None
+        event_data, self._data, self._has_data = bytes(self._data), bytearray(), False
+        return event_data
+
     @property
     def buffered_bytes(self) -> int:
         """How many bytes of an incomplete event are kept."""
-        return self._size + len(self._rest)
+        return len(self._data) + len(self._rest)
 
     @property
     def has_partial_event(self) -> bool:
         """Whether an event has begun that is not complete."""
-        return bool(self._rest or self._data)
+        return bool(self._rest or self._has_data)
