Log: what clients sent while the event loop was late

A loop that is late by seconds without a 'slow read' may be one long turn of many connections; the log could not tell. Change: 'event loop was late' has client_reads, client_bytes and client_requests since the tick before.

--- a/tests/test_node_logs.py
+++ b/tests/test_node_logs.py
@@ -8,7 +8,7 @@
 from node_rig import Rig, chat_request, start_two_engine_rig
 
 from worksmux.forwarding.decision_loop import SLOW_ROUND_MS
-from worksmux.net import clock
+from worksmux.net import clock, lateness
 from worksmux.node import discovery
 from worksmux.policy.events import RequestArrived
 
@@ -90,3 +90,15 @@
     assert [attempt["reason"] for attempt in request["attempts"]] == ["policy failed"]
     (aborted,) = [line for line in logged if line["event"] == "open requests aborted"]
     assert aborted["aborted"] == 1 and aborted["streams_continued"] == 0
+
+
+def test_log_has_what_clients_sent_while_the_event_loop_was_late(logged: list[Any], monkeypatch: Any) -> None:
+    """A late loop alone does not tell one long call from the sum of many connections."""
+    monkeypatch.setattr(lateness, "LOGGED_LATENESS_MS", 1.0)
+    rig = start_two_engine_rig()
+    rig.wait_for_status(rig.client(chat_request()))
+    rig.node.lateness._tick_due_ms -= 100.0
+    rig.node.server.data_read(5)
+    rig.node.lateness._tick()
+    (line, *_) = [line for line in logged if line["event"] == "event loop was late" and line["client_bytes"]]
+    assert line["client_reads"] >= 1 and line["client_requests"] >= 0
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -76,6 +76,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Passes data to Twisted, unless the connection is closing or the client pipelines too much."""
         now = clock.now()
+        self.factory.data_read(len(data))
         if self.has_answered or now - self.since_ms > FIRST_DATA_MS:
             self.earliest_arrival_ms = now - self.factory.lateness_ms()
         if self.busy or self.discarding:
--- a/worksmux/net/exchange.py
+++ b/worksmux/net/exchange.py
@@ -71,7 +71,7 @@
                 % self._max_body_bytes,
             )
             return
-        self.channel.factory.answerer(self)
+        self.channel.factory.request_received(self)
 
     def header(self, name: str) -> str | None:
         """The last value of a header."""
--- a/worksmux/net/lateness.py
+++ b/worksmux/net/lateness.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import structlog
 
 from . import clock
@@ -21,8 +23,9 @@
     meantime, so the data that this iteration reads may have arrived at any moment of that time.
     """
 
-    def __init__(self, reactor: Reactor) -> None:
-        self._reactor = reactor
+    def __init__(self, reactor: Reactor, activity: Callable[[], dict[str, int]] = dict) -> None:
+        """`activity` returns counts of what was done since its last call, for the log."""
+        self._reactor, self._activity = reactor, activity
         self._lateness_ms = 0.0
         self._tick_due_ms = clock.now()
         self._timer: Timer | None = None
@@ -44,11 +47,11 @@
         self._timer = self._reactor.callLater(TICK_INTERVAL_MS / 1000, self._tick)
 
     def _tick(self) -> None:
-        late_ms = clock.now() - self._tick_due_ms
+        late_ms, done = clock.now() - self._tick_due_ms, self._activity()
         if late_ms > USUAL_TIMER_DELAY_MS:
             self._lateness_ms = late_ms
             if late_ms > LOGGED_LATENESS_MS:
-                LOG.warning("event loop was late", ms=round(late_ms))
+                LOG.warning("event loop was late", ms=round(late_ms), **done)
             self._reactor.callLater(0, self._sockets_read)
         self._schedule_tick()
 
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -57,6 +57,7 @@
         self.lateness_ms = lateness_ms
         self.closing = False  # each answer closes its connection
         self.closes: Counter[str] = Counter()  # count of connections that the server closed, by reason
+        self._reads = self._read_bytes = self._requests = 0  # since the last `take_activity`
         self.channels: dict[Any, None] = {}
         self.buffers = BufferBudget("clients", max_buffered_bytes)  # requests without an answer
         self.evictions = EvictionQueue(self.channels)
@@ -75,6 +76,26 @@
         if self.request_timeout_ms and self._sweep_timer is None:
             self._schedule_sweep()
 
+    def data_read(self, size: int) -> None:
+        """Counts data that a connection has read."""
+        self._reads += 1
+        self._read_bytes += size
+
+    def request_received(self, exchange: Exchange) -> None:
+        """Passes a complete request to the answerer."""
+        self._requests += 1
+        self.answerer(exchange)
+
+    def take_activity(self) -> dict[str, int]:
+        """Returns counts of what clients sent since the last call, as fields of a log line."""
+        counts = {
+            "client_reads": self._reads,
+            "client_bytes": self._read_bytes,
+            "client_requests": self._requests,
+        }
+        self._reads = self._read_bytes = self._requests = 0
+        return counts
+
     def _evict(self, channel: Any) -> None:
         """Aborts a connection and removes it at once.
 
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -59,7 +59,7 @@
         self.core.engine_list = self.discovery
         self.core.on_empty = self._end_if_drained
         self.clients = NodeClients(self.core)
-        self.lateness = Lateness(reactor)
+        self.lateness = Lateness(reactor, lambda: self.server.take_activity())
         self.server = Server(
             self.clients,
             MAX_BODY_BYTES,
