Pipelined requests are answered one at a time: floods of them held a node up for seconds

Cause: Channel answered all that one read had brought in one turn, for each connection in turn, and nothing bounded their number. Change: behind an answered request the channel stops parsing; WorkQueue goes on with one request of each connection, some 5 ms of all in an iteration. The connection is not read meanwhile, and not answered while its client does not take the answers, so that no more than one read and one write buffer wait. Tests: tests/test_floods.py; before, one iteration answers 300 requests where 22 are allowed, and a line break behind a request counted as the begin of another.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -9,14 +9,24 @@
 from fault_injection import schedule as s
 from fault_injection.ledger import Rule
 from fault_injection.world import play
-from node_rig import ENGINE_HOST, PREFILL_REPLY, Engine, Rig
+from node_rig import (
+    ENGINE_HOST,
+    LAST_CHUNK,
+    PREFILL_REPLY,
+    Engine,
+    Rig,
+    chat_request,
+    start_two_engine_rig,
+)
 from twisted.internet.epollreactor import EPollReactor
 
-from worksmux.net import client
+from worksmux.net import client, work_queue
 from worksmux.net.loop import listen
 from worksmux.net.server import Server
 
 BURST = 150
+READY_REQUEST = b"GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n"
+PIPELINING_CLIENTS, PIPELINED = 10, 300
 MAX_ACCEPTED_PER_ITERATION = 32
 ITERATION_GAP_MS = 0.01  # from one late reactor iteration to the next
 
@@ -42,6 +52,85 @@
         connection.close()
 
 
+def test_pipelined_requests_are_answered_one_of_a_connection_at_a_time() -> None:
+    """Clients send hundreds of requests each at once, read the answers and go.
+
+    If all that has come were answered in one reactor iteration, nothing else would be read or written for
+    seconds: usual requests are answered after their time.
+    """
+    rig = start_two_engine_rig()
+    clients = [rig.client(READY_REQUEST * PIPELINED) for _ in range(PIPELINING_CLIENTS)]
+    usual = rig.client(chat_request())
+    server, max_requests, usual_answered_at = rig.node.server, 0, 0
+    server.take_activity()
+    while (answers := sum(client.received.count(b"serving\n") for client in clients)) < PIPELINED * len(
+        clients
+    ):
+        rig.reactor.iterate(0.01)
+        max_requests = max(max_requests, server.take_activity()["client_requests"])
+        if usual.received.endswith(LAST_CHUNK) and not usual_answered_at:
+            usual_answered_at = answers
+    assert max_requests <= 2 * (len(clients) + 1)
+    assert 0 < usual_answered_at < PIPELINED * len(clients) // 2
+    assert not any(client.ended for client in clients)
+
+
+def test_partial_request_behind_pipelined_ones_is_completed() -> None:
+    rig = start_two_engine_rig()
+    request = chat_request()
+    client = rig.client(READY_REQUEST * 3 + request[:50])
+    rig.run_until(lambda: client.received.count(b"serving\n") == 3)
+    client.transport.write(request[50:] + b"\r\n")  # type: ignore[union-attr]
+    rig.run_until(lambda: client.received.endswith(LAST_CHUNK))
+    (channel,) = [channel for channel in rig.node.server.channels if channel.has_answered]
+    assert not channel.receiving and not channel.paused  # the line break begins no request
+
+
+def test_pipelined_requests_are_dropped_when_the_connection_closes() -> None:
+    """The second request asks for the close; nothing of what follows is parsed or kept."""
+    rig = start_two_engine_rig()
+    closing = READY_REQUEST.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+    client = rig.client(READY_REQUEST + closing + READY_REQUEST * 200)
+    rig.run_until(lambda: client.ended)
+    assert client.clean and client.received.count(b"serving\n") == 2
+    assert not rig.node.server.buffers.total_bytes
+
+
+class ManualReactor:
+    """A reactor whose iterations the test makes."""
+
+    def __init__(self) -> None:
+        self.calls: list[Any] = []
+
+    def callLater(self, delay: float, call: Any) -> None:
+        self.calls.append(call)
+
+    def iterate(self) -> None:
+        calls, self.calls = self.calls, []
+        for call in calls:
+            call()
+
+
+def test_queued_work_is_spread_over_iterations_in_order(monkeypatch: Any) -> None:
+    now, done = [0.0], []  # type: list[float], list[int]
+    monkeypatch.setattr(work_queue.clock, "now", lambda: now[0])
+
+    def work(number: int) -> None:
+        now[0] += work_queue.MAX_ITERATION_MS / 2 + 0.1
+        done.append(number)
+
+    reactor = ManualReactor()
+    queue = work_queue.WorkQueue(reactor)
+    for number in range(5):
+        queue.add(lambda number=number: work(number))
+    lengths = []
+    while reactor.calls:
+        assert len(reactor.calls) == 1
+        reactor.iterate()
+        lengths.append(len(done))
+    assert lengths == [2, 4, 5] and done == [0, 1, 2, 3, 4]
+
+
 class FakeChannel:
     """A fake connection; counts how often the rank of any connection is read."""
 
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -51,7 +51,8 @@
     pipelined_bytes = 0  # received after the open request
     buffered_bytes = 0  # received of requests that are not answered yet
     busy = False  # a complete request waits for its answer
-    receiving = False  # a part of a request has arrived
+    receiving = False  # a part of a request has arrived, or requests that wait to be parsed
+    _parse_scheduled = False  # of requests that wait to be parsed; `paused` is set as long as they wait
     has_answered = False  # a request was answered on this connection
 
     @property
@@ -75,6 +76,10 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Passes data to Twisted, unless the connection is closing or the client pipelines too much."""
+        if self.paused:  # Twisted passes on what it has read behind the last request
+            self._set_buffered_bytes(self.buffered_bytes + len(data))
+            super().dataReceived(data)
+            return
         now = clock.now()
         self.factory.data_read(len(data))
         if self.has_answered or now - self.since_ms > FIRST_DATA_MS:
@@ -158,7 +163,7 @@
 
     def _free_buffers(self) -> None:
         """Frees what was received and will not be parsed: the connection may stay open for seconds."""
-        self._buffer, self._dataBuffer = b"", []
+        self._buffer, self._dataBuffer, self.paused = b"", [], False
         for request in self.requests:
             request.free_body()
         self._set_buffered_bytes(0)
@@ -223,12 +228,47 @@
         return bool(super().checkPersistence(request, version))
 
     def requestDone(self, request: http.Request) -> None:
-        """Marks the request as answered."""
+        """Marks the request as answered; what was pipelined behind it is parsed in a later iteration.
+
+        Failure: hundreds of connections bring hundreds of requests each, all of which are answered at once,
+        and nothing else is read or written for seconds.  `WorkQueue` parses one request of a connection at a
+        time.  Meanwhile the connection is not read, so that no more than one read waits.
+        """
         self.busy, self.has_answered = False, True
         self.since_ms, self.pipelined_bytes = clock.now(), 0
         self._set_buffered_bytes(len(self._buffer))  # Twisted passes other pipelined data in once more
+        self.paused = self.receiving = bool(self._buffer or self._dataBuffer)
         self.factory.evictions.update(self)
         super().requestDone(request)
+        if self.paused and not self.closing:
+            self._tcp.pauseProducing()
+            self._parse_later()
+
+    def _parse_later(self) -> None:
+        if not self._parse_scheduled:
+            self._parse_scheduled = True
+            self.factory.work_queue.add(self._parse_next)
+
+    def _parse_next(self) -> None:
+        """Parses the next pipelined request, unless the client does not take the answers to earlier ones."""
+        self._parse_scheduled = False
+        if self.closing or self not in self.factory.channels or self._waitingForTransport:
+            return
+        self.paused = False
+        super().dataReceived(b"")
+        if self.paused or self.closing:
+            return
+        if not self.busy:
+            self.receiving = bool(self._buffer or self.requests)
+            self.factory.evictions.update(self)
+        self._tcp.resumeProducing()
+
+    def resumeProducing(self) -> None:
+        """Continues after the client has taken what was written."""
+        super().resumeProducing()
+        if self.paused and not self.closing:
+            self._tcp.pauseProducing()
+            self._parse_later()
 
     def eviction_rank(self) -> int:
         """See `Evictable`: closing connections are evicted first, then silent, idle and receiving ones."""
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -15,6 +15,7 @@
 from .eviction import EvictionQueue
 from .exchange import Exchange
 from .time_out import TimeOut
+from .work_queue import WorkQueue
 
 __all__ = ["Answerer", "Exchange", "Server"]
 
@@ -61,6 +62,7 @@
         self.channels: dict[Any, None] = {}
         self.buffers = BufferBudget("clients", max_buffered_bytes)  # requests without an answer
         self.evictions = EvictionQueue(self.channels)
+        self.work_queue = WorkQueue(self.reactor)  # pipelined requests
         self.on_connection: Callable[[Any], None] | None = None  # called with each new channel
         self._sweep_timer: Any = None
 
