Connections whose data is costly to handle are read in turns, and less at a time

Change: a connection begins with reads of 4 KiB, which double while they are handled within 1 ms and halve when they take over 2 ms; after a costly one it waits in a queue of which some 5 ms are read in an iteration. All others are read in every iteration. Counters requests_parsed_later and reads_in_turn.

--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import errno
+import socket
 from collections.abc import Callable
 from typing import Any
 
 import pytest
 from node_rig import ANSWER, EVENTS, LAST_CHUNK, STREAM, Rig, chat_request, chunk, start_two_engine_rig
+from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.protocol import Factory, Protocol
 
-from worksmux.net import transports
-from worksmux.net.loop import use_retrying_transports
+from worksmux.net import transports, work_queue
+from worksmux.net.loop import listen, use_retrying_transports
 
 FAILED_CALLS = 5
 CALLS = ("recv", "send")
+COSTLY_PEERS, SENT_BYTES = 20, 60_000
+MS_PER_BYTE = 0.002
 
 
 class FailingSocket:
@@ -93,3 +98,54 @@
     lines = [line for line in logged if line["event"] == "slow read"]
     assert {line["protocol"] for line in lines} >= {"_NewConnection", "Channel"}
     assert all(line["bytes"] and line["duration_ms"] >= 0 and "127." in line["peer"] for line in lines)
+
+
+class CostlyPeer(Protocol):
+    """Takes `MS_PER_BYTE` on a fake clock for each byte that it receives."""
+
+    def __init__(self, reads: Reads) -> None:
+        self.reads = reads
+
+    def dataReceived(self, data: bytes) -> None:
+        self.reads.now_ms += MS_PER_BYTE * len(data)
+        self.reads.sizes.append(len(data))
+
+
+class Reads:
+    """The sizes of the reads of one reactor iteration, and the fake clock."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0.0
+        self.sizes: list[int] = []
+
+
+def test_costly_reads_take_turns_and_cheap_ones_do_not_wait(monkeypatch: Any) -> None:
+    """Many peers send what takes long to handle, such as chunks of a byte each, as fast as it is read.
+
+    If each of them were read in each iteration, usual connections would be served once in seconds.
+    """
+    reads = Reads()
+    monkeypatch.setattr(transports.clock, "now", lambda: reads.now_ms)
+    reactor: Any = EPollReactor()  # type: ignore[no-untyped-call]
+    factory: Any = Factory.forProtocol(lambda: CostlyPeer(reads))  # type: ignore[arg-type]
+    _, port = listen(reactor, ("127.0.0.1", 0), factory)
+    costly = [socket.create_connection(("127.0.0.1", port)) for _ in range(COSTLY_PEERS)]
+    cheap = socket.create_connection(("127.0.0.1", port))
+    for _ in range(5):
+        reactor.iterate(0.01)  # accepts
+    for peer in costly:
+        peer.sendall(b"~" * SENT_BYTES)
+    largest_ms, cheap_reads, iterations, received = 0.0, 0, 0, 0
+    while received < COSTLY_PEERS * SENT_BYTES:
+        cheap.sendall(b"x")
+        began_ms, reads.sizes = reads.now_ms, []
+        reactor.iterate(0.01)
+        iterations += 1
+        received += sum(size for size in reads.sizes if size > 1)
+        cheap_reads += 1 in reads.sizes
+        if iterations > 1:  # what a new connection costs is not known before its first read
+            largest_ms = max(largest_ms, reads.now_ms - began_ms)
+    assert largest_ms <= work_queue.MAX_ITERATION_MS + MS_PER_BYTE * transports.FIRST_READ_BYTES
+    assert cheap_reads >= iterations - 1
+    for peer in (*costly, cheap):
+        peer.close()
--- a/worksmux/net/transports.py
+++ b/worksmux/net/transports.py
@@ -1,4 +1,4 @@
-"""TCP transports that survive system calls which fail for a moment.
+"""TCP transports that survive system calls which fail for a moment, and take turns where reads are costly.
 
 Failure: the kernel lacks memory or buffers for a moment, and `recv` or `send` reports it. Twisted takes any
 error but EWOULDBLOCK for the end of the connection, and a sound stream is cut. recv(2) and send(2) name the
@@ -13,16 +13,21 @@
 import termios
 import time
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import structlog
 from twisted.internet import main, tcp
 
 from . import clock
+from .work_queue import WorkQueue
 
 LOG = structlog.get_logger()
 TRANSIENT_ERRNOS = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 SIZE_OF_INT = 4
 LOGGED_READ_MS = 50.0  # a longer handling of one read has a log line
+MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES = 2**10, 2**12, 2**16
+COSTLY_READ_MS = 2.0  # of handling, after which the next read is smaller and waits for its turn
+CHEAP_READ_MS = 1.0  # of handling, up to which the next read may be larger
 RETRY_DELAY_S = 0.005  # after a failed read, so that a lasting failure does not keep the reactor busy
 
 
@@ -35,15 +40,33 @@
     return int.from_bytes(answer, sys.byteorder)
 
 
+_read_queues: WeakKeyDictionary[Any, WorkQueue] = WeakKeyDictionary()
+
+
+def read_queue(reactor: Any) -> WorkQueue:
+    """Returns the queue of the connections of a reactor whose reads are costly."""
+    if reactor not in _read_queues:
+        _read_queues[reactor] = WorkQueue(reactor)
+    return _read_queues[reactor]
+
+
 class _RetryingTransport(tcp.Connection):
-    """Reads and writes again after a transient error."""
+    """Reads and writes again after a transient error.
+
+    Failure: hundreds of connections bring at once what takes long to handle, such as chunks of a byte each.
+    All of it is handled before anything else is read or written.  A connection whose read was costly reads
+    less at a time, and waits in a queue of which some milliseconds are done in each iteration; the other
+    connections are read in every iteration.
+    """
 
     _is_paused = False  # by a consumer, through `pauseProducing`
+    _is_queued = False  # the next read waits for its turn
+    _read_bytes = FIRST_READ_BYTES
 
     def doRead(self) -> Any:
         """Reads what has arrived; after a transient error the read is repeated a little later."""
         try:
-            data = self.socket.recv(self.bufferSize)
+            data = self.socket.recv(self._read_bytes)
         except OSError as error:
             if error.errno not in TRANSIENT_ERRNOS:
                 return main.CONNECTION_LOST
@@ -57,6 +80,7 @@
         started_ms, cpu_started_s = clock.now(), time.process_time()
         result = self._dataReceived(data)
         duration_ms = clock.now() - started_ms
+        self._set_pace(len(data), duration_ms)
         if duration_ms > LOGGED_READ_MS:
             LOG.warning(
                 "slow read",
@@ -68,12 +92,28 @@
             )
         return result
 
+    def _set_pace(self, size: int, duration_ms: float) -> None:
+        """Sets how much is read next, and when, by what the handling of a read of `size` bytes took."""
+        if duration_ms <= CHEAP_READ_MS and size == self._read_bytes:
+            self._read_bytes = min(MAX_READ_BYTES, 2 * self._read_bytes)
+        if duration_ms <= COSTLY_READ_MS or size < MIN_READ_BYTES:  # a short read is costly for other reasons
+            return
+        self._read_bytes = max(MIN_READ_BYTES, self._read_bytes // 2)
+        if self.connected and not self.disconnecting and not self._is_paused and not self._is_queued:
+            self._is_queued = True
+            self.stopReading()
+            read_queue(self.reactor).add(self._take_turn, duration_ms / 2)
+
+    def _take_turn(self) -> None:
+        self._is_queued = False
+        self._read_again()
+
     def _read_later(self) -> None:
         self.stopReading()
         self.reactor.callLater(RETRY_DELAY_S, self._read_again)
 
     def _read_again(self) -> None:
-        if self.connected and not self.disconnecting and not self._is_paused:
+        if self.connected and not self.disconnecting and not self._is_paused and not self._is_queued:
             self.startReading()
 
     def writeSomeData(self, data: bytes) -> Any:
@@ -89,9 +129,10 @@
         super().pauseProducing()
 
     def resumeProducing(self) -> None:
-        """Reads again."""
+        """Reads again, but not before the connection's turn."""
         self._is_paused = False
-        super().resumeProducing()
+        if not self._is_queued:
+            super().resumeProducing()
 
 
 class ServerTransport(_RetryingTransport, tcp.Server):
--- a/worksmux/net/work_queue.py
+++ b/worksmux/net/work_queue.py
@@ -4,13 +4,18 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from . import clock
 
 MAX_ITERATION_MS = 5.0
 
 
+class _Work(NamedTuple):
+    call: Callable[[], None]
+    later_ms: float
+
+
 class WorkQueue:
     """Calls what is added, in order and not before the reactor's next iteration.
 
@@ -20,14 +25,24 @@
 
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
-        self._waiting: deque[Callable[[], None]] = deque()
+        self._waiting: deque[_Work] = deque()
         self._scheduled = False
+        self._added = 0
 
-    def add(self, work: Callable[[], None]) -> None:
-        """Calls `work` in a later iteration."""
-        self._waiting.append(work)
+    def add(self, call: Callable[[], None], later_ms: float = 0.0) -> None:
+        """Calls `call` in a later iteration.
+
+        `later_ms` is the time that the call is expected to cause in that iteration after it has returned.
+        """
+        self._waiting.append(_Work(call, later_ms))
+        self._added += 1
         self._schedule()
 
+    def take_added(self) -> int:
+        """Returns how many calls were added since the last look."""
+        added, self._added = self._added, 0
+        return added
+
     def _schedule(self) -> None:
         if self._waiting and not self._scheduled:
             self._scheduled = True
@@ -37,7 +52,9 @@
         self._scheduled = False
         end_ms = clock.now() + MAX_ITERATION_MS
         for _ in range(len(self._waiting)):  # what is added meanwhile waits for the next iteration
-            self._waiting.popleft()()
+            work = self._waiting.popleft()
+            work.call()
+            end_ms -= work.later_ms
             if clock.now() > end_ms:
                 break
         self._schedule()
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -20,6 +20,7 @@
 from ..net.loop import Reactor, Timer, listen, the_reactor
 from ..net.server import Server
 from ..net.time_out import TimeOut
+from ..net.transports import read_queue
 from ..policy.id_map import IdMap
 from .clients import NodeClients
 from .config import Config, load
@@ -157,6 +158,8 @@
                 connections=len(self.server.channels),
                 client_buffer_bytes=client_buffers.peak_bytes,
                 engine_buffer_bytes=engine_buffers.peak_bytes,
+                requests_parsed_later=self.server.work_queue.take_added(),
+                reads_in_turn=read_queue(self.reactor).take_added(),
                 **counts,
             )
         self._counters_timer = self.reactor.callLater(COUNTERS_PERIOD_MS / 1000, self._log_counters)
