Soak: floods of clients and streams of noise, and the memory of nodes

The soak knew crowds of idle connections, but nothing that sends much at once, and told nodes no memory. Change: in half of the plans bad clients, as a process of their own, send half bodies, half heads or pipelined requests, and engines send noise without an end in chunks of 1, 80 or 4,096 bytes. Nodes are told 48 MB, and using more counts as a crash.

--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -22,6 +22,7 @@
 PREFILL_S, FIRST_TOKEN_S = (0.02, 0.2), (0.02, 0.12)  # shortest and longest
 SHORT_STREAM, LONG_STREAM = ((3, 20), (0.02, 0.06)), ((20, 80), (0.05, 0.3))  # events, and pause in seconds
 LONG_STREAM_SHARE = 0.2
+SPOILT_WRITE_BYTES, SPOILT_WRITE_PAUSE_S, MAX_SPOILT_BYTES = 2**16, 0.002, 2**23
 REFUSAL_DELAY_S = 0.05  # after an engine is listed as draining, until it rejects attempts itself
 
 
@@ -89,7 +90,8 @@
         self.connections: dict[EngineConnection, None] = {}
         self.status, self.since_ms, self.refuses = "SERVING", 0, False
         self.life = 0  # number of this process
-        self._hung_until = 0.0
+        self._hung_until = self._spoils_until = 0.0
+        self._noise = b""
         self._delayed: list[Callable[[], None]] = []
         self.port: Any = None
         self.port_number = 0
@@ -176,6 +178,12 @@
         for connection in list(self.connections):
             connection.tcp.abortConnection()
 
+    def spoil_streams(self, seconds: float, chunk_bytes: int) -> None:
+        """Sends noise without an end in place of the events of streams that begin in this time."""
+        self._spoils_until = time.monotonic() + seconds
+        noise = chunk(b"~" * chunk_bytes)
+        self._noise = noise * (SPOILT_WRITE_BYTES // len(noise) + 1)
+
     # Work.
 
     def when_running(self, call: Callable[[], None]) -> None:
@@ -243,6 +251,10 @@
         self.records.ledger.kv_cache_taken(key, held[-1], self.name)
         assert connection.record is not None
         connection.record.executed = True
+        if time.monotonic() < self._spoils_until:
+            connection.record.engine_stalled = True  # the node may cut it
+            connection.tcp.write(STREAM)
+            return self._send_noise(connection, MAX_SPOILT_BYTES)
         is_long = self.random.random() < LONG_STREAM_SHARE
         events, pauses = LONG_STREAM if is_long else SHORT_STREAM
         count, pause = self.random.randint(*events), self.random.uniform(*pauses)
@@ -250,6 +262,15 @@
             self.random.uniform(*FIRST_TOKEN_S), lambda: self._send_event(connection, count, pause, STREAM)
         )
 
+    def _send_noise(self, connection: EngineConnection, bytes_left: int) -> None:
+        """Sends noise as fast as it is taken, until the node closes the connection."""
+        if connection.closed or bytes_left <= 0:
+            return
+        if not connection.tcp.dataBuffer:
+            connection.tcp.write(self._noise)
+            bytes_left -= len(self._noise)
+        self._later(SPOILT_WRITE_PAUSE_S, lambda: self._send_noise(connection, bytes_left))
+
     def _send_event(
         self, connection: EngineConnection, events_left: int, pause: float, head: bytes = b""
     ) -> None:
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -24,7 +24,10 @@
 ROOT = str(Path(__file__).parents[2])  # the program beside these tests, whatever is installed
 SHIM = str(Path(__file__).with_name("node_shim.py"))
 SOCKETS = 256  # descriptors of a node
+MEMORY_MB = 48.0  # over this the platform would kill the node
 POLL_S = 0.02
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+FLOOD = str(Path(__file__).with_name("flood.py"))
 FAILURE_TEXTS = (b'"event":"policy failed', b"Traceback (most recent call last)", b"Unhandled error")
 CLASSES = [
     {"name": "feedback", "aim": 1500.0, "deadline": 4300.0, "worth": 1.0, "repeat": "free"},
@@ -39,6 +42,15 @@
     written.replace(path)
 
 
+def _private_mb(process_id: int) -> float:
+    """Returns the memory of a process without mapped files; 0 once it has ended."""
+    try:
+        fields = Path(f"/proc/{process_id}/statm").read_text().split()
+    except OSError:
+        return 0.0
+    return (int(fields[1]) - int(fields[2])) * PAGE_BYTES / 2**20 if len(fields) > 2 else 0.0
+
+
 class NodeProcess:
     """One node of the fleet through all its starts."""
 
@@ -56,6 +68,7 @@
         self.agent, self.discovery, self.folder, self.records = agent, discovery, folder, records
         self.reactor = agent.reactor
         self.starts = 0
+        self._floods: list[subprocess.Popen[bytes]] = []
         self._control = Control()
         self.process: subprocess.Popen[bytes] | None = None
         self.record: NodeRecord
@@ -96,7 +109,7 @@
             "listen": f"{self.host}:{self.port}",
             "discovery": self.agent.address,
             "seed": f"{self.number + 1:x}",
-            "limits": {"sockets": SOCKETS},
+            "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB},
             "settings": self._settings(),
             "known": self.discovery.known(),
         }
@@ -111,6 +124,7 @@
         """Watches for the end of the process."""
         code = process.poll()
         if code is None:
+            record.peak_mb = max(record.peak_mb, _private_mb(process.pid))
             self.reactor.callLater(POLL_S, self._poll, record, process)
             return
         record.exited_at, record.exit_code = time.monotonic(), code
@@ -186,8 +200,16 @@
 
         self.reactor.callLater(seconds, go_on)
 
+    def flood(self, kind: str, clients: int) -> None:
+        """Starts bad clients of this node."""
+        command = [sys.executable, FLOOD, self.host, str(self.port), kind, str(clients)]
+        self._floods.append(subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL))
+
     def end(self) -> None:
         """Ends the process at the end of a run."""
+        for flood in self._floods:
+            flood.kill()
+            flood.wait()
         if self.process is not None and self.is_running:
             self.record.killed_at = time.monotonic()
             self.process.kill()
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -9,10 +9,14 @@
 from random import Random
 from signal import Signals
 
+from . import flood
+
 FIRST_FAULT_S = 1.0
 LONG_ABSENCE_S = 17.0  # longer than a policy remembers an engine that is gone
 SETTLE_S = 2.5  # without new requests, at the end of a run
 MAX_STALL_S = 0.15  # of a node, by SIGSTOP: the standing test allows for that much
+FLOOD_S = 4.0
+MAX_FLOOD_CLIENTS = 80  # a third of the descriptors of a node
 MAX_WAIT_S = 4.3  # that a client waits for its first token
 
 
@@ -144,6 +148,26 @@
     share: float
 
 
+@dataclass(frozen=True)
+class Flood:
+    """Bad clients send much at once to a node, in a process of their own; see `flood`."""
+
+    at: float
+    node: int
+    kind: str
+    clients: int
+
+
+@dataclass(frozen=True)
+class SpoiltStreams:
+    """Each stream that begins at an engine is noise without an end, in chunks of some bytes."""
+
+    at: float
+    until: float
+    engine: int
+    chunk_bytes: int
+
+
 Fault = (
     Absence
     | Hang
@@ -159,6 +183,8 @@
     | Kill
     | Stalls
     | Crowd
+    | Flood
+    | SpoiltStreams
 )
 
 
@@ -213,6 +239,7 @@
         chosen.append(_terminations)
     for generator in chosen:
         plan.faults.extend(generator(random, plan))
+    plan.faults.extend(_floods(Random(f"floods {seed}"), plan))  # drawn apart: the other faults stay the same
     return plan
 
 
@@ -288,6 +315,25 @@
     return [fault for fault in faults if fault.at < plan.seconds]
 
 
+def _floods(random: Random, plan: Plan) -> list[Fault]:
+    """In half of the plans: much comes at once from clients, from engines, or from both."""
+    if random.random() < 0.5:
+        return []
+    faults: list[Fault] = []
+    for _ in range(random.randint(1, 3)):
+        at = _start(random, plan, FLOOD_S)
+        kinds = random.sample(sorted(flood.REQUESTS), random.randint(1, 2))
+        node, clients = random.randrange(plan.nodes), random.choice([20, MAX_FLOOD_CLIENTS])
+        faults.extend(Flood(at, node, kind, clients // len(kinds)) for kind in kinds)
+    for _ in range(random.randint(0, 2)):
+        at = _start(random, plan, FLOOD_S)
+        engine = random.randrange(plan.prefill_engines, plan.engines)
+        faults.append(
+            SpoiltStreams(at, at + random.uniform(0.5, FLOOD_S), engine, random.choice([1, 80, 4096]))
+        )
+    return faults
+
+
 def _crowd(random: Random, plan: Plan) -> list[Fault]:
     length = random.uniform(2.0, 6.0)
     at = _start(random, plan, length)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -95,6 +95,7 @@
     killed_at: float | None = None
     exited_at: float | None = None
     exit_code: int | None = None
+    peak_mb: float = 0.0  # the most memory that it used
     told: dict[str, list[tuple[float, str]]] = field(default_factory=lambda: defaultdict(list))
 
 
@@ -110,7 +111,8 @@
 class Records:
     """Everything that is recorded of a run."""
 
-    def __init__(self, release_within_ms: float, drain_grace_ms: float) -> None:
+    def __init__(self, release_within_ms: float, drain_grace_ms: float, memory_mb: float) -> None:
+        self.memory_mb = memory_mb  # of a node
         self.requests: dict[str, RequestRecord] = {}
         self.attempts: dict[str, list[AttemptRecord]] = defaultdict(list)
         self.nodes: dict[str, NodeRecord] = {}
@@ -238,7 +240,9 @@
     # Processes.
 
     def _check_process(self, node: NodeRecord) -> None:
-        """A process ends only after a signal, and well."""
+        """A process keeps to its memory, and ends only after a signal, and well."""
+        if node.peak_mb > self.memory_mb:
+            self.break_rule(Rule.CRASHED, node.name, f"used {node.peak_mb:.0f} of {self.memory_mb:.0f} MB")
         if node.exited_at is None or node.killed_at is not None and node.exited_at >= node.killed_at:
             return
         if node.terminated_at is None or node.exit_code != 0:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -21,7 +21,7 @@
 from .clients import Clients
 from .discovery import Agent, Discovery
 from .engines import SoakEngine
-from .nodes import NodeProcess
+from .nodes import MEMORY_MB, NodeProcess
 from .records import Outcome, Records
 
 ZONES = "abc"
@@ -61,7 +61,7 @@
         use_monotonic_clock(self.reactor)
         rules: Any = SETTINGS["rules"]
         extra: Any = SETTINGS["extra"]
-        self.records = Records(extra["release_within"], rules["drain_grace"])
+        self.records = Records(extra["release_within"], rules["drain_grace"], MEMORY_MB)
         self.engines = [self._engine(number) for number in range(plan.engines)]
         self.discovery = Discovery(self.engines)
         self.nodes = [self._node(number, folder) for number in range(plan.nodes)]
@@ -124,6 +124,10 @@
                 later(at, self.nodes[number].stall, times, length)
             case plans.Crowd(at, until, number, connections):
                 later(at, self.clients.crowd, self.nodes[number], connections, until - at)
+            case plans.Flood(at, number, kind, clients):
+                later(at, self.nodes[number].flood, kind, clients)
+            case plans.SpoiltStreams(at, until, number, chunk_bytes):
+                later(at, self.engines[number].spoil_streams, until - at, chunk_bytes)
             case _:
                 assert_never(fault)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,13 +7,20 @@
 import sys
 from pathlib import Path
 
-SEEDS = ("1", "3", "5")  # each breaks on a version whose streams are cut as in incident 56
+SEEDS = (
+    *("1", "3", "5"),  # each breaks on a version whose streams are cut as in incident 56
+    "12",  # breaks on a version without limits of what comes at once, as in the cases of issue 63
+)
 SECONDS = "26"
 TIMEOUT_S = 120.0
 
 
 def test_short_soak_keeps_all_rules(tmp_path: Path) -> None:
-    """Incident 56 shows in these seeds: streams are cut when engines return after a long absence."""
+    """Incident 56 and issue 63 show in these seeds.
+
+    Streams are cut when engines return after a long absence. Half requests exceed a node's memory, and noise in
+    place of streams holds a node up until usual answers are late.
+    """
     runs = [
         subprocess.Popen(
             [sys.executable, "-m", "soak", "run", seed, "--seconds", SECONDS, "--keep", str(tmp_path)],
