--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,8 +18,8 @@
 def test_short_soak_keeps_all_rules(tmp_path: Path) -> None:
     """Incident 56 and issue 63 show in these seeds.
 
-    Streams are cut when engines return after a long absence. Half requests exceed a node's memory, and noise in
-    place of streams holds a node up until usual answers are late.
+    Streams are cut when engines return after a long absence. Half requests exceed a node's memory, and noise
+    in place of streams holds a node up until usual answers are late.
     """
     runs = [
         subprocess.Popen(
