A client that takes no answers is not read: they were buffered without a limit

Twisted stops reading for a client that takes no answers only where the answer is given later; for one that is given at once, such as to GET /up, each request added an answer to the write buffer. Change: behind an answer that does not fit the write buffer the connection is not parsed and not read until the client has taken it. Measured: test_client_that_takes_no_answers_is_not_answered_without_a_limit; before, 3,000 requests are all read and answered.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from contextlib import suppress
 from typing import Any
 
 import pytest
@@ -25,6 +26,7 @@
 from worksmux.net.server import Server
 
 BURST = 150
+UNREAD_REQUESTS = 3000
 READY_REQUEST = b"GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n"
 PIPELINING_CLIENTS, PIPELINED = 10, 300
 MAX_ACCEPTED_PER_ITERATION = 32
@@ -96,6 +98,39 @@
     assert not rig.node.server.buffers.total_bytes
 
 
+def test_client_that_takes_no_answers_is_not_answered_without_a_limit() -> None:
+    """A client sends requests, each in a packet of its own, and reads nothing."""
+    rig = start_two_engine_rig()
+    rig.node.server.on_connection = lambda channel: limit_buffer(
+        channel.transport.getHandle(), socket.SO_SNDBUF
+    )
+    client = socket.socket()
+    limit_buffer(client, socket.SO_RCVBUF)
+    client.connect(("127.0.0.1", rig.node.port))
+    client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    client.setblocking(False)
+    rig.run_until(lambda: rig.node.server.channels)
+    (channel,) = rig.node.server.channels
+    largest_bytes, sent = 0, 0
+    while sent < UNREAD_REQUESTS and not channel.paused:
+        sent += bool(client.send(READY_REQUEST))
+        rig.reactor.iterate(0)
+        largest_bytes = max(largest_bytes, len(channel.transport.dataBuffer) + channel.transport._tempDataLen)
+    assert channel.paused and largest_bytes < 2 * channel.transport.bufferSize
+    received = b""
+    while received.count(b"serving\n") < sent:
+        rig.reactor.iterate(0.001)
+        with suppress(BlockingIOError):
+            received += client.recv(2**16)
+    client.send(READY_REQUEST)
+    rig.run_until(lambda: not channel.paused and channel.has_answered)
+    client.close()
+
+
+def limit_buffer(connection: socket.socket, option: int) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, option, 4096)
+
+
 class ManualReactor:
     """A reactor whose iterations the test makes."""
 
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -232,12 +232,14 @@
 
         Failure: hundreds of connections bring hundreds of requests each, all of which are answered at once,
         and nothing else is read or written for seconds.  `WorkQueue` parses one request of a connection at a
-        time.  Meanwhile the connection is not read, so that no more than one read waits.
+        time.  Meanwhile the connection is not read, so no more than one read waits.  Nor is it read while
+        its client takes no answers, which would be buffered here without a limit.
         """
         self.busy, self.has_answered = False, True
         self.since_ms, self.pipelined_bytes = clock.now(), 0
         self._set_buffered_bytes(len(self._buffer))  # Twisted passes other pipelined data in once more
-        self.paused = self.receiving = bool(self._buffer or self._dataBuffer)
+        self.receiving = bool(self._buffer or self._dataBuffer)
+        self.paused = self.receiving or self._waitingForTransport
         self.factory.evictions.update(self)
         super().requestDone(request)
         if self.paused and not self.closing:
