Buffer limit: a discard that fails, or that ends other connections, upsets it no more

An exception of a discard left the limit off for good; a connection that ended with the one discarded before it was discarded and counted a second time. Change: the mark is taken back in any case; connections that are counted no more are passed over.

--- a/tests/test_buffer_limits.py
+++ b/tests/test_buffer_limits.py
@@ -179,6 +179,41 @@
     assert sum(connection.discarded for connection in connections) == 1 and not in_use.discarded
 
 
+class PairedConnection(FakeConnection):
+    """A connection whose end ends another one too, or fails."""
+
+    other: FakeConnection | None = None
+
+    def discard_buffered(self) -> None:
+        super().discard_buffered()
+        if self.other is None:
+            raise OSError("injected")
+        self.budget.remove(self.other)
+
+
+def test_connection_that_ended_with_another_one_is_not_discarded() -> None:
+    """The end of an attempt makes the policy cancel others, whose connections close at once."""
+    budget = BufferBudget("peers")
+    in_use = FakeConnection(budget, 0.0, discardable=False)
+    first, second = PairedConnection(budget, 0.0), FakeConnection(budget, 0.0)
+    first.other = second
+    first.receive(60_000)
+    second.receive(45_000)
+    budget.max_bytes = 100_000
+    in_use.receive(110_000)
+    assert first.discarded and not second.discarded
+    assert budget.take_counts().discards == 1
+
+
+def test_limit_holds_after_a_discard_that_failed() -> None:
+    budget = BufferBudget("peers", 100_000)
+    with pytest.raises(OSError, match="injected"):
+        PairedConnection(budget, 0.0).receive(110_000)
+    next_one = FakeConnection(budget, 0.0)
+    next_one.receive(110_000)
+    assert next_one.discarded
+
+
 @pytest.mark.parametrize("size", [0, UNCHARGED_BYTES])
 def test_short_buffers_are_not_charged(size: int) -> None:
     budget = BufferBudget("peers", 1)
--- a/worksmux/net/buffer_budget.py
+++ b/worksmux/net/buffer_budget.py
@@ -60,8 +60,10 @@
         self._peak_bytes = max(self._peak_bytes, self.total_bytes)
         if self.max_bytes and self.total_bytes > self.max_bytes and not self._making_room:
             self._making_room = True
-            self._make_room()
-            self._making_room = False
+            try:
+                self._make_room()
+            finally:
+                self._making_room = False
 
     def remove(self, connection: Buffering) -> None:
         """Removes a connection that buffers nothing any more."""
@@ -89,7 +91,10 @@
             key=lambda connection: discardable[connection] * (1 + now - connection.since_ms),
         )
         while by_cost and self.total_bytes > goal_bytes:
-            by_cost.pop().discard_buffered()
+            connection = by_cost.pop()
+            if connection not in self._charged:  # it ended with one that was discarded before it
+                continue
+            connection.discard_buffered()
             self._discards += 1
             self._unlogged_discards += 1
         self._log(now, buffered_before)
