--- a/review/common_2/standins.py
+++ b/review/common_2/standins.py
@@ -261,7 +261,7 @@
         self.entries = {entry["name"]: entry for entry in entries}
         self.changed_at = dict.fromkeys(self.entries, 0)  # by name: the index of the last change
         self.first_answer_after_s = 0.0  # how slow the first answer of a call is
-        self.accepts = True
+        self.quiet = False  # changes are not written to the record
         self.port = 0
         self._server: asyncio.Server | None = None
         self._watches: dict[asyncio.StreamWriter, int] = {}  # with the index that each was sent
@@ -289,7 +289,8 @@
         for entry in entries:
             self.entries[entry["name"]] = entry
             self.changed_at[entry["name"]] = index
-            self.record.line(f"{self.name}: version {index}, {entry['name']} is {entry['status']}")
+            if not self.quiet:
+                self.record.line(f"{self.name}: version {index}, {entry['name']} is {entry['status']}")
         for writer in list(self._watches):
             self._tell(writer)
 
@@ -306,7 +307,8 @@
         self._watches[writer] = self.index
         line = json.dumps({"index": self.index, "snapshot": snapshot, "endpoints": entries}).encode()
         writer.write(chunk(line + b"\n"))
-        self.record.line(f"{self.name}: writes version {self.index}, snapshot {snapshot}, after {after}")
+        if not self.quiet:
+            self.record.line(f"{self.name}: writes version {self.index}, snapshot {snapshot}, after {after}")
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
