--- a/review/6/case.py
+++ b/review/6/case.py
@@ -80,11 +80,9 @@
     tasks, flood = [], None
     for number in range(round(PER_S * LOAD_S)):
         if TROUBLE and flood is None and number / PER_S >= BEFORE_S:
-            flood = await asyncio.create_subprocess_exec(
-                sys.executable,
+            flood = await case.program(
                 str(Path(__file__).resolve().parent / "flood.py"),
                 *(str(value) for value in (node.port, BAD_CLIENTS, BAD_S)),
-                stdout=asyncio.subprocess.PIPE,
             )
             case.record.line(f"{BAD_CLIENTS} bad clients begin")
         timeout_ms = TIMEOUTS_MS[number % len(TIMEOUTS_MS)]
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -109,11 +109,9 @@
     await asyncio.sleep(BEFORE_S)
     flood = None
     if TROUBLE:
-        flood = await asyncio.create_subprocess_exec(
-            sys.executable,
+        flood = await case.program(
             str(Path(__file__).resolve().parent / "flood.py"),
             *(str(value) for value in (node.port, BAD_CLIENTS, BAD_S)),
-            stdout=asyncio.subprocess.PIPE,
         )
         case.record.line(f"{BAD_CLIENTS} bad clients begin")
     await asyncio.gather(*tasks)
--- a/review/common_2/standins.py
+++ b/review/common_2/standins.py
@@ -542,6 +542,20 @@
         self._ends.append(node.end)
         return await node.start()
 
+    async def program(self, *arguments: str) -> asyncio.subprocess.Process:
+        """Starts a further Python program of a case, whose standard output can be read."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, *arguments, stdout=asyncio.subprocess.PIPE
+        )
+
+        async def end() -> None:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+        self._ends.append(end)
+        return process
+
     async def end(self) -> None:
         """Ends all processes and servers."""
         for end in reversed(self._ends):
@@ -557,9 +571,12 @@
     async def run() -> int:
         with tempfile.TemporaryDirectory() as temporary:
             case = Case(folder, Path(temporary))
+            playing = asyncio.ensure_future(body(case))
+            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+                asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
             try:
-                held = await asyncio.wait_for(body(case), limit_s)
-            except (CouldNotRunError, TimeoutError, OSError) as error:
+                held = await asyncio.wait_for(playing, limit_s)
+            except (CouldNotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
                 case.record.line(f"could not run: {error!r}")
                 print(f"could not run: {error!r}", file=sys.stderr)
                 return COULD_NOT_RUN
