--- a/review/6/case.py
+++ b/review/6/case.py
@@ -22,7 +22,7 @@
     settings,
 )
 
-BAD_CLIENTS, BAD_S = 300, 10.0
+BAD_CLIENTS, BAD_S = 320, 10.0
 PER_S, LOAD_S, BEFORE_S = 8.0, 16.0, 2.0
 TIMEOUTS_MS = (3000, 4000, 5000, 6000)  # 50 to 100% of the outer limit of `feedback`
 LATE_S = 0.5 + 0.05  # after the client's time an answer only earns nothing; 50 ms more on sockets
@@ -68,7 +68,7 @@
 
 
 async def body(case: Case) -> bool:
-    """Usual clients send on new connections, with 300 bad clients beside them for 10 s."""
+    """Usual clients send on new connections, with 320 bad clients beside them for 10 s."""
     readers = [await case.engine(f"r{number}", "prefill") for number in range(2)]
     writers = [await case.engine(f"w{number}", "decode") for number in range(3)]
     entries = [engine.entry() for engine in (*readers, *writers)]
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,7 +23,7 @@
     settings,
 )
 
-BAD_CLIENTS, BAD_S = 300, 10.0
+BAD_CLIENTS, BAD_S = 320, 10.0
 USUAL_CLIENTS, REST_S, LOAD_S, BEFORE_S = 12, 0.3, 16.0, 2.0
 # The outer limit, a try of half of it, and a second try of half of what such a first one leaves.
 TIMEOUTS_MS = (4000, 2000, 1000)
@@ -90,7 +90,7 @@
 
 
 async def body(case: Case) -> bool:
-    """Usual clients send on connections that they keep, with 300 bad clients beside them for 10 s."""
+    """Usual clients send on connections that they keep, with 320 bad clients beside them for 10 s."""
     readers = [await case.engine(f"r{number}", "prefill") for number in range(2)]
     writers = [await case.engine(f"w{number}", "decode") for number in range(3)]
     entries = [engine.entry() for engine in (*readers, *writers)]
