A late event loop logs accepted connections, read times and queue waits

Cause: 'event loop was late' told reads and bytes of clients, but not whether one read or their sum took the time, and nothing told how long a connection waits for its turn in the two queues.

Change: client_connections, client_read_ms and longest_client_read_ms in that line; longest_parse_wait_ms and longest_read_wait_ms in the counters.

--- a/tests/test_node_logs.py
+++ b/tests/test_node_logs.py
@@ -98,7 +98,8 @@
     rig = start_two_engine_rig()
     rig.wait_for_status(rig.client(chat_request()))
     rig.node.lateness._tick_due_ms -= 100.0
-    rig.node.server.data_read(5)
+    rig.node.server.data_read(5, 7.5)
     rig.node.lateness._tick()
     (line, *_) = [line for line in logged if line["event"] == "event loop was late" and line["client_bytes"]]
-    assert line["client_reads"] >= 1 and line["client_requests"] >= 0
+    assert line["client_reads"] >= 1 and line["client_requests"] >= 0 and line["client_connections"] >= 0
+    assert line["client_read_ms"] >= line["longest_client_read_ms"] >= 7.5
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -81,7 +81,10 @@
             super().dataReceived(data)
             return
         now = clock.now()
-        self.factory.data_read(len(data))
+        self._receive(data, now)
+        self.factory.data_read(len(data), clock.now() - now)
+
+    def _receive(self, data: bytes, now: float) -> None:
         if self.has_answered or now - self.since_ms > FIRST_DATA_MS:
             self.earliest_arrival_ms = now - self.factory.lateness_ms()
         if self.busy or self.discarding:
--- a/worksmux/net/lateness.py
+++ b/worksmux/net/lateness.py
@@ -23,7 +23,7 @@
     meantime, so the data that this iteration reads may have arrived at any moment of that time.
     """
 
-    def __init__(self, reactor: Reactor, activity: Callable[[], dict[str, int]] = dict) -> None:
+    def __init__(self, reactor: Reactor, activity: Callable[[], dict[str, float]] = dict) -> None:
         """`activity` returns counts of what was done since its last call, for the log."""
         self._reactor, self._activity = reactor, activity
         self._lateness_ms = 0.0
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -12,6 +12,7 @@
 from . import clock
 from .buffer_budget import BufferBudget
 from .channel import Channel
+from .client_activity import ClientActivity
 from .eviction import EvictionQueue
 from .exchange import Exchange
 from .time_out import TimeOut
@@ -58,7 +59,7 @@
         self.lateness_ms = lateness_ms
         self.closing = False  # each answer closes its connection
         self.closes: Counter[str] = Counter()  # count of connections that the server closed, by reason
-        self._reads = self._read_bytes = self._requests = 0  # since the last `take_activity`
+        self._activity = ClientActivity()  # since the last `take_activity`
         self.channels: dict[Any, None] = {}
         self.buffers = BufferBudget("clients", max_buffered_bytes)  # requests without an answer
         self.evictions = EvictionQueue(self.channels)
@@ -69,6 +70,7 @@
     def connection_made(self, channel: Any) -> None:
         """Registers a new connection, and closes the one with the highest rank if there are too many."""
         self.channels[channel] = None
+        self._activity.connections += 1
         self.evictions.update(channel)
         if self.on_connection:
             self.on_connection(channel)
@@ -78,25 +80,19 @@
         if self.request_timeout_ms and self._sweep_timer is None:
             self._schedule_sweep()
 
-    def data_read(self, size: int) -> None:
-        """Counts data that a connection has read."""
-        self._reads += 1
-        self._read_bytes += size
+    def data_read(self, size: int, duration_ms: float) -> None:
+        """Counts data that a connection has read, and the time in which it was handled."""
+        self._activity.add_read(size, duration_ms)
 
     def request_received(self, exchange: Exchange) -> None:
         """Passes a complete request to the answerer."""
-        self._requests += 1
+        self._activity.requests += 1
         self.answerer(exchange)
 
-    def take_activity(self) -> dict[str, int]:
+    def take_activity(self) -> dict[str, float]:
         """Returns counts of what clients sent since the last call, as fields of a log line."""
-        counts = {
-            "client_reads": self._reads,
-            "client_bytes": self._read_bytes,
-            "client_requests": self._requests,
-        }
-        self._reads = self._read_bytes = self._requests = 0
-        return counts
+        activity, self._activity = self._activity, ClientActivity()
+        return activity.log_fields()
 
     def _evict(self, channel: Any) -> None:
         """Aborts a connection and removes it at once.
--- a/worksmux/net/work_queue.py
+++ b/worksmux/net/work_queue.py
@@ -14,6 +14,14 @@
 class _Work(NamedTuple):
     call: Callable[[], None]
     later_ms: float
+    added_ms: float  # clock time
+
+
+class QueueCounts(NamedTuple):
+    """What a queue has counted since the last look."""
+
+    added: int
+    longest_wait_ms: float  # of the calls that were made
 
 
 class WorkQueue:
@@ -28,20 +36,22 @@
         self._waiting: deque[_Work] = deque()
         self._scheduled = False
         self._added = 0
+        self._longest_wait_ms = 0.0
 
     def add(self, call: Callable[[], None], later_ms: float = 0.0) -> None:
         """Calls `call` in a later iteration.
 
         `later_ms` is the time that the call is expected to cause in that iteration after it has returned.
         """
-        self._waiting.append(_Work(call, later_ms))
+        self._waiting.append(_Work(call, later_ms, clock.now()))
         self._added += 1
         self._schedule()
 
-    def take_added(self) -> int:
-        """Returns how many calls were added since the last look."""
-        added, self._added = self._added, 0
-        return added
+    def take_counts(self) -> QueueCounts:
+        """Returns the counts and resets them."""
+        counts = QueueCounts(self._added, self._longest_wait_ms)
+        self._added, self._longest_wait_ms = 0, 0.0
+        return counts
 
     def _schedule(self) -> None:
         if self._waiting and not self._scheduled:
@@ -53,6 +63,7 @@
         end_ms = clock.now() + MAX_ITERATION_MS
         for _ in range(len(self._waiting)):  # what is added meanwhile waits for the next iteration
             work = self._waiting.popleft()
+            self._longest_wait_ms = max(self._longest_wait_ms, clock.now() - work.added_ms)
             work.call()
             end_ms -= work.later_ms
             if clock.now() > end_ms:
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -151,6 +151,8 @@
         )
         self.counts.discarded(engine_buffers.discards)
         if counts := self.counts.take():
+            parsed_later = self.server.work_queue.take_counts()
+            read_in_turn = read_queue(self.reactor).take_counts()
             LOG.info(
                 "counters",
                 open_requests=self.counts.open,
@@ -158,8 +160,10 @@
                 connections=len(self.server.channels),
                 client_buffer_bytes=client_buffers.peak_bytes,
                 engine_buffer_bytes=engine_buffers.peak_bytes,
-                requests_parsed_later=self.server.work_queue.take_added(),
-                reads_in_turn=read_queue(self.reactor).take_added(),
+                requests_parsed_later=parsed_later.added,
+                longest_parse_wait_ms=round(parsed_later.longest_wait_ms),
+                reads_in_turn=read_in_turn.added,
+                longest_read_wait_ms=round(read_in_turn.longest_wait_ms),
                 **counts,
             )
         self._counters_timer = self.reactor.callLater(COUNTERS_PERIOD_MS / 1000, self._log_counters)
