First reads of new connections share the time of an iteration with all others

Cause: a connection's pace was known only after its first read of 16 KiB, some 12 ms of handling, and nothing bounded how many first reads one turn makes. Afterwards costly reads waited in the order of their arrival, those of closed connections too, and 16 accepts a turn of 200 ms kept usual clients in the accept queue.

Change: all reads of a kind share MAX_ITERATION_MS of an iteration; those that wait go on in the order of the processing time that their connections have caused. First reads are of 2 KiB and followed at once by larger ones while they are cheap. The bound is on the time spent, not on an expected cost, so no burst of new connections gets past it. A request that waited to be accepted or read counts as old as that wait.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -54,6 +54,31 @@
         connection.close()
 
 
+def test_connection_that_waits_to_be_accepted_has_an_early_arrival(monkeypatch: Any) -> None:
+    """A burst of connections is accepted over many iterations, and a usual request waits among them.
+
+    If its time were counted from when it is accepted, its answer would come after its client has gone.
+    """
+    reactor: Any = EPollReactor()  # type: ignore[no-untyped-call]
+    server = Server(lambda exchange: None, 1000, 1000, 2000.0, reactor)
+    _, port = listen(reactor, ("127.0.0.1", 0), server)
+    now, arrivals = [0.0], []  # type: list[float], list[float]
+    monkeypatch.setattr(work_queue.clock, "now", lambda: now[0])
+    server.on_connection = lambda channel: arrivals.append(channel.earliest_arrival_ms)
+    waiting = [socket.create_connection(("127.0.0.1", port)) for _ in range(BURST)]
+    while len(arrivals) < BURST:
+        now[0] += 10.0
+        reactor.iterate(0.01)
+    assert now[0] > 50.0 and max(arrivals) <= 10.0
+    now[0] += 10.0
+    waiting.append(socket.create_connection(("127.0.0.1", port)))
+    while len(arrivals) <= BURST:
+        reactor.iterate(0.01)
+    assert arrivals[-1] == now[0]  # nobody waited
+    for connection in waiting:
+        connection.close()
+
+
 def test_pipelined_requests_are_answered_one_of_a_connection_at_a_time() -> None:
     """Clients send hundreds of requests each at once, read the answers and go.
 
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -107,6 +107,7 @@
         self.reads = reads
 
     def dataReceived(self, data: bytes) -> None:
+        self.reads.unread_since_ms.append(self.transport.unread_since_ms)  # type: ignore[union-attr]
         self.reads.now_ms += MS_PER_BYTE * len(data)
         self.reads.sizes.append(len(data))
 
@@ -117,35 +118,138 @@
     def __init__(self) -> None:
         self.now_ms = 0.0
         self.sizes: list[int] = []
+        self.unread_since_ms: list[float] = []  # of all reads
+
+
+class TurnsRig:
+    """Costly and cheap peers of one listening port, on a fake clock; counts what is read in an iteration."""
+
+    def __init__(self, monkeypatch: Any, costly_peers: int) -> None:
+        self.reads = Reads()
+        monkeypatch.setattr(transports.clock, "now", lambda: self.reads.now_ms)
+        self.reactor: Any = EPollReactor()  # type: ignore[no-untyped-call]
+        factory: Any = Factory.forProtocol(lambda: CostlyPeer(self.reads))  # type: ignore[arg-type]
+        _, self.port = listen(self.reactor, ("127.0.0.1", 0), factory)
+        self.costly = [self.connect() for _ in range(costly_peers)]
+        self.largest_ms = 0.0
+        self.iterations_left = 10_000
+
+    def connect(self) -> socket.socket:
+        return socket.create_connection(("127.0.0.1", self.port))
+
+    def iterate(self) -> list[int]:
+        """Makes one iteration; returns the sizes of its reads."""
+        began_ms, self.reads.sizes = self.reads.now_ms, []
+        self.iterations_left -= 1
+        assert self.iterations_left, "not all data was read"
+        self.reactor.iterate(0.01)
+        self.largest_ms = max(self.largest_ms, self.reads.now_ms - began_ms)
+        return self.reads.sizes
+
+    def send_from_costly_peers(self) -> None:
+        for peer in self.costly:
+            peer.sendall(b"~" * SENT_BYTES)
+
+    def close(self, *others: socket.socket) -> None:
+        for peer in (*self.costly, *others):
+            peer.close()
+
+
+MAX_TURN_MS = work_queue.MAX_ITERATION_MS + MS_PER_BYTE * transports.FIRST_READ_BYTES
 
 
 def test_costly_reads_take_turns_and_cheap_ones_do_not_wait(monkeypatch: Any) -> None:
     """Many peers send what takes long to handle, such as chunks of a byte each, as fast as it is read.
 
-    If each of them were read in each iteration, usual connections would be served once in seconds.
+    If each of them were read in each iteration, usual connections would be served once in seconds. A byte of
+    a cheap connection is read in the iteration in which it arrives or, where the time is used up, in the
+    next; only its first one waits for the first, small reads of the others, whose cost is not known yet.
     """
-    reads = Reads()
-    monkeypatch.setattr(transports.clock, "now", lambda: reads.now_ms)
-    reactor: Any = EPollReactor()  # type: ignore[no-untyped-call]
-    factory: Any = Factory.forProtocol(lambda: CostlyPeer(reads))  # type: ignore[arg-type]
-    _, port = listen(reactor, ("127.0.0.1", 0), factory)
-    costly = [socket.create_connection(("127.0.0.1", port)) for _ in range(COSTLY_PEERS)]
-    cheap = socket.create_connection(("127.0.0.1", port))
+    rig = TurnsRig(monkeypatch, COSTLY_PEERS)
+    cheap = rig.connect()
     for _ in range(5):
-        reactor.iterate(0.01)  # accepts
-    for peer in costly:
-        peer.sendall(b"~" * SENT_BYTES)
-    largest_ms, cheap_reads, iterations, received = 0.0, 0, 0, 0
-    while received < COSTLY_PEERS * SENT_BYTES:
+        rig.reactor.iterate(0.01)  # accepts
+    rig.send_from_costly_peers()
+    cheap.sendall(b"x")
+    received = 0
+    while 1 not in (sizes := rig.iterate()):
+        received += sum(sizes)
+    received += sum(sizes)
+    assert rig.reads.now_ms <= COSTLY_PEERS * MS_PER_BYTE * transports.FIRST_READ_BYTES + MAX_TURN_MS
+    unread_bytes, most_unread_bytes, sent_bytes = 0, 0, 1
+    while received < COSTLY_PEERS * SENT_BYTES + sent_bytes:
         cheap.sendall(b"x")
-        began_ms, reads.sizes = reads.now_ms, []
-        reactor.iterate(0.01)
+        sent_bytes, unread_bytes = sent_bytes + 1, unread_bytes + 1
+        most_unread_bytes = max(most_unread_bytes, unread_bytes)
+        sizes = rig.iterate()
+        received += sum(sizes)
+        unread_bytes -= sum(size for size in sizes if size <= unread_bytes)
+    assert rig.largest_ms <= MAX_TURN_MS  # of the first iteration too
+    assert most_unread_bytes <= 2
+    rig.close(cheap)
+
+
+def test_first_reads_of_new_connections_share_the_time_of_an_iteration(monkeypatch: Any) -> None:
+    """Hundreds of clients connect and send what is costly to read, before any cost is known (review/6).
+
+    All of their first reads in one iteration hold up every usual request for seconds.
+    """
+    rig = TurnsRig(monkeypatch, 4 * COSTLY_PEERS)
+    rig.send_from_costly_peers()
+    received = 0
+    while received < len(rig.costly) * SENT_BYTES:
+        received += sum(rig.iterate())
+    assert rig.largest_ms <= MAX_TURN_MS
+    rig.close()
+
+
+def test_connection_without_a_cost_is_read_before_costly_ones(monkeypatch: Any) -> None:
+    """A usual client connects while hundreds wait for their turns; in order of arrival it waits for all."""
+    rig = TurnsRig(monkeypatch, 4 * COSTLY_PEERS)
+    rig.send_from_costly_peers()
+    for _ in range(4 * COSTLY_PEERS):
+        rig.iterate()  # each of them has been read
+    usual = rig.connect()
+    usual.sendall(b"x")
+    iterations = 0
+    while 1 not in rig.iterate():
         iterations += 1
-        received += sum(size for size in reads.sizes if size > 1)
-        cheap_reads += 1 in reads.sizes
-        if iterations > 1:  # what a new connection costs is not known before its first read
-            largest_ms = max(largest_ms, reads.now_ms - began_ms)
-    assert largest_ms <= work_queue.MAX_ITERATION_MS + MS_PER_BYTE * transports.FIRST_READ_BYTES
-    assert cheap_reads >= iterations - 1
-    for peer in (*costly, cheap):
-        peer.close()
+    assert iterations <= 3  # to accept it, to find the time used up, to read it
+    rig.close(usual)
+
+
+def test_failure_of_a_queued_read_ends_its_connection_alone(monkeypatch: Any) -> None:
+    """A protocol raises an error in a read that has waited for its turn; the other reads go on."""
+    rig = TurnsRig(monkeypatch, COSTLY_PEERS)
+    rig.send_from_costly_peers()
+    rig.iterate()
+    add_cost, failed = CostlyPeer.dataReceived, []  # type: ignore[var-annotated]
+
+    def fail_once(peer: CostlyPeer, data: bytes) -> None:
+        if not failed:
+            failed.append(peer)
+            raise ValueError("injected")
+        add_cost(peer, data)
+
+    monkeypatch.setattr(CostlyPeer, "dataReceived", fail_once)
+    received = 0
+    while received < (COSTLY_PEERS - 1) * SENT_BYTES:
+        received += sum(rig.iterate())
+    assert failed and failed[0].transport.disconnected
+    rig.close()
+
+
+def test_read_that_waited_tells_since_when_its_data_may_have_waited(monkeypatch: Any) -> None:
+    """A request waits for its turn, and its time would be counted from when it is read.
+
+    Its client has gone when the answer comes, and engines are told more time than the client has left.
+    """
+    rig = TurnsRig(monkeypatch, COSTLY_PEERS)
+    for _ in range(5):
+        rig.reactor.iterate(0.01)  # accepts
+    rig.send_from_costly_peers()
+    while len(rig.reads.unread_since_ms) < COSTLY_PEERS:
+        rig.iterate()
+    assert rig.reads.now_ms > 2 * MAX_TURN_MS
+    assert max(rig.reads.unread_since_ms[3:COSTLY_PEERS]) <= MAX_TURN_MS  # those that had to wait
+    rig.close()
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from twisted.internet.protocol import connectionDone
@@ -11,7 +12,8 @@
 
 from . import clock
 from .exchange import MAX_BODY_OVERRUN
-from .transports import unacknowledged_bytes
+from .processing_cost import ProcessingCost
+from .transports import ServerTransport, unacknowledged_bytes, unread_bytes
 
 MAX_HEADERS = 100
 MAX_PIPELINED_BYTES = 2**16  # received after a request that waits for its answer
@@ -54,6 +56,8 @@
     receiving = False  # a part of a request has arrived, or requests that wait to be parsed
     _parse_scheduled = False  # of requests that wait to be parsed; `paused` is set as long as they wait
     has_answered = False  # a request was answered on this connection
+    _paused_at_ms = math.inf  # clock time from which on the connection is not read
+    _unread_since_ms = math.inf  # clock time from which on the next read's data may have been unread
 
     @property
     def _tcp(self) -> Any:
@@ -64,6 +68,10 @@
         super().connectionMade()
         self.since_ms = clock.now()  # start of the current state: silent, receiving, idle or closing
         self.earliest_arrival_ms = self.since_ms - self.factory.lateness_ms()
+        self.cost = ProcessingCost()
+        if isinstance(self._tcp, ServerTransport):
+            self.cost = self._tcp.cost
+            self.earliest_arrival_ms = min(self.earliest_arrival_ms, self._tcp.accept_wait_since_ms)
         self.totalHeadersSize = self.factory.max_head_bytes
         self.MAX_LENGTH = self.factory.max_head_bytes
         self.factory.connection_made(self)
@@ -85,8 +93,9 @@
         self.factory.data_read(len(data), clock.now() - now)
 
     def _receive(self, data: bytes, now: float) -> None:
-        if self.has_answered or now - self.since_ms > FIRST_DATA_MS:
-            self.earliest_arrival_ms = now - self.factory.lateness_ms()
+        earliest_ms = self._earliest_arrival_ms(now)
+        if self.has_answered or earliest_ms - self.since_ms > FIRST_DATA_MS:
+            self.earliest_arrival_ms = earliest_ms
         if self.busy or self.discarding:
             self.pipelined_bytes += len(data)
         if self.pipelined_bytes > MAX_PIPELINED_BYTES:
@@ -100,6 +109,14 @@
         if not self.discarding:
             super().dataReceived(data)
 
+    def _earliest_arrival_ms(self, now: float) -> float:
+        """Returns since when the data that is read at `now` may have been in the socket."""
+        earliest_ms: float = min(now - self.factory.lateness_ms(), self._unread_since_ms)
+        self._unread_since_ms = math.inf
+        if isinstance(self._tcp, ServerTransport):
+            earliest_ms = min(earliest_ms, self._tcp.unread_since_ms)
+        return earliest_ms
+
     def buffered_data_freed(self, freed_bytes: int) -> None:
         """Counts received data that is not kept, such as the rest of a body that is too long."""
         self._set_buffered_bytes(max(0, self.buffered_bytes - freed_bytes))
@@ -162,6 +179,8 @@
         self.setTimeout(CLOSE_TIMEOUT_MS / 1000)
         self._tcp.unregisterProducer()
         self._tcp.resumeProducing()
+        if isinstance(self._tcp, ServerTransport):
+            self._tcp.end_wait()
         self._tcp.loseWriteConnection()
 
     def _free_buffers(self) -> None:
@@ -241,15 +260,20 @@
         self.busy, self.has_answered = False, True
         self.since_ms, self.pipelined_bytes = clock.now(), 0
         self._set_buffered_bytes(len(self._buffer))  # Twisted passes other pipelined data in once more
-        self.receiving = bool(self._buffer or self._dataBuffer)
+        self.receiving = bool(self._buffer) or any(
+            self._dataBuffer
+        )  # behind a body Twisted adds an empty piece
         self.paused = self.receiving or self._waitingForTransport
         self.factory.evictions.update(self)
         super().requestDone(request)
         if self.paused and not self.closing:
-            self._tcp.pauseProducing()
-            self._parse_later()
+            self._pause()
 
-    def _parse_later(self) -> None:
+    def _pause(self) -> None:
+        """Stops reading until the pipelined requests have been parsed."""
+        now = clock.now()
+        self._paused_at_ms = min(self._paused_at_ms, now)
+        self._tcp.pauseProducing()
         if not self._parse_scheduled:
             self._parse_scheduled = True
             self.factory.work_queue.add(self._parse_next)
@@ -260,20 +284,29 @@
         if self.closing or self not in self.factory.channels or self._waitingForTransport:
             return
         self.paused = False
+        started_ms = clock.now()
         super().dataReceived(b"")
+        now = clock.now()
+        self.cost.add(now - started_ms, now)
         if self.paused or self.closing:
             return
         if not self.busy:
             self.receiving = bool(self._buffer or self.requests)
             self.factory.evictions.update(self)
+        self._resume()
+
+    def _resume(self) -> None:
+        """Reads again; what has arrived in the meantime may be as old as the pause."""
+        if unread_bytes(self._tcp):
+            self._unread_since_ms = self._paused_at_ms
+        self._paused_at_ms = math.inf
         self._tcp.resumeProducing()
 
     def resumeProducing(self) -> None:
         """Continues after the client has taken what was written."""
         super().resumeProducing()
         if self.paused and not self.closing:
-            self._tcp.pauseProducing()
-            self._parse_later()
+            self._pause()
 
     def eviction_rank(self) -> int:
         """See `Evictable`: closing connections are evicted first, then silent, idle and receiving ones."""
--- a/worksmux/net/loop.py
+++ b/worksmux/net/loop.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import time
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 from typing import Any, Protocol
@@ -11,7 +12,7 @@
 from twisted.internet.interfaces import IReactorFDSet
 from twisted.internet.tcp import Port
 
-from . import transports
+from . import clock, transports
 
 LISTEN_BACKLOG = 1024  # connections waiting to be accepted
 MAX_ACCEPTS_PER_ITERATION = 16
@@ -81,7 +82,7 @@
     reactor.connectTCP = partial(transports.connect, reactor)
 
 
-class _FairPort(Port):
+class FairPort(Port):
     """A listening port that accepts few connections in each reactor iteration.
 
     Failure: Twisted's port accepts a hundred at a time, and more after each full iteration.  In a burst all
@@ -89,6 +90,27 @@
     """
 
     transport = transports.ServerTransport
+    waiting_since_ms = 0.0  # clock time since which the connections that are accepted now may have waited
+
+    def startListening(self) -> None:
+        """Starts to listen."""
+        self._full_accepts: deque[float] = deque(maxlen=LISTEN_BACKLOG // MAX_ACCEPTS_PER_ITERATION)
+        super().startListening()
+
+    def doRead(self) -> None:
+        """Accepts connections.
+
+        While as many are accepted as may be, further ones wait, and the one that is accepted last has waited
+        for up to `LISTEN_BACKLOG` others.
+        """
+        now = clock.now()
+        self.waiting_since_ms = self._full_accepts[0] if self._full_accepts else now
+        accepted_before = self.sessionno
+        super().doRead()
+        if self.sessionno - accepted_before < MAX_ACCEPTS_PER_ITERATION:
+            self._full_accepts.clear()
+        else:
+            self._full_accepts.append(now)
 
     @property
     def numberAccepts(self) -> int:
@@ -104,7 +126,7 @@
     host, number = address
     port: Any
     if IReactorFDSet.providedBy(reactor):
-        port = _FairPort(number, factory, LISTEN_BACKLOG, host, reactor)
+        port = FairPort(number, factory, LISTEN_BACKLOG, host, reactor)
         port.startListening()
     else:
         port = reactor.listenTCP(number, factory, backlog=LISTEN_BACKLOG, interface=host)
--- a/worksmux/net/transports.py
+++ b/worksmux/net/transports.py
@@ -9,24 +9,27 @@
 
 import errno
 import fcntl
+import math
 import sys
 import termios
-from typing import Any
+from functools import cached_property
+from typing import Any, NamedTuple
 from weakref import WeakKeyDictionary
 
 import structlog
 from twisted.internet import main, tcp
 
 from . import clock
+from .processing_cost import ProcessingCost
 from .work_queue import WorkQueue
 
 LOG = structlog.get_logger()
 TRANSIENT_ERRNOS = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 SIZE_OF_INT = 4
 LOGGED_READ_MS = 50.0  # a longer handling of one read has a log line
-MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES = 2**10, 2**14, 2**16
-COSTLY_READ_MS = 2.0  # of handling, after which the next read is smaller and waits for its turn
-CHEAP_READ_MS = 1.0  # of handling, up to which the next read may be larger
+MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES = 2**10, 2**11, 2**16
+COSTLY_READ_MS = 2.0  # of handling, after which the next read is smaller
+CHEAP_READ_MS = 1.0  # of handling, up to which the next read follows at once and may be larger
 RETRY_DELAY_S = 0.005  # after a failed read, so that a lasting failure does not keep the reactor busy
 
 
@@ -39,47 +42,102 @@
     return int.from_bytes(answer, sys.byteorder)
 
 
-_read_queues: WeakKeyDictionary[Any, WorkQueue] = WeakKeyDictionary()
+def unread_bytes(transport: Any) -> int:
+    """Returns how many bytes have arrived that are not read yet; 0 where that is not known."""
+    try:
+        answer = fcntl.ioctl(transport.getHandle().fileno(), termios.FIONREAD, bytes(SIZE_OF_INT))
+    except (AttributeError, OSError, ValueError):  # closed, or not a socket of the kernel
+        return 0
+    return int.from_bytes(answer, sys.byteorder)
+
+
+class ReadQueues(NamedTuple):
+    """The queues of a reactor's connections, whose reads take turns when there is too much to read."""
 
+    accepted: WorkQueue  # connections that peers have opened
+    opened: WorkQueue  # connections that this process has opened
 
-def read_queue(reactor: Any) -> WorkQueue:
-    """Returns the queue of the connections of a reactor whose reads are costly."""
+
+_read_queues: WeakKeyDictionary[Any, ReadQueues] = WeakKeyDictionary()
+
+
+def read_queues(reactor: Any) -> ReadQueues:
+    """Returns the queues of a reactor."""
     if reactor not in _read_queues:
-        _read_queues[reactor] = WorkQueue(reactor)
+        _read_queues[reactor] = ReadQueues(WorkQueue(reactor), WorkQueue(reactor))
     return _read_queues[reactor]
 
 
 class _RetryingTransport(tcp.Connection):
-    """Reads and writes again after a transient error.
+    """Reads and writes again after a transient error, and takes turns with others of its kind.
 
-    Failure: hundreds of connections bring at once what takes long to handle, such as chunks of a byte each.
-    All of it is handled before anything else is read or written.  A connection whose read was costly reads
-    less at a time, and waits in a queue of which some milliseconds are done in each iteration; the other
-    connections are read in every iteration.
+    Failure: hundreds of connections, new ones among them, bring at once what takes long to handle, such as
+    chunks of a byte each.  All of it is handled before anything else is read or written.  In an iteration
+    some milliseconds are spent on reads; further connections wait in a queue, in which those that have caused
+    the least processing time come first.  A first read is small, as its cost is not known.
     """
 
     _is_paused = False  # by a consumer, through `pauseProducing`
     _is_queued = False  # the next read waits for its turn
     _read_bytes = FIRST_READ_BYTES
+    unread_since_ms = math.inf  # clock time from which on the data that is read now may have been unread
+
+    @cached_property
+    def cost(self) -> ProcessingCost:
+        """The processing time that the connection's data has caused."""
+        return ProcessingCost()
+
+    def _read_queue(self) -> WorkQueue:
+        raise NotImplementedError
 
     def doRead(self) -> Any:
-        """Reads what has arrived; after a transient error the read is repeated a little later."""
-        try:
-            data = self.socket.recv(self._read_bytes)
-        except OSError as error:
-            if error.errno not in TRANSIENT_ERRNOS:
-                return main.CONNECTION_LOST
-            if error.errno not in (errno.EAGAIN, errno.EWOULDBLOCK):
-                self._read_later()
-            return None
-        return self._handle(data)
-
-    def _handle(self, data: bytes) -> Any:
-        """Passes data to the protocol, and logs when that takes long: nothing else is read meanwhile."""
+        """Reads what has arrived, or waits for a turn if the reads of this iteration took long already."""
+        queue = self._read_queue()
+        if queue.has_time():
+            return self._read_available()
+        now = clock.now()
+        self._is_queued = True
+        self.unread_since_ms = now
+        self.stopReading()
+        queue.add(self._take_turn, self.cost.excess_ms(now))
+        return None
+
+    def _read_available(self) -> Any:
+        """Reads until the socket is empty or a read was not cheap; one that fails is repeated later."""
+        bytes_left = MAX_READ_BYTES
+        while True:
+            size = min(self._read_bytes, bytes_left)
+            try:
+                data = self.socket.recv(size)
+            except OSError as error:
+                if error.errno not in TRANSIENT_ERRNOS:
+                    return main.CONNECTION_LOST
+                if error.errno not in (errno.EAGAIN, errno.EWOULDBLOCK):
+                    self._read_later()
+                return None
+            bytes_left -= len(data)
+            result, duration_ms = self._handle(data)
+            has_more = len(data) == size and bytes_left > 0
+            if result is not None or not has_more or duration_ms > CHEAP_READ_MS or not self._may_read():
+                return result
+
+    def _may_read(self) -> bool:
+        is_open = self.connected and not self.disconnecting and not self._aborting
+        return bool(is_open and not self._is_paused and not self._is_queued)
+
+    def _handle(self, data: bytes) -> tuple[Any, float]:
+        """Passes data to the protocol; returns Twisted's result and the duration in milliseconds.
+
+        A long one is logged, as nothing else is read meanwhile.
+        """
         started_ms = clock.now()
         result = self._dataReceived(data)
-        duration_ms = clock.now() - started_ms
-        self._set_pace(len(data), duration_ms)
+        now = clock.now()
+        duration_ms = now - started_ms
+        self.unread_since_ms = math.inf
+        self.cost.add(duration_ms, now)
+        self._read_queue().spend(duration_ms)
+        self._set_read_size(len(data), duration_ms)
         if duration_ms > LOGGED_READ_MS:
             LOG.warning(
                 "slow read",
@@ -88,30 +146,43 @@
                 bytes=len(data),
                 duration_ms=round(duration_ms, 1),
             )
-        return result
+        return result, duration_ms
 
-    def _set_pace(self, size: int, duration_ms: float) -> None:
-        """Sets how much is read next, and when, by what the handling of a read of `size` bytes took."""
+    def _set_read_size(self, size: int, duration_ms: float) -> None:
+        """Sets how much is read next by what the handling of a read of `size` bytes took."""
         if duration_ms <= CHEAP_READ_MS and size == self._read_bytes:
             self._read_bytes = min(MAX_READ_BYTES, 2 * self._read_bytes)
-        if duration_ms <= COSTLY_READ_MS or size < MIN_READ_BYTES:  # a short read is costly for other reasons
-            return
-        self._read_bytes = max(MIN_READ_BYTES, self._read_bytes // 2)
-        if self.connected and not self.disconnecting and not self._is_paused and not self._is_queued:
-            self._is_queued = True
-            self.stopReading()
-            read_queue(self.reactor).add(self._take_turn, duration_ms / 2)
+        elif duration_ms > COSTLY_READ_MS and size >= MIN_READ_BYTES:  # short ones are costly by other causes
+            self._read_bytes = max(MIN_READ_BYTES, self._read_bytes // 2)
 
     def _take_turn(self) -> None:
-        self._is_queued = False
-        self._read_again()
+        """Reads at once: in the reactor's order the connection might have to wait again."""
+        if not self._is_queued:
+            return
+        self.end_wait()
+        if not self._may_read():
+            self.unread_since_ms = math.inf
+            return
+        try:
+            result = self._read_available()
+        except Exception as error:  # as the reactor does: the connection ends, and the others go on
+            LOG.exception("handling of received data failed", protocol=type(self.protocol).__name__)
+            result = error
+        if result is not None:
+            self.reactor._disconnectSelectable(self, result, True)
+
+    def end_wait(self) -> None:
+        """Reads without a turn: the connection is being closed, and its data is discarded."""
+        if self._is_queued:
+            self._is_queued = False
+            self._read_again()
 
     def _read_later(self) -> None:
         self.stopReading()
         self.reactor.callLater(RETRY_DELAY_S, self._read_again)
 
     def _read_again(self) -> None:
-        if self.connected and not self.disconnecting and not self._is_paused and not self._is_queued:
+        if self._may_read():
             self.startReading()
 
     def writeSomeData(self, data: bytes) -> Any:
@@ -134,12 +205,24 @@
 
 
 class ServerTransport(_RetryingTransport, tcp.Server):
-    """An accepted connection."""
+    """A connection that a `FairPort` has accepted."""
+
+    @property
+    def accept_wait_since_ms(self) -> float:
+        """Clock time since which the connection may have waited to be accepted, at the earliest."""
+        port: Any = self.server
+        return float(port.waiting_since_ms)
+
+    def _read_queue(self) -> WorkQueue:
+        return read_queues(self.reactor).accepted
 
 
 class ClientTransport(_RetryingTransport, tcp.Client):
     """A connection that this process opens."""
 
+    def _read_queue(self) -> WorkQueue:
+        return read_queues(self.reactor).opened
+
 
 class TcpConnector(tcp.Connector):
     """Opens connections of the type `ClientTransport`."""
--- a/worksmux/net/work_queue.py
+++ b/worksmux/net/work_queue.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections import deque
+import heapq
 from collections.abc import Callable
+from itertools import count
 from typing import Any, NamedTuple
 
 from . import clock
@@ -12,9 +13,12 @@
 
 
 class _Work(NamedTuple):
-    call: Callable[[], None]
-    later_ms: float
+    """An entry of the heap: least cost first, then the oldest."""
+
+    cost_ms: float
+    number: int
     added_ms: float  # clock time
+    call: Callable[[], None]
 
 
 class QueueCounts(NamedTuple):
@@ -25,28 +29,36 @@
 
 
 class WorkQueue:
-    """Calls what is added, in order and not before the reactor's next iteration.
+    """Calls what is added, the least costly first, and not before the reactor's next iteration.
 
     Failure: hundreds of connections have work at once.  All of it in one iteration blocks the reactor for
-    seconds, in which no other connection is read or written.
+    seconds, in which no other connection is read or written.  In the order of its arrival, the work of a
+    usual connection waits until that of all costly ones is done.
     """
 
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
-        self._waiting: deque[_Work] = deque()
+        self._waiting: list[_Work] = []
+        self._numbers = count()
         self._scheduled = False
+        self._spent_ms = 0.0  # since the queue's last iteration began
         self._added = 0
         self._longest_wait_ms = 0.0
 
-    def add(self, call: Callable[[], None], later_ms: float = 0.0) -> None:
-        """Calls `call` in a later iteration.
-
-        `later_ms` is the time that the call is expected to cause in that iteration after it has returned.
-        """
-        self._waiting.append(_Work(call, later_ms, clock.now()))
+    def add(self, call: Callable[[], None], cost_ms: float = 0.0) -> None:
+        """Calls `call` in a later iteration; `cost_ms` is the `ProcessingCost` of its connection."""
+        heapq.heappush(self._waiting, _Work(cost_ms, next(self._numbers), clock.now(), call))
         self._added += 1
         self._schedule()
 
+    def has_time(self) -> bool:
+        """Whether work may be done at once, without waiting in the queue."""
+        return self._spent_ms < MAX_ITERATION_MS
+
+    def spend(self, duration_ms: float) -> None:
+        """Counts work that was done at once."""
+        self._spent_ms += duration_ms
+
     def take_counts(self) -> QueueCounts:
         """Returns the counts and resets them."""
         counts = QueueCounts(self._added, self._longest_wait_ms)
@@ -60,12 +72,18 @@
 
     def _run(self) -> None:
         self._scheduled = False
-        end_ms = clock.now() + MAX_ITERATION_MS
-        for _ in range(len(self._waiting)):  # what is added meanwhile waits for the next iteration
-            work = self._waiting.popleft()
-            self._longest_wait_ms = max(self._longest_wait_ms, clock.now() - work.added_ms)
+        try:
+            self._call_waiting()
+        finally:  # a call that fails does not hold up the others
+            self._schedule()
+
+    def _call_waiting(self) -> None:
+        began_ms = now = clock.now()
+        for _ in range(len(self._waiting)):  # at most as many calls as wait now: each may add another one
+            work = heapq.heappop(self._waiting)
+            self._longest_wait_ms = max(self._longest_wait_ms, now - work.added_ms)
             work.call()
-            end_ms -= work.later_ms
-            if clock.now() > end_ms:
+            now = clock.now()
+            if now - began_ms > MAX_ITERATION_MS:
                 break
-        self._schedule()
+        self._spent_ms = now - began_ms
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -20,7 +20,7 @@
 from ..net.loop import Reactor, Timer, listen, the_reactor
 from ..net.server import Server
 from ..net.time_out import TimeOut
-from ..net.transports import read_queue
+from ..net.transports import read_queues
 from ..policy.id_map import IdMap
 from .clients import NodeClients
 from .config import Config, load
@@ -152,7 +152,7 @@
         self.counts.discarded(engine_buffers.discards)
         if counts := self.counts.take():
             parsed_later = self.server.work_queue.take_counts()
-            read_in_turn = read_queue(self.reactor).take_counts()
+            client_reads, engine_reads = (queue.take_counts() for queue in read_queues(self.reactor))
             LOG.info(
                 "counters",
                 open_requests=self.counts.open,
@@ -162,8 +162,10 @@
                 engine_buffer_bytes=engine_buffers.peak_bytes,
                 requests_parsed_later=parsed_later.added,
                 longest_parse_wait_ms=round(parsed_later.longest_wait_ms),
-                reads_in_turn=read_in_turn.added,
-                longest_read_wait_ms=round(read_in_turn.longest_wait_ms),
+                client_reads_in_turn=client_reads.added,
+                longest_client_read_wait_ms=round(client_reads.longest_wait_ms),
+                engine_reads_in_turn=engine_reads.added,
+                longest_engine_read_wait_ms=round(engine_reads.longest_wait_ms),
                 **counts,
             )
         self._counters_timer = self.reactor.callLater(COUNTERS_PERIOD_MS / 1000, self._log_counters)
