--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -29,6 +29,8 @@
 UNREAD_REQUESTS = 3000
 READY_REQUEST = b"GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n"
 PIPELINING_CLIENTS, PIPELINED = 10, 300
+CHUNKED_HEAD = chat_request().partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNK_OF_A_BYTE, COSTLY_CHUNKS = b"1\r\nx\r\n", 10_000
 MAX_ACCEPTED_PER_ITERATION = 32
 ITERATION_GAP_MS = 0.01  # from one late reactor iteration to the next
 
@@ -102,6 +104,36 @@
     assert not any(client.ended for client in clients)
 
 
+def test_answered_connection_without_further_data_does_not_wait(monkeypatch: Any) -> None:
+    """Usual clients keep their connections, one request at a time, beside clients that pipeline (review/7).
+
+    If a connection waited after each answer in the queue of pipelined requests, it would not be read for
+    seconds, and its next request would be answered too late.
+    """
+    rig = start_two_engine_rig()
+    client = rig.client(chat_request())
+    rig.run_until(lambda: client.received.endswith(LAST_CHUNK))
+    (channel,) = [channel for channel in rig.node.server.channels if channel.has_answered]
+    assert not channel.paused and not channel.receiving
+    assert rig.node.server.work_queue.take_counts().added == 0
+    client.transport.write(chat_request("a2"))  # type: ignore[union-attr]
+    rig.run_until(lambda: client.received.count(LAST_CHUNK) == 2)
+
+
+def test_pipelined_requests_of_costly_connections_wait_for_those_of_usual_ones(monkeypatch: Any) -> None:
+    """Some clients pipeline what takes long to parse; one pipelines two usual requests after them."""
+    rig = start_two_engine_rig()
+    body = CHUNK_OF_A_BYTE * COSTLY_CHUNKS + b"no size\r\n"
+    costly = READY_REQUEST + CHUNKED_HEAD + body
+    clients = [rig.client(costly) for _ in range(PIPELINING_CLIENTS)]
+    rig.run_until(lambda: all(client.received for client in clients))
+    usual = rig.client(READY_REQUEST * 2)
+    rig.run_until(lambda: usual.received.count(b"serving\n") == 2)
+    assert sum(client.ended for client in clients) <= len(clients) // 2
+    rig.run_until(lambda: all(client.ended for client in clients))
+    assert all(b"HTTP/1.1 400 " in client.received for client in clients)
+
+
 def test_partial_request_behind_pipelined_ones_is_completed() -> None:
     rig = start_two_engine_rig()
     request = chat_request()
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -276,7 +276,7 @@
         self._tcp.pauseProducing()
         if not self._parse_scheduled:
             self._parse_scheduled = True
-            self.factory.work_queue.add(self._parse_next)
+            self.factory.work_queue.add(self._parse_next, self.cost.excess_ms(now))
 
     def _parse_next(self) -> None:
         """Parses the next pipelined request, unless the client does not take the answers to earlier ones."""
