Connections that are being closed are read without turns

Cause: since the refused connections waited for turns, behind new ones, to read the close of their clients.

Change: a connection that is being closed reads without turns; its data is discarded, which costs little. Test: test_closed_connections_do_not_wait_for_turns fails with the call left out.

--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -105,10 +105,13 @@
 
     def __init__(self, reads: Reads) -> None:
         self.reads = reads
+        self.is_closed = False  # its data is discarded, which costs nothing
+        reads.peers.append(self)
 
     def dataReceived(self, data: bytes) -> None:
         self.reads.unread_since_ms.append(self.transport.unread_since_ms)  # type: ignore[union-attr]
-        self.reads.now_ms += MS_PER_BYTE * len(data)
+        if not self.is_closed:
+            self.reads.now_ms += MS_PER_BYTE * len(data)
         self.reads.sizes.append(len(data))
 
 
@@ -119,6 +122,7 @@
         self.now_ms = 0.0
         self.sizes: list[int] = []
         self.unread_since_ms: list[float] = []  # of all reads
+        self.peers: list[CostlyPeer] = []
 
 
 class TurnsRig:
@@ -218,6 +222,26 @@
     rig.close(usual)
 
 
+def test_closed_connections_do_not_wait_for_turns(monkeypatch: Any) -> None:
+    """Clients are refused and come again at once; their closed connections wait behind new ones.
+
+    Until they are read they hold descriptors, and with too many connections usual ones are closed.
+    """
+    rig = TurnsRig(monkeypatch, COSTLY_PEERS)
+    rig.send_from_costly_peers()
+    for _ in range(COSTLY_PEERS):
+        rig.iterate()
+    waiting = [peer for peer in rig.reads.peers if peer.transport._is_queued]  # type: ignore[union-attr]
+    assert len(waiting) > COSTLY_PEERS // 2
+    for peer in waiting:
+        peer.is_closed = True
+        peer.transport.end_turns()  # type: ignore[union-attr]
+    rig.reads.sizes = []
+    rig.reactor.iterate(0.01)
+    assert len(rig.reads.sizes) >= len(waiting)
+    rig.close()
+
+
 def test_failure_of_a_queued_read_ends_its_connection_alone(monkeypatch: Any) -> None:
     """A protocol raises an error in a read that has waited for its turn; the other reads go on."""
     rig = TurnsRig(monkeypatch, COSTLY_PEERS)
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -180,7 +180,7 @@
         self._tcp.unregisterProducer()
         self._tcp.resumeProducing()
         if isinstance(self._tcp, ServerTransport):
-            self._tcp.end_wait()
+            self._tcp.end_turns()
         self._tcp.loseWriteConnection()
 
     def _free_buffers(self) -> None:
--- a/worksmux/net/transports.py
+++ b/worksmux/net/transports.py
@@ -79,6 +79,7 @@
 
     _is_paused = False  # by a consumer, through `pauseProducing`
     _is_queued = False  # the next read waits for its turn
+    _takes_turns = True
     _read_bytes = FIRST_READ_BYTES
     unread_since_ms = math.inf  # clock time from which on the data that is read now may have been unread
 
@@ -93,7 +94,7 @@
     def doRead(self) -> Any:
         """Reads what has arrived, or waits for a turn if the reads of this iteration took long already."""
         queue = self._read_queue()
-        if queue.has_time():
+        if not self._takes_turns or queue.has_time():
             return self._read_available()
         now = clock.now()
         self._is_queued = True
@@ -136,7 +137,8 @@
         duration_ms = now - started_ms
         self.unread_since_ms = math.inf
         self.cost.add(duration_ms, now)
-        self._read_queue().spend(duration_ms)
+        if self._takes_turns:
+            self._read_queue().spend(duration_ms)
         self._set_read_size(len(data), duration_ms)
         if duration_ms > LOGGED_READ_MS:
             LOG.warning(
@@ -159,7 +161,8 @@
         """Reads at once: in the reactor's order the connection might have to wait again."""
         if not self._is_queued:
             return
-        self.end_wait()
+        self._is_queued = False
+        self._read_again()
         if not self._may_read():
             self.unread_since_ms = math.inf
             return
@@ -171,8 +174,13 @@
         if result is not None:
             self.reactor._disconnectSelectable(self, result, True)
 
-    def end_wait(self) -> None:
-        """Reads without a turn: the connection is being closed, and its data is discarded."""
+    def end_turns(self) -> None:
+        """Reads without turns from now on: the connection is being closed, and its data is discarded.
+
+        Failure: refused clients come again while their closed connections wait for turns, until there are too
+        many connections and usual ones are closed.  To discard data costs little.
+        """
+        self._takes_turns = False
         if self._is_queued:
             self._is_queued = False
             self._read_again()
