--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -106,10 +106,12 @@
     def __init__(self, reads: Reads) -> None:
         self.reads = reads
         self.is_closed = False  # its data is discarded, which costs nothing
+        self.reads_when_closed = 0
         reads.peers.append(self)
 
     def dataReceived(self, data: bytes) -> None:
         self.reads.unread_since_ms.append(self.transport.unread_since_ms)  # type: ignore[union-attr]
+        self.reads_when_closed += self.is_closed
         if not self.is_closed:
             self.reads.now_ms += MS_PER_BYTE * len(data)
         self.reads.sizes.append(len(data))
@@ -233,13 +235,18 @@
         rig.iterate()
     waiting = [peer for peer in rig.reads.peers if peer.transport._is_queued]  # type: ignore[union-attr]
     assert len(waiting) > COSTLY_PEERS // 2
+    new = [rig.connect() for _ in range(4 * COSTLY_PEERS)]
+    for connection in new:
+        connection.sendall(b"~" * SENT_BYTES)
+    while len(rig.reads.peers) < 5 * COSTLY_PEERS:
+        rig.iterate()  # the new ones are accepted, and their first reads wait
     for peer in waiting:
         peer.is_closed = True
         peer.transport.end_turns()  # type: ignore[union-attr]
-    rig.reads.sizes = []
-    rig.reactor.iterate(0.01)
-    assert len(rig.reads.sizes) >= len(waiting)
-    rig.close()
+    rig.iterate()
+    rig.iterate()
+    assert all(peer.reads_when_closed for peer in waiting)
+    rig.close(*new)
 
 
 def test_failure_of_a_queued_read_ends_its_connection_alone(monkeypatch: Any) -> None:
