A closed client connection keeps nothing of its request

Cause: a closed channel, its transport and Twisted's decoder are a cycle of objects, and what the decoder, the line buffer and the body of an aborted request hold waits for the garbage collector, while up to 1,100 connections a second are refused. That it is not the budget was told apart by client_buffer_bytes, that it is not the allocator by freeing alone.

Change: the end of a connection frees decoder, buffers and bodies. Test: test_closed_connection_keeps_nothing_of_its _request (refused, aborted) fails before.

--- a/tests/test_buffer_limits.py
+++ b/tests/test_buffer_limits.py
@@ -118,6 +118,30 @@
     )
 
 
+CHUNKED_HEAD = chat_request().partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize("is_refused", [True, False])
+def test_closed_connection_keeps_nothing_of_its_request(is_refused: bool) -> None:
+    """A closed connection is a cycle of objects that waits for the garbage collector.
+
+    Thousands that are refused, or that end in the middle of a request, take a node over its memory meanwhile.
+    """
+    rig = start_two_engine_rig()
+    channels: list[Any] = []
+    rig.node.server.on_connection = channels.append
+    if is_refused:
+        client = rig.client(CHUNKED_HEAD + b"1\r\nx\r\n" * 2000 + b"no size\r\n")
+    else:
+        client = rig.client(half_request("b1"))
+        rig.run_until(lambda: client_buffers(rig).total_bytes)
+        client.transport.abortConnection()  # type: ignore[union-attr]
+    rig.run_until(lambda: client.ended and not rig.node.server.channels)
+    (channel,) = channels
+    assert channel._transferDecoder is None and not channel._buffer and not channel._dataBuffer
+    assert not any(request.content.getvalue() for request in channel.requests)
+
+
 def test_pipelined_data_beyond_the_limit_is_dropped_and_the_open_request_answered() -> None:
     """A client pipelines behind an open request whose body fills most of the limit."""
     rig = Rig()
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -81,6 +81,7 @@
         self.factory.channels.pop(self, None)
         self.factory.buffers.remove(self)
         super().connectionLost(reason)
+        self._free_parser()
 
     def dataReceived(self, data: bytes) -> None:
         """Passes data to Twisted, unless the connection is closing or the client pipelines too much."""
@@ -185,10 +186,19 @@
 
     def _free_buffers(self) -> None:
         """Frees what was received and will not be parsed: the connection may stay open for seconds."""
-        self._buffer, self._dataBuffer, self.paused = b"", [], False
+        self.paused = False
+        self._free_parser()
+        self._set_buffered_bytes(0)
+
+    def _free_parser(self) -> None:
+        """Frees what Twisted keeps of a request.
+
+        Failure: a closed connection is a cycle of objects that waits for the garbage collector, for seconds
+        in which thousands of others are closed.
+        """
+        self._buffer, self._dataBuffer, self._transferDecoder = b"", [], None
         for request in self.requests:
             request.free_body()
-        self._set_buffered_bytes(0)
 
     @property
     def answer_unsent(self) -> bool:
