Trailer fields and the names of a request's fields are limited

Cause: Twisted's decoder keeps up to 64 KiB of trailers, each line as an object, ten and more times its size, and the budget counts bytes as received. Its encoder of field names keeps the first 10,000 names for good, each as long as a head may be. Told apart by which of seven forms of requests grow: short fields, ever new names and folded lines in heads of 100 fields stayed at 31 to 41 MB.

Change: over 100 trailer fields, or a name over 128 bytes, get 431 with code field_limit, the log line 'incomplete request refused' and 'closed: field limit'; worksmux serve has the metric worksmux_connections_closed_total{reason}. Both are checked in each read, so what is kept is one read at most. Tests: test_many_trailers_and_long_field_names_are_refused fails before (408 after the time limit, 200); test_usual_trailers_and_field_names_are_read holds 100 and 128 bytes.

--- a/tests/test_buffer_limits.py
+++ b/tests/test_buffer_limits.py
@@ -121,6 +121,35 @@
 CHUNKED_HEAD = chat_request().partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
+@pytest.mark.parametrize(
+    "request_data",
+    [
+        CHUNKED_HEAD + b"1\r\nx\r\n0\r\n" + b"a:\r\n" * 16_000,
+        b"GET /up HTTP/1.1\r\nHost: a\r\n%s: 1\r\n\r\n" % (b"x" * 129),
+    ],
+)
+def test_many_trailers_and_long_field_names_are_refused(request_data: bytes, logged: list[Any]) -> None:
+    """Each short trailer takes many times its size, and names of fields are kept for good.
+
+    Hundreds of such clients, or one with ever new names, take a node over its memory.
+    """
+    rig = start_two_engine_rig()
+    client = rig.client(request_data)
+    rig.run_until(lambda: client.ended)
+    assert client.received.startswith(b"HTTP/1.1 431 ") and b'"code":"field_limit"' in client.received
+    assert rig.node.server.take_closes()["field limit"] == 1
+    assert [line["reason"] for line in logged if line["event"] == "incomplete request refused"] == [
+        "field limit"
+    ]
+
+
+def test_usual_trailers_and_field_names_are_read() -> None:
+    rig = start_two_engine_rig()
+    body = b"%x\r\n%s\r\n0\r\n" % (len(BODY), BODY) + b"X-Checksum: 1\r\n" * 100 + b"\r\n"
+    client = rig.client(CHUNKED_HEAD.replace(b"\r\n\r\n", b"\r\n%s: 1\r\n\r\n" % (b"x" * 128)) + body)
+    assert rig.wait_for_status(client) == b"200"
+
+
 @pytest.mark.parametrize("is_refused", [True, False])
 def test_closed_connection_keeps_nothing_of_its_request(is_refused: bool) -> None:
     """A closed connection is a cycle of objects that waits for the garbage collector.
--- a/worksmux/gateway/metrics.py
+++ b/worksmux/gateway/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
@@ -53,10 +54,18 @@
             ("connections",),
             registry=self._registry,
         )
+        self._connections_closed = self._counter(
+            "worksmux_connections_closed", "Client connections that the front closed", "reason"
+        )
         self._buffers_discarded = self._counter(
             "worksmux_buffers_discarded", "Connections whose incomplete data was discarded", "connections"
         )
 
+    def connections_closed(self, closes: Mapping[str, int]) -> None:
+        """Adds client connections that the gateway has closed, by reason."""
+        for reason, count in closes.items():
+            self._connections_closed.labels(reason).inc(count)
+
     def buffers(self, budget: BufferBudget) -> None:
         """Updates the metrics of what the connections of one kind buffer."""
         counts = budget.take_counts()
--- a/worksmux/gateway/status_pages.py
+++ b/worksmux/gateway/status_pages.py
@@ -47,6 +47,7 @@
         gateway.metrics.log_lines_lost.set(gateway.writer.lost if gateway.writer else 0)
         for budget in (gateway.client_server.buffers, gateway.core.engine_buffers):
             gateway.metrics.buffers(budget)
+        gateway.metrics.connections_closed(gateway.client_server.take_closes())
         if gateway.tokens:
             gateway.metrics.tokens(gateway.tokens)
         if gateway.peering:
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -15,7 +15,8 @@
 from .processing_cost import ProcessingCost
 from .transports import ServerTransport, unacknowledged_bytes, unread_bytes
 
-MAX_HEADERS = 100
+MAX_HEADERS = 100  # fields of a head, and fields of the trailers behind a body in chunks
+MAX_HEADER_NAME_BYTES = 128  # Twisted keeps the names that it has seen
 MAX_PIPELINED_BYTES = 2**16  # received after a request that waits for its answer
 FIRST_DATA_MS = 20.0  # data read so soon after the start of a connection may have arrived with it
 MAX_UNSENT_MS = 30_000.0  # after this side is closed, for a client to take the rest of its answer
@@ -26,6 +27,11 @@
     b'"type":"server_error","param":null,"code":"buffer_limit"}}'
 )
 
+FIELD_LIMIT_BODY = (
+    b'{"error":{"message":"the request has too many trailer fields, or a field with too long a name",'
+    b'"type":"invalid_request_error","param":null,"code":"field_limit"}}'
+)
+
 # Eviction ranks: the highest is closed first.
 RANK_IN_USE = 0
 RANK_RECEIVING = 1
@@ -233,8 +239,21 @@
             super().lineReceived(line)
 
     def headerReceived(self, line: bytes) -> bool:
-        """Ignores headers after an error."""
-        return not self.discarding and bool(super().headerReceived(line))
+        """Ignores headers after an error, and refuses a field with a name that is too long.
+
+        Failure: Twisted keeps up to 10,000 names of fields.  A client that sends ever new ones, each as long
+        as a head may be, takes hundreds of megabytes.
+        """
+        if self.discarding:
+            return False
+        if len(line.partition(b":")[0]) > MAX_HEADER_NAME_BYTES:
+            self._refuse_fields()
+            return False
+        return bool(super().headerReceived(line))
+
+    def _refuse_fields(self) -> None:
+        self.factory.count_refusal("field limit")
+        self.refuse(b"431 Request Header Fields Too Large", FIELD_LIMIT_BODY)
 
     def allHeadersReceived(self) -> None:
         """Ignores the end of a head after an error."""
@@ -242,9 +261,16 @@
             super().allHeadersReceived()
 
     def rawDataReceived(self, data: bytes) -> None:
-        """Ignores body data after an error."""
-        if not self.discarding:
-            super().rawDataReceived(data)
+        """Ignores body data after an error, and refuses a body with too many trailer fields.
+
+        Failure: Twisted keeps 64 KiB of trailers, each line of a few bytes as an object of many times its
+        size, and a connection of hundreds takes a megabyte.
+        """
+        if self.discarding:
+            return
+        super().rawDataReceived(data)
+        if len(getattr(self._transferDecoder, "_trailerHeaders", ())) > MAX_HEADERS:
+            self._refuse_fields()
 
     def allContentReceived(self) -> None:
         """Marks the request as complete."""
--- a/worksmux/net/server.py
+++ b/worksmux/net/server.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import structlog
 from twisted.internet.interfaces import IAddress
 from twisted.web import http
 
@@ -20,7 +21,9 @@
 
 __all__ = ["Answerer", "Exchange", "Server"]
 
+LOG = structlog.get_logger()
 SWEEPS_PER_TIMEOUT = 8
+REFUSAL_LOG_INTERVAL_MS = 1000.0
 Answerer = Callable[[Exchange], None]
 
 
@@ -66,6 +69,7 @@
         self.work_queue = WorkQueue(self.reactor)  # pipelined requests
         self.on_connection: Callable[[Any], None] | None = None  # called with each new channel
         self._sweep_timer: Any = None
+        self._refusal_logged_at_ms = -REFUSAL_LOG_INTERVAL_MS
 
     def connection_made(self, channel: Any) -> None:
         """Registers a new connection, and closes the one with the highest rank if there are too many."""
@@ -80,6 +84,19 @@
         if self.request_timeout_ms and self._sweep_timer is None:
             self._schedule_sweep()
 
+    def count_refusal(self, reason: str) -> None:
+        """Counts a request that is refused before it is complete, and logs the first one of each second."""
+        self.closes[reason] += 1
+        now = clock.now()
+        if now >= self._refusal_logged_at_ms + REFUSAL_LOG_INTERVAL_MS:
+            self._refusal_logged_at_ms = now
+            LOG.warning("incomplete request refused", reason=reason, refused=self.closes[reason])
+
+    def take_closes(self) -> Counter[str]:
+        """Returns the closed connections, by reason, and resets the counts."""
+        closes, self.closes = self.closes, Counter()
+        return closes
+
     def data_read(self, size: int, duration_ms: float) -> None:
         """Counts data that a connection has read, and the time in which it was handled."""
         self._activity.add_read(size, duration_ms)
--- a/worksmux/node/serve.py
+++ b/worksmux/node/serve.py
@@ -5,7 +5,6 @@
 import gc
 import signal
 import sys
-from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
@@ -143,8 +142,7 @@
         )
 
     def _log_counters(self) -> None:
-        closes, self.server.closes = self.server.closes, Counter()
-        self.counts.closed(closes)
+        self.counts.closed(self.server.take_closes())
         client_buffers, engine_buffers = (
             self.server.buffers.take_counts(),
             self.core.engine_buffers.take_counts(),
