An id whose request may have had an effect is refused when it comes again

Cause: the node knew only open ids; an id was free as soon as its request was closed. The gateway left the key to engines, and a repeat goes to any of them.

What is known not to have run may come again. The gateway does so for non-idempotent classes alone, as engines are to drop repeats of deduplicated ones by that key.

--- a/worksmux/api/chat.py
+++ b/worksmux/api/chat.py
@@ -140,6 +140,7 @@
     request_id: str
     parts: list[tuple[str, str]]  # role and text of each message
     has_named_prefix: bool  # the client itself named the shared prefix
+    has_own_key: bool = False  # the client gave the idempotency key
     is_prompt_exact: bool = False  # `prompt_tokens` is counted, not estimated
     answer_id: str = field(default_factory=lambda: "chatcmpl-" + secrets.token_hex(12))
 
--- a/worksmux/forwarding/open_requests.py
+++ b/worksmux/forwarding/open_requests.py
@@ -15,6 +15,7 @@
 from ..policy.state import Request
 from .counters import Counters
 from .engine_client import EngineClient
+from .executed_keys import ExecutedKeys
 from .request_context import FinalAnswer, RequestContext
 from .request_log import request_fields
 
@@ -38,8 +39,14 @@
         # Called with a request's key and an attempt number or `FINAL_ANSWER_DECISION`.
         self.on_decision: Callable[[str, int], None] | None = None
         self.on_empty: Callable[[], None] | None = None  # called when a request is closed
+        self.executed_keys = ExecutedKeys()
+        self.open_effect_keys: set[str] = set()
         self._answered: list[RequestContext] = []  # closed after the round, once no attempt is in flight
 
+    def _effect_key(self, context: RequestContext) -> str:
+        """Returns the client's key of a request whose effect must not happen twice; empty for others."""
+        return ""
+
     def _log_fields(self, context: RequestContext) -> dict[str, Any]:
         """Returns protocol-specific fields for the log line of a request."""
         return {}
@@ -59,6 +66,8 @@
             DEADLINE_GRACE_ITERATIONS,
         )
         self.open_requests[request] = context
+        if key := self._effect_key(context):
+            self.open_effect_keys.add(key)
         self.metrics.arrived(context.class_name)
         self.tell(self.id_map.request_arrived(request))
         return context
@@ -120,6 +129,10 @@
         request = context.request
         if context.in_flight or self.open_requests.pop(request, None) is None:
             return
+        if key := self._effect_key(context):
+            self.open_effect_keys.discard(key)
+            if request.possibly_executed:
+                self.executed_keys.add(key)
         now = clock.now()
         self.metrics.ended(
             context.class_name,
--- a/worksmux/gateway/chat_engine_client.py
+++ b/worksmux/gateway/chat_engine_client.py
@@ -16,6 +16,7 @@
 from ..net.loop import Reactor
 from ..policy.events import EndpointListUpdate, SlotReserved
 from ..policy.id_map import IdMap
+from ..policy.settings import NON_IDEMPOTENT
 from ..policy.state import Attempt, Engine, Outcome, Request
 from ..settings.front import GatewaySettings
 from .attempts import DecodeCall, EngineCall, PrefillCall, rejection_outcome
@@ -63,6 +64,7 @@
         context = RequestContext(
             request, chat_request, chat_client, f"{self.name}.{request.id}", chat_request.model
         )
+        chat_request.has_own_key = bool(chat_request.idempotency_key)
         chat_request.idempotency_key = chat_request.idempotency_key or context.key
         return self._accept(context)
 
@@ -89,6 +91,17 @@
         if not request.attempts:
             request.prefix, request.prefix_tokens = chat_request.prefix, chat_request.prefix_tokens
 
+    def _effect_key(self, context: RequestContext) -> str:
+        """Returns the client's idempotency key of a non-idempotent request."""
+        request_class = self.module_settings.request_classes[context.request.request_class]
+        is_keyed = context.client_request.has_own_key and request_class.effect == NON_IDEMPOTENT
+        return context.client_request.idempotency_key if is_keyed else ""
+
+    def has_executed(self, chat_request: chat.ChatRequest) -> bool:
+        """Whether a non-idempotent request with the same idempotency key is open or may have run."""
+        key = chat_request.idempotency_key
+        return key in self.executed_keys or key in self.open_effect_keys
+
     def _log_fields(self, context: RequestContext) -> dict[str, Any]:
         return {"tokens": context.result[1].completion_tokens if context.result else 0}
 
--- a/worksmux/gateway/clients.py
+++ b/worksmux/gateway/clients.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from math import ceil
 
+import structlog
+
 from ..api import chat, errors
 from ..api.chat import ChatRequest, Usage
 from ..api.engine import CHAT
@@ -25,12 +27,14 @@
 from .vector_requests import PATHS as VECTOR_PATHS
 from .vectors import VectorService
 
+LOG = structlog.get_logger()
 MODELS = "/v1/models"
 ALLOWED_METHODS = {CHAT: "POST", MODELS: "GET"}
 OK = 200
 BAD_REQUEST = 400
 NOT_FOUND = 404
 METHOD_NOT_ALLOWED = 405
+CONFLICT = 409
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 MAX_QUOTED_PATH_CHARACTERS = 100
@@ -38,6 +42,9 @@
 RETRY_AFTER_COUNTING_MS = 1000.0
 REJECTION_HEADERS = (("Retry-After", "1"), (ANSWER_HEADER, "deferred"))
 REJECTED_MESSAGE = "the job was deferred: it has had no effect, and trying again is harmless"
+REPEATED_MESSAGE = (
+    "a job with this idempotency-key is open or may have run, and its effect must not happen twice"
+)
 ABORTED_MESSAGE = "the job was broken off: it may have run, and trying again is not known to be harmless"
 
 
@@ -174,6 +181,10 @@
             self.core.metrics.not_accepted("bad job")
             exchange.answer(error.status, error.body)
             return
+        if chat_request.idempotency_key and self.core.has_executed(chat_request):
+            self.core.metrics.not_accepted("repeated key")
+            LOG.info("request refused on arrival", reason="repeated key", request=chat_request.request_id)
+            return self._answer_error(exchange, CONFLICT, REPEATED_MESSAGE, code="repeated_key")
         if self.vectors is not None and self.vectors.admission.sheds(chat_request.request_class):
             reason = "the front itself is short"
             return self._reject(exchange, reason, f"{reason}; come back later")
--- a/worksmux/node/clients.py
+++ b/worksmux/node/clients.py
@@ -17,6 +17,7 @@
 
 LOG = structlog.get_logger()
 REJECTED_STATUS, ABORTED_STATUS, TIMED_OUT_STATUS = 503, 502, 504
+CONFLICT_STATUS = 409
 
 
 class StreamClient(StreamRelay):
@@ -99,7 +100,9 @@
             return self._answer_invalid(exchange, error.status, error.reason)
         request.headers = end_to_end_headers(exchange.header_fields())
         if request.key in self.core.open_keys:
-            return self._answer_invalid(exchange, 409, "a job with this id is open")
+            return self._answer_invalid(exchange, CONFLICT_STATUS, "a job with this id is open")
+        if request.key in self.core.executed_keys:
+            return self._answer_invalid(exchange, CONFLICT_STATUS, "a job with this id may have run")
         client = StreamClient(exchange)
         if self.core.failed:
             self._record_refusal(exchange, "module failed")
--- a/worksmux/node/core.py
+++ b/worksmux/node/core.py
@@ -104,6 +104,14 @@
             del self.open_keys[context.key], self.kv_claims[context.request]
         super()._close(context)
 
+    def _effect_key(self, context: RequestContext) -> str:
+        """Returns the request id; engines drop repeats of a deduplicated class only in their own group."""
+        is_idempotent = self._effect(context.request) == IDEMPOTENT
+        return "" if is_idempotent else context.key
+
+    def _effect(self, request: Request) -> str:
+        return self.module_settings.request_classes[request.request_class].effect
+
     def _answer_for_policy(self, request: Request, answer: FinalAnswer, retry_after_ms: float = 0.0) -> None:
         """Sends the final answer; a rejection waits until engines have seen the end of cancelled attempts.
 
@@ -116,7 +124,7 @@
             context is not None
             and answer is FinalAnswer.REJECTED
             and not context.final_answer
-            and (self.module_settings.request_classes[request.request_class].effect != IDEMPOTENT)
+            and self._effect(request) != IDEMPOTENT
         ):
             settled_at = context.last_cancelled_at + CLOSE_SETTLE_MS
             wait_ms = CLOSE_SETTLE_MS if context.in_flight else settled_at - clock.now()
