A close behind unread data is seen before a request is sent

Cause: the check before an attempt looked at the next unread byte alone, and the close is behind all unread bytes, part of them still in the client's own buffers. A connection whose request ran took turns with others. The gateway did not check again once an attempt's connection was up.

Change: the check asks for the close itself (POLLRDHUP); a connection whose request is complete is read without turns, as what follows is only kept; a request is handed on once nothing is unread behind it; the gateway withdraws an attempt on its new connection if the client has left or the engine's state has changed.

Tests: test_request_of_a_client_that_closes_behind_unread_data_is_not_sent fails before (two calls of engines); test_close_behind_unread_data_is_seen_without_reading needs the new check, it was not seen red.

--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -1,8 +1,9 @@
-"""Clients that close their connection: no effect happens twice."""
+"""Clients that close their connection: nothing is sent for them afterwards, and no effect happens twice."""
 
 from __future__ import annotations
 
 import json
+import socket
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +13,9 @@
 
 from worksmux.fault_trial.small import Rig as GatewayRig
 from worksmux.forwarding.executed_keys import ExecutedKeys
+from worksmux.net.transports import peer_has_closed
+
+UNREAD_BYTES = 400_000
 
 
 def leave_during_decode(rig: Rig, request_class: str) -> None:
@@ -59,6 +63,36 @@
     assert [key in keys for key in "abc"] == [False, True, True]
 
 
+def test_request_of_a_client_that_closes_behind_unread_data_is_not_sent() -> None:
+    """A client sends a request and much behind it, and closes its connection at once.
+
+    The close is behind what is not read, so the request was sent to an engine for nobody.
+    """
+    rig = start_two_engine_rig()
+    client = socket.create_connection(("127.0.0.1", rig.node.port))
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * UNREAD_BYTES)
+    client.setblocking(False)
+    sent = client.send(chat_request() + b"x" * UNREAD_BYTES)
+    assert sent > UNREAD_BYTES // 2
+    client.close()
+    rig.run_until(lambda: rig.node.server.take_activity()["client_connections"])
+    rig.run_until(lambda: not rig.node.server.channels and not rig.node.core.open_requests)
+    assert not rig.engines[0].requests and not rig.engines[1].requests
+
+
+def test_close_behind_unread_data_is_seen_without_reading() -> None:
+    """The check before each attempt looked at the next byte alone, which was of unread data."""
+    rig = start_two_engine_rig()
+    client = rig.client()
+    rig.run_until(lambda: rig.node.server.channels)
+    (channel,) = rig.node.server.channels
+    channel.transport.stopReading()
+    client.transport.write(b"unread")  # type: ignore[union-attr]
+    assert not peer_has_closed(channel.transport)
+    client.transport.loseConnection()  # type: ignore[union-attr]
+    rig.run_until(lambda: peer_has_closed(channel.transport))
+
+
 def test_pipelined_request_behind_another_is_still_served() -> None:
     rig = start_two_engine_rig()
     client = rig.client(chat_request("a1"), chat_request("a2"))
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -242,7 +242,7 @@
         rig.iterate()  # the new ones are accepted, and their first reads wait
     for peer in waiting:
         peer.is_closed = True
-        peer.transport.end_turns()  # type: ignore[union-attr]
+        peer.transport.take_turns(False)  # type: ignore[union-attr]
     rig.iterate()
     rig.iterate()
     assert all(peer.reads_when_closed for peer in waiting)
--- a/worksmux/gateway/chat_engine_client.py
+++ b/worksmux/gateway/chat_engine_client.py
@@ -126,8 +126,23 @@
             else chat.decode_body(chat_request, kv_handle)
         )
         call.send(self._attempt_headers(context, attempt), body)
+        if call.call is not None and not call.call.is_connected:
+            state = attempt.engine.state
+            call.call.on_connected = lambda: self._on_connected(context, call, state)
         return call
 
+    def _on_connected(self, context: RequestContext, call: EngineCall, state: str) -> None:
+        """Withdraws an attempt on its new connection if its client has left or its engine's state changed.
+
+        Failure: while connecting, the client disconnects, another attempt answers, or the engine starts
+        draining, and the attempt executes for nobody.  Nothing was written yet, so the engine has not
+        executed it.
+        """
+        if not context.final_answer and context.client.is_disconnected():
+            self.client_disconnected(context)
+        if context.final_answer or call.attempt.engine.state != state:
+            call.withdraw()
+
     def _attempt_headers(self, context: RequestContext, attempt: Attempt) -> list[tuple[str, str]]:
         chat_request = context.client_request
         headers = [
--- a/worksmux/gateway/clients.py
+++ b/worksmux/gateway/clients.py
@@ -136,11 +136,12 @@
             message = f"{path} takes {allowed}, not {method[:MAX_QUOTED_METHOD_CHARACTERS]}"
             self._answer_error(exchange, METHOD_NOT_ALLOWED, message, headers=(("Allow", allowed),))
         elif path == CHAT:
-            self._accept_chat(exchange)
+            exchange.when_read_ahead(lambda: self._accept_chat(exchange))
         elif path == MODELS:
             exchange.answer(OK, self.models)
         elif self.vectors is not None:
-            self.vectors(exchange, path)
+            vectors = self.vectors
+            exchange.when_read_ahead(lambda: vectors(exchange, path))
 
     def _allowed_method(self, path: str) -> str | None:
         """The HTTP method that a path accepts; None for an unknown path."""
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -186,8 +186,7 @@
         self.setTimeout(CLOSE_TIMEOUT_MS / 1000)
         self._tcp.unregisterProducer()
         self._tcp.resumeProducing()
-        if isinstance(self._tcp, ServerTransport):
-            self._tcp.end_turns()
+        self._take_turns(False)
         self._tcp.loseWriteConnection()
 
     def _free_buffers(self) -> None:
@@ -196,6 +195,10 @@
         self._free_parser()
         self._set_buffered_bytes(0)
 
+    def _take_turns(self, takes_turns: bool) -> None:
+        if isinstance(self._tcp, ServerTransport):
+            self._tcp.take_turns(takes_turns)
+
     def _free_parser(self) -> None:
         """Frees what Twisted keeps of a request.
 
@@ -276,6 +279,7 @@
         """Marks the request as complete."""
         if not self.discarding:
             self.busy, self.receiving = True, False
+            self._take_turns(False)  # what follows is only kept, and the close of the client is seen soon
             super().allContentReceived()
 
     def checkPersistence(self, request: http.Request, version: bytes) -> bool:
@@ -294,6 +298,7 @@
         its client takes no answers, which would be buffered here without a limit.
         """
         self.busy, self.has_answered = False, True
+        self._take_turns(True)
         self.since_ms, self.pipelined_bytes = clock.now(), 0
         self._set_buffered_bytes(len(self._buffer))  # Twisted passes other pipelined data in once more
         self.receiving = bool(self._buffer) or any(
--- a/worksmux/net/exchange.py
+++ b/worksmux/net/exchange.py
@@ -10,9 +10,10 @@
 from twisted.python.failure import Failure
 from twisted.web import http
 
-from .transports import TRANSIENT_ERRNOS
+from .transports import TRANSIENT_ERRNOS, peer_has_closed, unread_bytes
 
 CONTENT_TOO_LARGE = 413
+MAX_READ_AHEAD_ITERATIONS = 32  # enough to read the most that is discarded, 64 KiB in each
 MAX_BODY_OVERRUN = 4  # times the body limit: more is not read, and the connection is aborted
 
 
@@ -103,10 +104,16 @@
         return self._body_file.getvalue()
 
     def client_is_gone(self) -> bool:
-        """Whether the client has disconnected, even if the reactor has not read that yet."""
+        """Whether the client has disconnected, even if the reactor has not read that yet.
+
+        Failure: a client sends further requests and closes its connection.  The close is behind data that
+        waits to be read, and its request is sent to an engine afterwards.
+        """
         if self.over:
             return True
         transport: Any = self.channel.transport
+        if peer_has_closed(transport):
+            return True
         try:
             return not transport.getHandle().recv(1, MSG_PEEK)
         except BlockingIOError:
@@ -114,6 +121,24 @@
         except OSError as error:
             return error.errno not in TRANSIENT_ERRNOS
 
+    def when_read_ahead(self, call: Callable[[], None]) -> None:
+        """Calls `call` once nothing is unread behind the request; not at all if the client has gone by then.
+
+        Failure: a client sends much behind its request and closes its connection.  The close is behind what
+        is not read, even in the client's own buffers, so only reading finds it, and the request is sent to an
+        engine for nobody.
+        """
+        self._call_when_read(call, MAX_READ_AHEAD_ITERATIONS)
+
+    def _call_when_read(self, call: Callable[[], None], iterations_left: int) -> None:
+        if self.over:
+            return
+        if iterations_left and unread_bytes(self.channel.transport):
+            reactor: Any = self.channel.factory.reactor
+            reactor.callLater(0, self._call_when_read, call, iterations_left - 1)
+        else:
+            call()
+
     def earliest_arrival_ms(self) -> float:
         """The earliest time at which the complete request may have arrived; see `Lateness`."""
         channel: Any = self.channel
--- a/worksmux/net/transports.py
+++ b/worksmux/net/transports.py
@@ -10,6 +10,7 @@
 import errno
 import fcntl
 import math
+import select
 import sys
 import termios
 from functools import cached_property
@@ -51,6 +52,16 @@
     return int.from_bytes(answer, sys.byteorder)
 
 
+def peer_has_closed(transport: Any) -> bool:
+    """Whether the peer has closed its side, also behind data that is not read yet; False if not known."""
+    poller = select.poll()
+    try:
+        poller.register(transport.getHandle().fileno(), select.POLLRDHUP)
+        return bool(poller.poll(0))
+    except (AttributeError, OSError, ValueError):  # closed, or not a socket of the kernel
+        return False
+
+
 class ReadQueues(NamedTuple):
     """The queues of a reactor's connections, whose reads take turns when there is too much to read."""
 
@@ -174,14 +185,14 @@
         if result is not None:
             self.reactor._disconnectSelectable(self, result, True)
 
-    def end_turns(self) -> None:
-        """Reads without turns from now on: the connection is being closed, and its data is discarded.
+    def take_turns(self, takes_turns: bool) -> None:
+        """Sets whether reads take turns; not where data is only kept or discarded, which costs little.
 
         Failure: refused clients come again while their closed connections wait for turns, until there are too
-        many connections and usual ones are closed.  To discard data costs little.
+        many connections and usual ones are closed.  The close of a client whose request runs is not seen.
         """
-        self._takes_turns = False
-        if self._is_queued:
+        self._takes_turns = takes_turns
+        if self._is_queued and not takes_turns:
             self._is_queued = False
             self._read_again()
 
--- a/worksmux/node/clients.py
+++ b/worksmux/node/clients.py
@@ -64,7 +64,7 @@
         """Handles one client call."""
         path = exchange.uri.decode("latin-1").partition("?")[0]
         if path == protocol.CHAT_PATH and exchange.method == b"POST":
-            self._chat(exchange)
+            exchange.when_read_ahead(lambda: self._chat(exchange))
         elif path == protocol.READY_PATH and exchange.method in (b"GET", b"HEAD"):
             self._answer_ready(exchange)
         elif path in (protocol.CHAT_PATH, protocol.READY_PATH):
