A stream is not cut while its engine is writing an event

Cause: the limit of silence counted from the last whole event, not from the last data of one. The line of the ended request told so: 'no event for 4000 ms' while data came every 50 ms.

Change: past that limit a stream runs on while an event is arriving whose data comes at least every 0.5 s, for 30 s at most. What does not begin like an event does not count, so noise is cut as before; an engine that stops within an event is cut 0.5 s later. The same class serves worksmux serve.

--- a/tests/test_attempt_calls.py
+++ b/tests/test_attempt_calls.py
@@ -9,6 +9,7 @@
 
 from worksmux.api import chat
 from worksmux.api.events import DONE, event
+from worksmux.forwarding.attempt import MAX_EVENT_MS
 from worksmux.gateway.attempts import DecodeCall, EngineCall, PrefillCall
 from worksmux.net import client, clock
 from worksmux.policy.state import Attempt, Engine, Outcome, Request
@@ -119,3 +120,17 @@
     call.last_piece_at = clock.now() - 60
     call._check_gap()
     assert listener.events == ["began", "word ", (Outcome.TIMED_OUT, 0)]
+
+
+def test_stream_whose_event_is_written_slowly_does_not_time_out() -> None:
+    """An engine takes longer for one event than a stream may pause; the stream was cut while it wrote."""
+    call, listener = attempt_call(DecodeCall)
+    call.head_received(200, {"content-type": "text/event-stream"})
+    call.body_received(CHUNK)
+    call.last_piece_at = clock.now() - 60
+    call.body_received(CHUNK[:20])
+    call._check_gap()
+    assert not call.over
+    call.last_piece_at = clock.now() - MAX_EVENT_MS
+    call._check_gap()
+    assert listener.events == ["began", "word ", (Outcome.TIMED_OUT, 0)]
--- a/worksmux/api/events.py
+++ b/worksmux/api/events.py
@@ -17,6 +17,16 @@
     return b"data: " + data + b"\n\n"
 
 
+def begins_data_field(line: bytes | bytearray) -> bool:
+    """Whether a line that may be incomplete is, or can become, one with a data field.
+
+    >>> [begins_data_field(line) for line in (b"da", b"data: x", b"", b"~")]
+    [True, True, False, False]
+    """
+    beginning = bytes(line[: len(DATA_FIELD)])
+    return bool(beginning) and DATA_FIELD.startswith(beginning)
+
+
 class EventTooLongError(WorksmuxError):
     """An event exceeds the parser's limit."""
 
@@ -82,3 +92,8 @@
     def has_partial_event(self) -> bool:
         """Whether an event has begun that is not complete."""
         return bool(self._rest or self._has_data)
+
+    @property
+    def is_event_arriving(self) -> bool:
+        """Whether an event that is not complete has data, or a line that begins like it."""
+        return self._has_data or begins_data_field(self._rest)
--- a/worksmux/forwarding/attempt.py
+++ b/worksmux/forwarding/attempt.py
@@ -12,6 +12,8 @@
 from ..net.time_out import TimeOut
 from ..policy.state import Attempt, Outcome
 
+MAX_EVENT_MS = 30_000.0  # in which an event that the engine is writing has to be complete
+MAX_DATA_GAP_MS = 500.0  # between two pieces of such an event
 MAX_CLIENT_STALL_MS = 30_000.0  # in which a client takes nothing of its stream; then the stream is ended
 
 
@@ -146,6 +148,7 @@
         super().__init__(*args)
         self.streaming = False
         self.last_piece_at = 0.0  # clock time in ms; 0: no piece received yet
+        self.last_event_data_at = 0.0  # clock time in ms of data of an event that was not complete
         self.paused = False
         self.paused_at = 0.0  # clock time in ms of the latest pause
 
@@ -153,6 +156,10 @@
         """Processes a piece of the stream."""
         raise NotImplementedError
 
+    def _is_event_arriving(self) -> bool:
+        """Returns whether a part of an event has arrived."""
+        raise NotImplementedError
+
     def _buffered_event_bytes(self) -> int:
         """Returns the size of what has arrived of an event that is not complete."""
         raise NotImplementedError
@@ -178,6 +185,8 @@
             return
         if self.streaming:
             self._on_stream_data(data)
+            if not self.over and self._is_event_arriving():
+                self.last_event_data_at = clock.now()
         else:
             super().body_received(data)
 
@@ -213,10 +222,20 @@
             stalled_ms, max_ms, reason = now - self.paused_at, MAX_CLIENT_STALL_MS, "the client read nothing"
         else:
             stalled_ms, max_ms, reason = now - self.last_piece_at, self.max_stream_gap_ms, "no event"
-        if stalled_ms >= max_ms:
-            self._on_timeout(f"{reason} for {round(stalled_ms)} ms")
-        else:
+        if stalled_ms < max_ms:
             self._check_gap_in(min(max_ms - stalled_ms, self.max_stream_gap_ms))
+        elif not self.paused and self._is_writing_event(now):
+            self._check_gap_in(MAX_DATA_GAP_MS)
+        else:
+            self._on_timeout(f"{reason} for {round(stalled_ms)} ms")
+
+    def _is_writing_event(self, now: float) -> bool:
+        """Whether the engine is still writing an event.
+
+        Failure: an engine writes a long event slowly, and its stream is cut although data keeps arriving.
+        """
+        has_recent_data = now - self.last_event_data_at < MAX_DATA_GAP_MS
+        return has_recent_data and self._is_event_arriving() and now - self.last_piece_at < MAX_EVENT_MS
 
     # Interface of Twisted's push producer, called by the client's transport.
 
--- a/worksmux/gateway/attempts.py
+++ b/worksmux/gateway/attempts.py
@@ -106,6 +106,9 @@
         else:
             self._end(Outcome.ERROR)  # `[DONE]` without a token or a finish reason
 
+    def _is_event_arriving(self) -> bool:
+        return self._events.is_event_arriving
+
     def _buffered_event_bytes(self) -> int:
         return self._events.buffered_bytes
 
--- a/worksmux/node/attempts.py
+++ b/worksmux/node/attempts.py
@@ -116,6 +116,9 @@
         if events and not self.over:
             self._relay(events)
 
+    def _is_event_arriving(self) -> bool:
+        return self.stream.is_event_arriving
+
     def _buffered_event_bytes(self) -> int:
         return self.stream.buffered_bytes
 
--- a/worksmux/node/event_stream.py
+++ b/worksmux/node/event_stream.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..api.events import begins_data_field
 from .engine_reply import CachedTokens
 from .errors import CorruptStreamError
 from .protocol import LOAD
@@ -86,6 +87,11 @@
         """How many bytes of an incomplete event are kept."""
         return len(self._rest)
 
+    @property
+    def is_event_arriving(self) -> bool:
+        """Whether an event that is not complete begins with data; noise in place of a stream does not."""
+        return not self.done and begins_data_field(self._rest)
+
     @property
     def is_cut(self) -> bool:
         """Whether the last event is incomplete."""
