A connection with an unsent answer is not evicted as idle

Change: a connection whose answer has not reached the client's machine ranks as receiving, the last to be evicted. Test: test_connection_is_not_idle_before_its_answer_is_sent fails before.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -22,6 +22,7 @@
 from twisted.internet.epollreactor import EPollReactor
 
 from worksmux.net import client, work_queue
+from worksmux.net.channel import RANK_IDLE, RANK_RECEIVING
 from worksmux.net.loop import listen
 from worksmux.net.server import Server
 
@@ -184,6 +185,33 @@
     client.close()
 
 
+def test_connection_is_not_idle_before_its_answer_is_sent() -> None:
+    """Hundreds of clients connect in the moment in which an answer ends.
+
+    Its connection was evicted as idle before the reactor had sent the end of the answer, which was lost.
+    """
+    rig = start_two_engine_rig()
+    rig.node.server.on_connection = lambda channel: limit_buffer(
+        channel.transport.getHandle(), socket.SO_SNDBUF
+    )
+    rig.node.server.answerer = lambda exchange: exchange.answer(200, b"x" * 100_000)
+    client = socket.socket()
+    limit_buffer(client, socket.SO_RCVBUF)
+    client.connect(("127.0.0.1", rig.node.port))
+    client.sendall(READY_REQUEST)
+    rig.run_until(lambda: any(channel.has_answered for channel in rig.node.server.channels))
+    (channel,) = rig.node.server.channels
+    assert channel.eviction_rank() == RANK_RECEIVING
+    client.setblocking(False)
+    received = 0
+    while received < 100_000:
+        rig.reactor.iterate(0.001)
+        with suppress(BlockingIOError):
+            received += len(client.recv(2**16))
+    rig.run_until(lambda: channel.eviction_rank() == RANK_IDLE)
+    client.close()
+
+
 def limit_buffer(connection: socket.socket, option: int) -> None:
     connection.setsockopt(socket.SOL_SOCKET, option, 4096)
 
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -350,11 +350,24 @@
             self._pause()
 
     def eviction_rank(self) -> int:
-        """See `Evictable`: closing connections are evicted first, then silent, idle and receiving ones."""
+        """See `Evictable`: closing connections are evicted first, then silent, idle and receiving ones.
+
+        A connection with an unsent answer counts as receiving.
+        """
         if self.closing:
             return RANK_IDLE if self.answer_unsent else RANK_CLOSING
         if self.busy:
             return RANK_IN_USE
-        if self.receiving:
+        if self.receiving or self.has_answered and self._has_unsent_data:
             return RANK_RECEIVING
         return RANK_IDLE if self.has_answered else RANK_SILENT
+
+    @property
+    def _has_unsent_data(self) -> bool:
+        """Whether a part of an answer has not reached the client's machine.
+
+        Failure: a connection is evicted as idle right after its answer has ended, and the end of the answer,
+        which the reactor would have sent in its next iteration, is lost.
+        """
+        waits_here = getattr(self._tcp, "dataBuffer", b"") or getattr(self._tcp, "_tempDataBuffer", [])
+        return bool(waits_here) or unacknowledged_bytes(self._tcp) > 0
