Soak: floods of costly requests, trailer fields and long field names

In a third of the plans 80 bad clients of one node send what is costly to read, again as soon as they are turned away.

--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -240,6 +240,7 @@
     for generator in chosen:
         plan.faults.extend(generator(random, plan))
     plan.faults.extend(_floods(Random(f"floods {seed}"), plan))  # drawn apart: the other faults stay the same
+    plan.faults.extend(_repeated_floods(Random(f"repeated floods {seed}"), plan))
     return plan
 
 
@@ -334,6 +335,15 @@
     return faults
 
 
+def _repeated_floods(random: Random, plan: Plan) -> list[Fault]:
+    """In a third of the plans: bad clients send costly requests, again as soon as they are turned away."""
+    if random.random() < 2 / 3:
+        return []
+    at, node = _start(random, plan, FLOOD_S), random.randrange(plan.nodes)
+    kind = random.choice(sorted(flood.REPEATED_REQUESTS))
+    return [Flood(at, node, kind, MAX_FLOOD_CLIENTS)]
+
+
 def _crowd(random: Random, plan: Plan) -> list[Fault]:
     length = random.uniform(2.0, 6.0)
     at = _start(random, plan, length)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,16 +10,17 @@
 SEEDS = (
     *("1", "3", "5"),  # each breaks on a version whose streams are cut as in incident 56
     "12",  # breaks on a version without limits of what comes at once, as in the cases of issue 63
+    "2",  # breaks on a version without a limit of trailer fields, as in issue 70
 )
 SECONDS = "26"
 TIMEOUT_S = 120.0
 
 
 def test_short_soak_keeps_all_rules(tmp_path: Path) -> None:
-    """Incident 56 and issue 63 show in these seeds.
+    """Incident 56 and the issues 63 and 70 show in these seeds.
 
     Streams are cut when engines return after a long absence. Half requests exceed a node's memory, and noise
-    in place of streams holds a node up until usual answers are late.
+    in place of streams holds a node up until usual answers are late. Many trailer fields exceed its memory.
     """
     runs = [
         subprocess.Popen(
