What waits for a connection that has ended leaves the queue

Seen (a trial, real node told 64 MB): beside 320 clients that stop half way through 256 KiB and come again, the memory grew by 2 MB a second as long as they came, 61 MB after 8 s; on until its limit.

Cause: since the least costly connection goes first, and the turns of connections that had ended, or were read without turns meanwhile, stayed in the queue behind cheaper ones that always came. Told by counting objects in the node: 9,156 entries of the queue and 9,202 transports after 10,636 refusals. That is also what the longest waits of 10 to 12 s in the counters were.

Change: work can be cancelled; it is dropped at once, and the queue is rebuilt when most of it is cancelled. Connections cancel theirs when they end or need no turn. Tests: test_connections_that_end_do_not_stay_in_the_queue fails with the call left out; test_cancelled_work_is_removed_from_the_queue.

--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -10,7 +10,9 @@
 import pytest
 from node_rig import ANSWER, EVENTS, LAST_CHUNK, STREAM, Rig, chat_request, chunk, start_two_engine_rig
 from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
 
 from worksmux.net import transports, work_queue
 from worksmux.net.loop import listen, use_retrying_transports
@@ -233,7 +235,7 @@
     rig.send_from_costly_peers()
     for _ in range(COSTLY_PEERS):
         rig.iterate()
-    waiting = [peer for peer in rig.reads.peers if peer.transport._is_queued]  # type: ignore[union-attr]
+    waiting = [peer for peer in rig.reads.peers if peer.transport._turn]  # type: ignore[union-attr]
     assert len(waiting) > COSTLY_PEERS // 2
     new = [rig.connect() for _ in range(4 * COSTLY_PEERS)]
     for connection in new:
@@ -249,6 +251,32 @@
     rig.close(*new)
 
 
+def test_connections_that_end_do_not_stay_in_the_queue(monkeypatch: Any) -> None:
+    """Costly connections wait behind new ones and end meanwhile, thousands of them.
+
+    If their turns stayed in the queue until there is nothing cheaper, memory would grow as long as they come.
+    """
+    rig = TurnsRig(monkeypatch, COSTLY_PEERS)
+    rig.send_from_costly_peers()
+    for _ in range(COSTLY_PEERS):
+        rig.iterate()
+    waiting = [peer.transport for peer in rig.reads.peers if peer.transport._turn]  # type: ignore[union-attr]
+    turns = [transport._turn for transport in waiting]  # type: ignore[union-attr]
+    assert len(turns) > COSTLY_PEERS // 2
+    for transport in waiting:
+        transport.connectionLost(Failure(ConnectionDone()))  # type: ignore[union-attr]
+    assert not any(turn.call for turn in turns)
+    rig.close()
+
+
+def test_cancelled_work_is_removed_from_the_queue() -> None:
+    queue = work_queue.WorkQueue(EPollReactor())  # type: ignore[no-untyped-call]
+    usual = queue.add(lambda: None)
+    for _ in range(1000):
+        queue.cancel(queue.add(lambda: None, 5.0))
+    assert len(queue) <= 2 * work_queue.MAX_CANCELLED + 1 and usual.call is not None
+
+
 def test_failure_of_a_queued_read_ends_its_connection_alone(monkeypatch: Any) -> None:
     """A protocol raises an error in a read that has waited for its turn; the other reads go on."""
     rig = TurnsRig(monkeypatch, COSTLY_PEERS)
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -14,6 +14,7 @@
 from .exchange import MAX_BODY_OVERRUN
 from .processing_cost import ProcessingCost
 from .transports import NextByte, ServerTransport, peek, unacknowledged_bytes
+from .work_queue import Work
 
 MAX_HEADERS = 100  # fields of a head, and fields of the trailers behind a body in chunks
 MAX_HEADER_NAME_BYTES = 128  # Twisted keeps the names that it has seen
@@ -60,7 +61,9 @@
     buffered_bytes = 0  # received of requests that are not answered yet
     busy = False  # a complete request waits for its answer
     receiving = False  # a part of a request has arrived, or requests that wait to be parsed
-    _parse_scheduled = False  # of requests that wait to be parsed; `paused` is set as long as they wait
+    _parse_scheduled: Work | None = (
+        None  # of requests that wait to be parsed; `paused` is set as long as they wait
+    )
     has_answered = False  # a request was answered on this connection
     _paused_at_ms = math.inf  # clock time from which on the connection is not read
     _unread_since_ms = math.inf  # clock time from which on the next read's data may have been unread
@@ -86,6 +89,8 @@
         """Removes the connection from the server."""
         self.factory.channels.pop(self, None)
         self.factory.buffers.remove(self)
+        if self._parse_scheduled is not None:
+            self.factory.work_queue.cancel(self._parse_scheduled)
         super().connectionLost(reason)
         self._free_parser()
 
@@ -315,13 +320,12 @@
         now = clock.now()
         self._paused_at_ms = min(self._paused_at_ms, now)
         self._tcp.pauseProducing()
-        if not self._parse_scheduled:
-            self._parse_scheduled = True
-            self.factory.work_queue.add(self._parse_next, self.cost.excess_ms(now))
+        if self._parse_scheduled is None:
+            self._parse_scheduled = self.factory.work_queue.add(self._parse_next, self.cost.excess_ms(now))
 
     def _parse_next(self) -> None:
         """Parses the next pipelined request, unless the client does not take the answers to earlier ones."""
-        self._parse_scheduled = False
+        self._parse_scheduled = None
         if self.closing or self not in self.factory.channels or self._waitingForTransport:
             return
         self.paused = False
--- a/worksmux/net/transports.py
+++ b/worksmux/net/transports.py
@@ -21,10 +21,11 @@
 
 import structlog
 from twisted.internet import main, tcp
+from twisted.python.failure import Failure
 
 from . import clock
 from .processing_cost import ProcessingCost
-from .work_queue import WorkQueue
+from .work_queue import Work, WorkQueue
 
 LOG = structlog.get_logger()
 TRANSIENT_ERRNOS = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
@@ -102,7 +103,7 @@
     """
 
     _is_paused = False  # by a consumer, through `pauseProducing`
-    _is_queued = False  # the next read waits for its turn
+    _turn: Work | None = None  # for which the next read waits
     _takes_turns = True
     _read_bytes = FIRST_READ_BYTES
     unread_since_ms = math.inf  # clock time from which on the data that is read now may have been unread
@@ -121,10 +122,9 @@
         if not self._takes_turns or queue.has_time():
             return self._read_available()
         now = clock.now()
-        self._is_queued = True
         self.unread_since_ms = now
         self.stopReading()
-        queue.add(self._take_turn, self.cost.excess_ms(now))
+        self._turn = queue.add(self._take_turn, self.cost.excess_ms(now))
         return None
 
     def _read_available(self) -> Any:
@@ -148,7 +148,7 @@
 
     def _may_read(self) -> bool:
         is_open = self.connected and not self.disconnecting and not self._aborting
-        return bool(is_open and not self._is_paused and not self._is_queued)
+        return bool(is_open and not self._is_paused and self._turn is None)
 
     def _handle(self, data: bytes) -> tuple[Any, float]:
         """Passes data to the protocol; returns Twisted's result and the duration in milliseconds.
@@ -183,9 +183,7 @@
 
     def _take_turn(self) -> None:
         """Reads at once: in the reactor's order the connection might have to wait again."""
-        if not self._is_queued:
-            return
-        self._is_queued = False
+        self._turn = None
         self._read_again()
         if not self._may_read():
             self.unread_since_ms = math.inf
@@ -205,10 +203,20 @@
         many connections and usual ones are closed.  The close of a client whose request runs is not seen.
         """
         self._takes_turns = takes_turns
-        if self._is_queued and not takes_turns:
-            self._is_queued = False
+        if self._turn is not None and not takes_turns:
+            self._give_up_turn()
             self._read_again()
 
+    def _give_up_turn(self) -> None:
+        if self._turn is not None:
+            self._read_queue().cancel(self._turn)
+            self._turn = None
+
+    def connectionLost(self, reason: Failure) -> None:
+        """Gives up the turn of a connection that has ended."""
+        self._give_up_turn()
+        super().connectionLost(reason)
+
     def _read_later(self) -> None:
         self.stopReading()
         self.reactor.callLater(RETRY_DELAY_S, self._read_again)
@@ -232,7 +240,7 @@
     def resumeProducing(self) -> None:
         """Reads again, but not before the connection's turn."""
         self._is_paused = False
-        if not self._is_queued:
+        if self._turn is None:
             super().resumeProducing()
 
 
--- a/worksmux/net/work_queue.py
+++ b/worksmux/net/work_queue.py
@@ -10,15 +10,25 @@
 from . import clock
 
 MAX_ITERATION_MS = 5.0
+MAX_CANCELLED = 64  # calls that are kept before all cancelled ones are removed
 
 
-class _Work(NamedTuple):
+class Work:
+    """A call that waits; `cancel` it at the queue, so that nothing keeps what the call belongs to."""
+
+    __slots__ = ("added_ms", "call")
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call: Callable[[], None] | None = call
+        self.added_ms = clock.now()
+
+
+class _Entry(NamedTuple):
     """An entry of the heap: least cost first, then the oldest."""
 
     cost_ms: float
     number: int
-    added_ms: float  # clock time
-    call: Callable[[], None]
+    work: Work
 
 
 class QueueCounts(NamedTuple):
@@ -38,18 +48,40 @@
 
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
-        self._waiting: list[_Work] = []
+        self._waiting: list[_Entry] = []
+        self._cancelled = 0  # entries of `_waiting`
         self._numbers = count()
         self._scheduled = False
         self._spent_ms = 0.0  # since the queue's last iteration began
         self._added = 0
         self._longest_wait_ms = 0.0
 
-    def add(self, call: Callable[[], None], cost_ms: float = 0.0) -> None:
+    def add(self, call: Callable[[], None], cost_ms: float = 0.0) -> Work:
         """Calls `call` in a later iteration; `cost_ms` is the `ProcessingCost` of its connection."""
-        heapq.heappush(self._waiting, _Work(cost_ms, next(self._numbers), clock.now(), call))
+        work = Work(call)
+        heapq.heappush(self._waiting, _Entry(cost_ms, next(self._numbers), work))
         self._added += 1
         self._schedule()
+        return work
+
+    def cancel(self, work: Work) -> None:
+        """Prevents a call.
+
+        Failure: connections end while their work waits.  Costly work may wait for as long as others come, so
+        what has ended would fill the memory.
+        """
+        if work.call is None:
+            return
+        work.call = None
+        self._cancelled += 1
+        if self._cancelled > MAX_CANCELLED and 2 * self._cancelled > len(self._waiting):
+            self._waiting = [entry for entry in self._waiting if entry.work.call is not None]
+            heapq.heapify(self._waiting)
+            self._cancelled = 0
+
+    def __len__(self) -> int:
+        """The calls that wait, cancelled ones that are not removed yet among them."""
+        return len(self._waiting)
 
     def has_time(self) -> bool:
         """Whether work may be done at once, without waiting in the queue."""
@@ -79,11 +111,15 @@
 
     def _call_waiting(self) -> None:
         began_ms = now = clock.now()
-        for _ in range(len(self._waiting)):  # at most as many calls as wait now: each may add another one
-            work = heapq.heappop(self._waiting)
+        calls_left = len(self._waiting)  # those that wait now: each may add another one
+        while calls_left and self._waiting and now - began_ms <= MAX_ITERATION_MS:
+            calls_left -= 1
+            work = heapq.heappop(self._waiting).work
+            call, work.call = work.call, None
+            if call is None:
+                self._cancelled -= 1
+                continue
             self._longest_wait_ms = max(self._longest_wait_ms, now - work.added_ms)
-            work.call()
+            call()
             now = clock.now()
-            if now - began_ms > MAX_ITERATION_MS:
-                break
         self._spent_ms = now - began_ms
