All reads of a turn count as old as its wait

Cause: a request that waited for its turn and is read in several pieces counted from the read of the last piece, as the transport forgot the wait after the first one. Its answer may come after its client's time, and engines are told more time than the client has left. Seen on reading the code again.

Change: the wait is forgotten when the turn's reads are over. Two comments of the channel stand above their lines.

--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -312,3 +312,23 @@
     assert rig.reads.now_ms > 2 * MAX_TURN_MS
     assert max(rig.reads.unread_since_ms[3:COSTLY_PEERS]) <= MAX_TURN_MS  # those that had to wait
     rig.close()
+
+
+def test_all_reads_of_a_turn_tell_how_long_their_data_may_have_waited(monkeypatch: Any) -> None:
+    """A request that waited is read in several pieces, and its time counts from the read of the last one."""
+    rig = TurnsRig(monkeypatch, COSTLY_PEERS)
+    usual = rig.connect()
+    for _ in range(5):
+        rig.reactor.iterate(0.01)  # accepts
+    usual_peer = rig.reads.peers[-1]
+    usual_peer.is_closed = True  # its data costs nothing
+    rig.send_from_costly_peers()
+    usual.sendall(b"~" * (transports.FIRST_READ_BYTES + 100))
+    while not usual_peer.reads_when_closed:
+        seen = len(rig.reads.unread_since_ms)
+        rig.iterate()
+    sizes, since_ms = rig.reads.sizes, rig.reads.unread_since_ms[seen:]
+    first = sizes.index(100) - 1
+    assert sizes[first] == transports.FIRST_READ_BYTES
+    assert since_ms[first] == since_ms[first + 1] <= MAX_TURN_MS
+    rig.close(usual)
--- a/worksmux/net/channel.py
+++ b/worksmux/net/channel.py
@@ -61,9 +61,8 @@
     buffered_bytes = 0  # received of requests that are not answered yet
     busy = False  # a complete request waits for its answer
     receiving = False  # a part of a request has arrived, or requests that wait to be parsed
-    _parse_scheduled: Work | None = (
-        None  # of requests that wait to be parsed; `paused` is set as long as they wait
-    )
+    # Of requests that wait to be parsed; `paused` is set as long as they wait.
+    _parse_scheduled: Work | None = None
     has_answered = False  # a request was answered on this connection
     _paused_at_ms = math.inf  # clock time from which on the connection is not read
     _unread_since_ms = math.inf  # clock time from which on the next read's data may have been unread
@@ -306,9 +305,8 @@
         self._take_turns(True)
         self.since_ms, self.pipelined_bytes = clock.now(), 0
         self._set_buffered_bytes(len(self._buffer))  # Twisted passes other pipelined data in once more
-        self.receiving = bool(self._buffer) or any(
-            self._dataBuffer
-        )  # behind a body Twisted adds an empty piece
+        # Behind a body Twisted keeps what follows as a piece of its own, which may be empty.
+        self.receiving = bool(self._buffer) or any(self._dataBuffer)
         self.paused = self.receiving or self._waitingForTransport
         self.factory.evictions.update(self)
         super().requestDone(request)
--- a/worksmux/net/transports.py
+++ b/worksmux/net/transports.py
@@ -128,6 +128,13 @@
         return None
 
     def _read_available(self) -> Any:
+        """Reads what may be read at once, all of which may have waited since `unread_since_ms`."""
+        try:
+            return self._read_while_cheap()
+        finally:
+            self.unread_since_ms = math.inf
+
+    def _read_while_cheap(self) -> Any:
         """Reads until the socket is empty or a read was not cheap; one that fails is repeated later."""
         bytes_left = MAX_READ_BYTES
         while True:
@@ -159,7 +166,6 @@
         result = self._dataReceived(data)
         now = clock.now()
         duration_ms = now - started_ms
-        self.unread_since_ms = math.inf
         self.cost.add(duration_ms, now)
         if self._takes_turns:
             self._read_queue().spend(duration_ms)
