A load worker's log lines go to standard error

Cause: structlog writes to standard output where nothing sets it up, and a worker's standard output has its reports; a log line begins with the year, an int.

Change: the worker sets its log up on standard error. Test: test_log_lines_of_a_worker_are_not_taken_for_reports fails before.

--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+import subprocess
+import sys
 import threading
 import time
 from pathlib import Path
@@ -217,3 +219,26 @@
         read_load(parse('load "x" closed=3 {\n target "nowhere"\n}\nphase length="1s" rate=5\n'))
     text = str(raised.value)
     assert "one of the three" in text and "closed needs a length" in text and "no offering" in text
+
+
+LOGGING_WORKER = """
+import structlog
+from worksmux.load import worker
+
+def log_and_end():
+    structlog.get_logger().warning("slow read")
+    raise SystemExit
+
+worker.msgspec.json.decode = lambda *_, **__: None
+worker.the_reactor = log_and_end
+worker.main()
+"""
+
+
+def test_log_lines_of_a_worker_are_not_taken_for_reports() -> None:
+    """A worker logs, as a read took long while the machine stood still; the load failed as a whole.
+
+    The line begins with a year and was read as a report.
+    """
+    worker = subprocess.run([sys.executable, "-c", LOGGING_WORKER], input=b"", capture_output=True)
+    assert b"slow read" in worker.stderr and not worker.stdout
--- a/worksmux/load/worker.py
+++ b/worksmux/load/worker.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 import msgspec
+import structlog
 from hdrh.histogram import HdrHistogram
 
 from ..api import chat, errors
@@ -498,8 +499,18 @@
             self.reactor.callLater(0, self.reactor.stop)
 
 
+def log_to_standard_error() -> None:
+    """Keeps log lines off standard output, which has the reports.
+
+    Failure: the handling of one read takes long, as the machine stands still; the log line of that is read
+    as a report, and the whole load fails.
+    """
+    structlog.configure(logger_factory=structlog.PrintLoggerFactory(sys.stderr))
+
+
 def main() -> None:
     """Runs the task from standard input."""
+    log_to_standard_error()
     task = msgspec.json.decode(sys.stdin.buffer.read(), type=WorkerTask)
     reactor = the_reactor()
     Worker(task, reactor, lambda report: print(msgspec.json.encode(report).decode(), flush=True)).run()
